--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by `make bench`."""
--- /dev/null
+++ b/daisyline/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: messages, state and a time go in, effects come out."""
--- /dev/null
+++ b/daisyline/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs, thin over the package."""
--- /dev/null
+++ b/daisyline/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and decoding of messages."""
--- /dev/null
+++ b/daisyline/state/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data that decisions read and change."""
--- /dev/null
+++ b/daisyline/state/failures.py
@@ -0,0 +1,69 @@
+"""Failures as values: a reason that programs read, a detail that people do."""
+
+import enum
+
+import attrs
+
+
+class Reason(enum.StrEnum):
+    """Why a call was refused or failed, as callers see it."""
+
+    BAD_REQUEST = 'bad-request'
+    TOO_LARGE = 'too-large'
+    NO_SERVICE = 'no-service'
+    NO_TARGET = 'no-target'
+    OVERLOADED = 'overloaded'
+    QUEUE_TIMEOUT = 'queue-timeout'
+    DEADLINE = 'deadline'
+    LEAVING = 'leaving'
+    ZONE_OUT = 'zone-out'
+    VERSION_STOPPED = 'version-stopped'
+    QUARANTINED = 'quarantined'
+    PAUSED = 'paused'
+    DUPLICATE = 'duplicate'
+    TARGET_LOST = 'target-lost'
+    NODE_LOST = 'node-lost'
+    SILENT = 'silent'
+    CANCELLED = 'cancelled'
+    PLATFORM_DOWN = 'platform-down'
+    CONFLICT = 'conflict'
+    NOT_FOUND = 'not-found'
+
+
+class Outcome(enum.StrEnum):
+    """Whether a call that got no answer may have run."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class Failure:
+    """A sentinel that a function returns in place of its result.
+
+    Attributes:
+        reason: What went wrong, from a closed list.
+        outcome: `NOT_RUN` only if no target was handed a byte of the call.
+        detail: A short sentence for people.
+    """
+
+    reason: Reason
+    outcome: Outcome = Outcome.NOT_RUN
+    detail: str = ''
+
+
+@attrs.frozen
+class Finding:
+    """One mistake in settings.
+
+    Attributes:
+        place: Where it is, as `services.catalogue.slots_per_upstream`.
+        problem: What is wrong and what is allowed.
+    """
+
+    place: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Return the finding as one line."""
+        return f'{self.place}: {self.problem}'
--- /dev/null
+++ b/daisyline/state/members.py
@@ -0,0 +1,46 @@
+"""Members of the fleet: nodes, and the target beside each."""
+
+import attrs
+
+from daisyline.state.targets import Target
+
+
+def _target_from(fields: object) -> Target | None:
+    """Build a target from itself or from its fields in order."""
+    if fields is None or isinstance(fields, Target):
+        return fields
+    if not isinstance(fields, (list, tuple)):
+        raise TypeError('a target is a list of fields')
+    return Target(*fields)
+
+
+@attrs.frozen
+class Member:
+    """A node as the others know it.
+
+    Attributes:
+        name: The node's name, unique in its cluster.
+        host: The IP number of its peers' port.
+        port: Its peers' TCP port.
+        zone: The availability zone it stands in.
+        region: The region of that zone.
+        incarnation: Wall-clock microseconds of its start; a restart is newer.
+        beat: Grows when the node changes what it says of itself.
+        target: The target beside it, if one has announced itself.
+    """
+
+    name: str = attrs.field(validator=attrs.validators.instance_of(str))
+    host: str = attrs.field(validator=attrs.validators.instance_of(str))
+    port: int = attrs.field(validator=attrs.validators.instance_of(int))
+    zone: str = attrs.field(validator=attrs.validators.instance_of(str))
+    region: str = attrs.field(validator=attrs.validators.instance_of(str))
+    incarnation: int = attrs.field(validator=attrs.validators.instance_of(int))
+    beat: int = attrs.field(
+        default=0, validator=attrs.validators.instance_of(int)
+    )
+    target: Target | None = attrs.field(default=None, converter=_target_from)
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """Return what orders two records of one node; the larger is newer."""
+        return (self.incarnation, self.beat)
--- /dev/null
+++ b/daisyline/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clocks and the one loop that drives them."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that daisyline meets."""
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,1 @@
+"""Fixtures that the tests of several modules share."""
