--- a/daisyline/state/facts.py
+++ b/daisyline/state/facts.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+DEFAULT_TTL_MS = 600_000
+
 
 def _payload_from(fields: Any) -> tuple[Any, ...]:
     return tuple(fields)
@@ -30,7 +32,7 @@
     rank: int = attrs.field(validator=attrs.validators.instance_of(int))
     payload: tuple[Any, ...] = attrs.field(default=(), converter=_payload_from)
     ttl_ms: int = attrs.field(
-        default=600_000, validator=attrs.validators.instance_of(int)
+        default=DEFAULT_TTL_MS, validator=attrs.validators.instance_of(int)
     )
 
     @property
