--- /dev/null
+++ b/daisyline/protocol/frames.py
@@ -0,0 +1,128 @@
+"""Messages between nodes as msgpack frames."""
+
+import functools
+from collections.abc import Callable, Iterator
+from operator import attrgetter
+from typing import Any, get_origin
+
+import attrs
+import msgpack
+
+from daisyline.coordination import messages
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 8_388_608
+
+_CALL_MESSAGES: tuple[type, ...] = (
+    messages.Hello,
+    messages.Ping,
+    messages.Pong,
+    messages.Run,
+    messages.Answer,
+    messages.AnswerPart,
+    messages.Refused,
+    messages.Cancel,
+    messages.Credit,
+    messages.Ask,
+    messages.Running,
+)
+
+
+@attrs.frozen
+class BadFrame:
+    """Bytes that are no message; the stream that brought them is closed."""
+
+    detail: str
+
+
+@attrs.frozen
+class _Shape:
+    """How one class of messages is encoded and checked.
+
+    Attributes:
+        tag: The first element of the frame.
+        fields: Returns a message's fields in order.
+        types: The types that decoded fields must have.
+    """
+
+    tag: int
+    fields: Callable[[Any], tuple[Any, ...]]
+    types: tuple[type, ...]
+
+
+class FrameEncoder:
+    """Encodes messages; one for a process is enough."""
+
+    def __init__(self) -> None:
+        """Make the packer once, as it keeps its buffer."""
+        self._packer = msgpack.Packer(use_bin_type=True)
+
+    def encode(self, message: Any) -> bytes:
+        """Return the frame of a message."""
+        shape = _shapes()[type(message)]
+        octets: bytes = self._packer.pack((shape.tag, *shape.fields(message)))
+        return octets
+
+
+class FrameDecoder:
+    """Decodes one stream of frames, of bounded size."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a stream."""
+        self._unpacker = msgpack.Unpacker(
+            use_list=False, raw=False, max_buffer_size=MAX_FRAME_BYTES
+        )
+
+    def feed(self, octets: bytes) -> list[Any]:
+        """Take bytes and return the whole messages, a `BadFrame` the last."""
+        decoded: list[Any] = []
+        try:
+            decoded.extend(self._messages(octets))
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            decoded.append(BadFrame(str(error)))
+        return decoded
+
+    def _messages(self, octets: bytes) -> Iterator[Any]:
+        self._unpacker.feed(octets)
+        return map(_message, self._unpacker)
+
+
+def _message(frame: Any) -> Any:
+    if not isinstance(frame, tuple) or not frame:
+        raise ValueError('a frame is an array with a tag')
+    kind = _kinds().get(frame[0]) if isinstance(frame[0], int) else None
+    if kind is None:
+        raise ValueError('unknown tag')
+    types = _shapes()[kind].types
+    if types and tuple(map(type, frame[1:])) != types:
+        raise ValueError(f'wrong fields for {kind.__name__}')
+    return kind(*frame[1:])
+
+
+@functools.cache
+def _shapes() -> dict[type, _Shape]:
+    """Return the shape of each class of messages, in the order of tags."""
+    return {kind: _shape(tag, kind) for tag, kind in enumerate(_CALL_MESSAGES)}
+
+
+@functools.cache
+def _kinds() -> dict[int, type]:
+    return {shape.tag: kind for kind, shape in _shapes().items()}
+
+
+def _shape(tag: int, kind: type) -> _Shape:
+    """Work out how a class of flat messages is encoded."""
+    attrs.resolve_types(kind)
+    fields = attrs.fields(kind)
+    names = [field.name for field in fields]
+    getter = attrgetter(*names)
+    if len(names) == 1:
+        return _Shape(tag, lambda message: (getter(message),), _types(fields))
+    return _Shape(tag, getter, _types(fields))
+
+
+def _types(fields: Any) -> tuple[type, ...]:
+    """Return the plain types of fields; generic ones count as tuples."""
+    return tuple(
+        tuple if get_origin(field.type) else field.type for field in fields
+    )
