--- /dev/null
+++ b/daisyline/coordination/admission.py
@@ -0,0 +1,258 @@
+"""Admission at a target's node: a call starts, waits or is refused."""
+
+import heapq
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from daisyline.coordination.concurrency import Concurrency
+from daisyline.coordination.fair_queue import FairQueue, Ticket
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Limits
+from daisyline.state.targets import LoadReport, Phase
+
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+
+
+@attrs.frozen
+class Admitted:
+    """The call holds a slot: hand it to the target."""
+
+
+@attrs.frozen
+class Queued:
+    """The call waits; `finish` or `expire` will name it."""
+
+
+Refusals = list[tuple[str, Failure]]
+
+
+@attrs.frozen
+class Change:
+    """What a change of phase or limits brought about.
+
+    Attributes:
+        started: Calls that hold a slot from now on.
+        refused: Calls that waited and are refused as not run.
+    """
+
+    started: list[str] = attrs.field(factory=list)
+    refused: Refusals = attrs.field(factory=list)
+
+
+@attrs.define
+class _Waits:
+    """When each waiting call gives up, the earliest first."""
+
+    _heap: list[tuple[float, str]] = attrs.field(factory=list)
+    _times: dict[str, float] = attrs.field(factory=dict)
+
+    def __getitem__(self, call: str) -> float:
+        return self._times[call]
+
+    def add(self, call: str, at: float) -> None:
+        self._times[call] = at
+        heapq.heappush(self._heap, (at, call))
+
+    def discard(self, call: str) -> None:
+        self._times.pop(call, None)
+
+    def next_at(self) -> float:
+        """Return the earliest time, or infinity."""
+        while self._heap and self._is_stale(*self._heap[0]):
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else math.inf
+
+    def pop(self) -> str:
+        """Take the call that gives up first."""
+        call = heapq.heappop(self._heap)[1]
+        self._times.pop(call)
+        return call
+
+    def _is_stale(self, at: float, call: str) -> bool:
+        return self._times.get(call) != at
+
+
+@attrs.define
+class Admission:
+    """Admits calls to one target; its counts are exact.
+
+    Calls whose end isn't the answer to the call that caused it (displaced
+    from the queue, or found too late when a slot came free) are named by the
+    next `expire`, and `next_at` is then in the past.
+    """
+
+    _contract: Limits
+    _concurrency: Concurrency
+    _queue: FairQueue
+    _now: float
+    _announced: Phase = Phase.READY
+    _running: set[str] = attrs.field(factory=set)
+    _waits: _Waits = attrs.field(factory=_Waits)
+    _refused: Refusals = attrs.field(factory=list)
+
+    @classmethod
+    def from_limits(cls, limits: Limits, now: float) -> 'Admission':
+        """Build admission for a target just met, which is taken for cold."""
+        return cls(
+            contract=limits,
+            concurrency=Concurrency.from_limits(limits),
+            queue=FairQueue.from_capacity(limits.queue_per_upstream),
+            now=now,
+        )
+
+    @property
+    def running(self) -> int:
+        """Return how many calls hold a slot."""
+        return len(self._running)
+
+    @property
+    def load(self) -> LoadReport:
+        """Return what goes back to entry nodes with each answer."""
+        return LoadReport(
+            running=self.running,
+            waiting=len(self._queue),
+            limit=self._concurrency.limit,
+            service_us=int(self._concurrency.service_s * US_PER_S),
+        )
+
+    def offer(self, ticket: Ticket, now: float) -> Admitted | Queued | Failure:
+        """Decide on a call that has just come in."""
+        failure = self._refusal(ticket, now)
+        if failure is not None:
+            return failure
+        if self._has_slot() and not self._queue:
+            self._start(ticket)
+            return Admitted()
+        return self._enqueue(ticket, now)
+
+    def finish(
+        self, call: str, now: float, *, service_s: float, succeeded: bool
+    ) -> list[str]:
+        """Free the slot of a call that ended; unknown calls are ignored.
+
+        Args:
+            call: The call's id.
+            now: Monotonic seconds.
+            service_s: How long the target took, in seconds.
+            succeeded: Whether the target answered without a failure.
+
+        Returns:
+            The calls that hold a slot from now on.
+        """
+        if call not in self._running:
+            return []
+        self._running.remove(call)
+        self._concurrency.observe(service_s, succeeded=succeeded)
+        return self._fill(now)
+
+    def withdraw(self, call: str, now: float) -> bool:
+        """Take out a call that nobody waits for; return whether it waited."""
+        self._waits.discard(call)
+        return self._queue.remove(call)
+
+    def expire(self, now: float) -> Refusals:
+        """Return the waiting calls that end without having run."""
+        while self._waits.next_at() <= now:
+            call = self._waits.pop()
+            self._queue.remove(call)
+            self._refused.append((call, Failure(Reason.QUEUE_TIMEOUT)))
+        refused = self._refused.copy()
+        self._refused.clear()
+        return refused
+
+    def next_at(self) -> float:
+        """Return when `expire` has something to do, in monotonic seconds."""
+        return -math.inf if self._refused else self._waits.next_at()
+
+    def set_limits(self, limits: Limits, now: float) -> Change:
+        """Follow a change of settings."""
+        self._contract = limits
+        self._concurrency.set_limits(limits)
+        dropped = self._queue.set_capacity(limits.queue_per_upstream)
+        for ticket in dropped:
+            self._refuse(ticket, Reason.OVERLOADED)
+        return Change(started=self._fill(now), refused=self.expire(now))
+
+    def set_phase(self, phase: Phase, now: float) -> Change:
+        """Follow what the target says of itself; repeats change nothing."""
+        if phase == self._announced:
+            return Change()
+        self._announced = phase
+        if phase == Phase.COLD:
+            self.turned_cold(now)
+        if phase == Phase.LEAVING:
+            for ticket in self._queue.clear():
+                self._refuse(ticket, Reason.LEAVING)
+        return Change(started=self._fill(now), refused=self.expire(now))
+
+    def turned_cold(self, now: float) -> None:
+        """Go back to one slot; running calls go on."""
+        self._concurrency.turned_cold()
+
+    def set_weights(self, weights: Mapping[str, int]) -> None:
+        """Replace the tenants' weights; one not named has the weight 1."""
+        self._queue.set_weights(weights)
+
+    def _refusal(self, ticket: Ticket, now: float) -> Failure | None:
+        """Return why a call can neither start nor wait, if that is so."""
+        if ticket.call in self._running or ticket.call in self._queue:
+            return Failure(Reason.DUPLICATE, Outcome.UNKNOWN)
+        if self._announced == Phase.LEAVING:
+            return Failure(Reason.LEAVING, detail='the target is leaving')
+        if ticket.give_up_at <= now:
+            return Failure(Reason.DEADLINE, detail='the deadline has passed')
+        return None
+
+    def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
+        gives_up_at = self._gives_up_at(ticket, now)
+        if now + self._expected_wait_s(ticket.tenant) > gives_up_at:
+            return Failure(Reason.OVERLOADED, detail='the wait is too long')
+        dropped = self._queue.push(ticket)
+        if ticket in dropped:
+            return Failure(Reason.OVERLOADED, detail='the queue is full')
+        for loser in dropped:
+            self._refuse(loser, Reason.OVERLOADED)
+        self._waits.add(ticket.call, gives_up_at)
+        return Queued()
+
+    def _gives_up_at(self, ticket: Ticket, now: float) -> float:
+        """Return when a call that still waits has no use any more."""
+        return min(
+            now + self._contract.queue_wait_ms / MS_PER_S,
+            ticket.give_up_at - self._concurrency.service_s,
+        )
+
+    def _expected_wait_s(self, tenant: str) -> float:
+        """Return how long a new call would wait, in seconds."""
+        turns = self._queue.ahead_of(tenant) + 1
+        return turns * self._concurrency.service_s / self._concurrency.limit
+
+    def _has_slot(self) -> bool:
+        return self.running < self._concurrency.limit
+
+    def _start(self, ticket: Ticket) -> None:
+        assert self.running < self._contract.slots_per_upstream
+        self._running.add(ticket.call)
+        self._queue.charge(ticket.tenant)
+
+    def _fill(self, now: float) -> list[str]:
+        """Start waiting calls while there are slots."""
+        started = []
+        while self._has_slot():
+            ticket = self._queue.pop()
+            if ticket is None:
+                break
+            if self._waits[ticket.call] <= now:
+                self._refuse(ticket, Reason.QUEUE_TIMEOUT)
+            else:
+                self._waits.discard(ticket.call)
+                self._start(ticket)
+                started.append(ticket.call)
+        return started
+
+    def _refuse(self, ticket: Ticket, reason: Reason) -> None:
+        self._waits.discard(ticket.call)
+        self._refused.append((ticket.call, Failure(reason)))
--- /dev/null
+++ b/daisyline/coordination/concurrency.py
@@ -0,0 +1,141 @@
+"""The slots of one target that may be used now: cold targets start at one."""
+
+from collections import deque
+
+import attrs
+
+from daisyline.state.settings import Limits
+
+#: Weight of the newest call in the smoothed service time.
+SMOOTHING = 0.125
+#: Weight of the newest call in the baseline; some hundred calls renew it.
+BASELINE_SMOOTHING = 0.01
+#: Calls after which the baseline says something.
+BASELINE_CALLS = 32
+#: Calls in a row that must all be slow before a target is found cold.
+COLD_WINDOW_CALLS = 8
+#: How many times slower than the baseline each of these calls must be.
+COLD_RATIO = 3.0
+#: How many times slower than the baseline a call of a warm target may be.
+STEADY_RATIO = 2.0
+#: What a slow success adds to the limit, as a part of a fast one.
+SLOW_GROWTH = 0.25
+#: Failures in a row after which a target is taken for cold.
+COLD_FAILURES = 5
+
+
+@attrs.define
+class Concurrency:
+    """Decides how many of the contract's slots may be used now.
+
+    A target just met, one that says so, and one whose calls all turned slow
+    or fail, is taken for cold. It gets one slot. Each success adds a part of
+    a slot, as in additive increase, until the contract's slots are reached;
+    a failure while it grows halves the limit.
+
+    The rise of service times is judged by the fastest of the last calls, so
+    that one slow route among others doesn't count. A route that is slow for
+    all calls, or a neighbour that slows all of them as much as a cold start
+    would, can't be told from a cold start.
+    """
+
+    _slots: int
+    _limit: float = 1
+    _service_s: float = 0
+    _baseline_s: float = 0
+    _seen: int = 0
+    _failures: int = 0
+    _recent: deque[float] = attrs.field(
+        factory=lambda: deque(maxlen=COLD_WINDOW_CALLS)
+    )
+
+    @classmethod
+    def from_limits(cls, limits: Limits) -> 'Concurrency':
+        """Build the state of a target just met, which is taken for cold."""
+        return cls(slots=limits.slots_per_upstream)
+
+    @property
+    def limit(self) -> int:
+        """Return the calls that may run at once now."""
+        return max(1, min(self._slots, int(self._limit)))
+
+    @property
+    def service_s(self) -> float:
+        """Return the smoothed service time of successes, in seconds."""
+        return self._service_s
+
+    @property
+    def is_growing(self) -> bool:
+        """Return whether fewer slots are used than the contract allows."""
+        return self._limit < self._slots
+
+    def set_limits(self, limits: Limits) -> None:
+        """Follow a change of the contract's slots."""
+        was_full = not self.is_growing
+        self._slots = limits.slots_per_upstream
+        if was_full or self._limit > self._slots:
+            self._limit = self._slots
+
+    def turned_cold(self) -> None:
+        """Go back to one slot."""
+        self._limit = 1
+        self._failures = 0
+        self._recent.clear()
+
+    def observe(self, service_s: float, *, succeeded: bool) -> None:
+        """Learn from a call that ended.
+
+        Args:
+            service_s: How long the target took, in seconds.
+            succeeded: Whether the target answered without a failure.
+        """
+        if succeeded:
+            self._succeed(service_s)
+        else:
+            self._fail()
+        assert 1 <= self.limit <= max(1, self._slots)
+
+    def _succeed(self, service_s: float) -> None:
+        self._failures = 0
+        self._recent.append(service_s)
+        if self._is_found_cold():
+            self.turned_cold()
+        else:
+            self._grow(service_s)
+        self._learn(service_s)
+
+    def _fail(self) -> None:
+        self._failures += 1
+        if self._failures >= COLD_FAILURES:
+            self.turned_cold()
+        elif self.is_growing:
+            self._limit = max(1, self._limit / 2)
+
+    def _grow(self, service_s: float) -> None:
+        is_slow = self._knows_baseline() and (
+            service_s > STEADY_RATIO * self._baseline_s
+        )
+        growth = SLOW_GROWTH if is_slow else 1
+        self._limit = min(self._slots, self._limit + growth / self._limit)
+
+    def _is_found_cold(self) -> bool:
+        """Return whether all of the last calls were far over the baseline."""
+        if self.is_growing or not self._knows_baseline():
+            return False
+        if len(self._recent) < COLD_WINDOW_CALLS:
+            return False
+        return min(self._recent) > COLD_RATIO * self._baseline_s
+
+    def _knows_baseline(self) -> bool:
+        return self._seen >= BASELINE_CALLS
+
+    def _learn(self, service_s: float) -> None:
+        """Smooth the service time and, more slowly, its baseline."""
+        self._seen += 1
+        first_weight = 1 / self._seen
+        self._service_s += max(SMOOTHING, first_weight) * (
+            service_s - self._service_s
+        )
+        self._baseline_s += max(BASELINE_SMOOTHING, first_weight) * (
+            service_s - self._baseline_s
+        )
--- /dev/null
+++ b/daisyline/coordination/retries.py
@@ -0,0 +1,114 @@
+"""When a call may be sent again, so that attempts never multiply."""
+
+import attrs
+
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Limits
+
+PERCENT = 100
+#: Retries that a budget holds before it has earned any.
+RESERVE = 3
+#: The most retries that a budget saves up.
+MOST_SAVED = 10
+#: Nodes that one call is offered to at most, while all refuse it as not run.
+MAX_TRIES = 3
+#: With less time than this left a call isn't sent again, in seconds.
+MIN_LEFT_S = 0.001
+
+#: Refusals that another target may answer differently.
+_ELSEWHERE = frozenset(
+    (
+        Reason.OVERLOADED,
+        Reason.QUEUE_TIMEOUT,
+        Reason.LEAVING,
+        Reason.ZONE_OUT,
+        Reason.VERSION_STOPPED,
+        Reason.TARGET_LOST,
+        Reason.NODE_LOST,
+        Reason.SILENT,
+        Reason.PAUSED,
+    )
+)
+
+
+@attrs.define
+class RetryBudget:
+    """Retries of an entry node for one service, as a part of its calls."""
+
+    _per_call: float
+    _saved: float = RESERVE
+
+    @classmethod
+    def from_limits(cls, limits: Limits, now: float) -> 'RetryBudget':
+        """Build a budget that holds its reserve."""
+        return cls(per_call=limits.retry_percent / PERCENT)
+
+    def earned(self, now: float) -> None:
+        """Count a call of a caller; retries are no calls."""
+        self._saved = min(MOST_SAVED, self._saved + self._per_call)
+
+    def spend(self, now: float) -> bool:
+        """Take one retry out, or return that none is left."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
+
+
+@attrs.frozen
+class Attempt:
+    """An attempt that got no answer.
+
+    Attributes:
+        number: 1 for the first attempt, counted over all nodes tried.
+        repeatable: Whether the call may run more than once.
+        retried: Whether a retry has been spent on this call, or on one above
+            or below it; the mark goes down with the call and comes up with
+            the answer or failure.
+        left_s: Seconds until the call's deadline.
+    """
+
+    number: int
+    repeatable: bool
+    retried: bool
+    left_s: float
+
+
+@attrs.frozen
+class Retry:
+    """Send the call again, to a node that hasn't been tried.
+
+    Attributes:
+        number: The number of the next attempt.
+        retried: The mark that goes down with it.
+    """
+
+    number: int
+    retried: bool
+
+
+def decide_retry(
+    attempt: Attempt, failure: Failure, budget: RetryBudget, now: float
+) -> Retry | Failure:
+    """Return whether a call is sent again, or the failure for its caller.
+
+    A call refused as not run goes to another target at no cost, as nothing
+    was done for it. One that may have run goes again only if it is
+    repeatable, nobody else in the chain has retried it, and the budget has
+    a retry left.
+    """
+    if attempt.left_s < MIN_LEFT_S or attempt.number >= MAX_TRIES:
+        return failure
+    if failure.outcome == Outcome.NOT_RUN:
+        return _try_elsewhere(attempt, failure)
+    if attempt.retried or not attempt.repeatable:
+        return failure
+    if not budget.spend(now):
+        return failure
+    return Retry(number=attempt.number + 1, retried=True)
+
+
+def _try_elsewhere(attempt: Attempt, failure: Failure) -> Retry | Failure:
+    if failure.reason not in _ELSEWHERE:
+        return failure
+    return Retry(number=attempt.number + 1, retried=attempt.retried)
