--- /dev/null
+++ b/tests/programs/test_node_settings.py
@@ -0,0 +1,78 @@
+"""A node's settings come from flags and variables, mistakes all together."""
+
+import types
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisyline.programs.node_settings import NodeSettings, parse_node
+from daisyline.state.failures import Finding
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+ENV = types.MappingProxyType(
+    {
+        'DAISYLINE_NAME': 'node-1',
+        'DAISYLINE_ZONE': 'ghent-a',
+        'DAISYLINE_REGION': 'flanders',
+        'DAISYLINE_HOST': '127.0.0.1',
+        'DAISYLINE_PLATFORM': 'http://127.0.0.1:9000',
+    }
+)
+
+
+def test_a_flag_goes_before_its_variable() -> None:
+    parsed = parse_node(['--zone', 'ghent-b', '--log-json'], ENV)
+    assert isinstance(parsed, NodeSettings)
+    assert parsed.zone == 'ghent-b'
+    assert parsed.log_json
+    assert parsed.platform_address == ('127.0.0.1', 9000)
+
+
+def test_every_mistake_is_found_at_once() -> None:
+    found = parse_node(
+        ['--zoen', 'x', '--peers-port', '70000', '--host', 'here', '--name'],
+        {
+            'DAISYLINE_LOG_LEVEL': 'loud',
+            'DAISYLINE_LOG_JSON': 'maybe',
+            'DAISYLINE_PLATFORM': 'https://store',
+            'DAISYLINE_CALLERS_PORT': '7402',
+        },
+    )
+    assert isinstance(found, list)
+    assert {finding.place for finding in found} == {
+        'x',
+        '--zoen',
+        '--peers-port',
+        '--host',
+        '--name',
+        '--log-level',
+        '--log-json',
+        '--platform',
+        '--operators-port',
+        '--zone',
+        '--region',
+    }
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    argv=st.lists(
+        st.sampled_from(
+            ('--name', '--port', '--log-json=x', '--', '-x', '', '--host=', 'é')
+        )
+        | st.text(max_size=4),
+        max_size=5,
+    ),
+    port=st.text(max_size=4),
+)
+def test_no_command_line_raises(argv: list[str], port: str) -> None:
+    parsed = parse_node(argv, {**ENV, 'DAISYLINE_PEERS_PORT': port})
+    if isinstance(parsed, list):
+        assert all(
+            isinstance(finding, Finding) and finding.problem
+            for finding in parsed
+        )
+    else:
+        assert isinstance(parsed, NodeSettings)
