--- /dev/null
+++ b/daisyline/state/rollout_state.py
@@ -0,0 +1,148 @@
+"""Rollouts as settings plan them and as nodes know where they stand."""
+
+import enum
+from typing import Any
+
+import attrs
+
+from daisyline.state.facts import Fact
+
+FACT_KIND = 'rollout'
+FIRST_SHARE = 0.05
+# Ranks leave room for each step, and within it for repeating the same step,
+# so that a fact can be spread anew before its time is over.
+_REPEATS = 1_000_000
+_STAGE_RANK = 1_000_000_000_000
+
+
+class PlanState(enum.StrEnum):
+    """What operators want of a rollout."""
+
+    MOVING = 'moving'
+    STOPPED = 'stopped'
+
+
+class Stage(enum.StrEnum):
+    """Where a rollout stands; a later stage never gives way to an earlier."""
+
+    MOVING = 'moving'
+    DONE = 'done'
+    ROLLED_BACK = 'rolled-back'
+
+    @property
+    def order(self) -> int:
+        """Return the stage's place in the order."""
+        return tuple(Stage).index(self)
+
+
+@attrs.frozen
+class RolloutPlan:
+    """A rollout as operators wrote it.
+
+    Attributes:
+        service: The service whose version changes.
+        id: Names this rollout; a second try needs a new id.
+        old: The version that serves now.
+        new: The version that is to take over.
+        finish_in_s: Seconds from the start to the set time.
+        state: `STOPPED` takes the new version out for good.
+    """
+
+    service: str
+    id: str
+    old: str
+    new: str
+    finish_in_s: float
+    state: PlanState = attrs.field(
+        default=PlanState.MOVING, converter=PlanState
+    )
+
+    @property
+    def fact_name(self) -> str:
+        """Return the name of the fact that says where the rollout stands."""
+        return f'{self.service}/{self.id}'
+
+
+@attrs.frozen
+class Standing:
+    """Where a rollout stands; standings of one rollout merge by rank.
+
+    Attributes:
+        stage: Moving, done or rolled back.
+        step: How many times the share has grown.
+        share: The new version's share of calls, 0 to 1.
+        elapsed_ms: Milliseconds since the start when this was decided.
+        why: One sentence with the numbers that decided it.
+        repeat: How many times the same standing was spread anew.
+    """
+
+    stage: Stage = attrs.field(default=Stage.MOVING, converter=Stage)
+    step: int = 0
+    share: float = FIRST_SHARE
+    elapsed_ms: int = 0
+    why: str = 'started'
+    repeat: int = 0
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the fact that carries this standing."""
+        step = self.step if self.stage is Stage.MOVING else 0
+        repeat = min(self.repeat, _REPEATS - 1)
+        return self.stage.order * _STAGE_RANK + step * _REPEATS + repeat
+
+    @property
+    def place(self) -> tuple[int, int]:
+        """Return the stage and step, without the repeats."""
+        step = self.step if self.stage is Stage.MOVING else 0
+        return (self.stage.order, step)
+
+    @classmethod
+    def from_fact(cls, fact: Fact) -> 'Standing | None':
+        """Read a standing from a fact; None if it does not hold one."""
+        try:
+            return cls(*fact.payload)
+        except (TypeError, ValueError):
+            return None
+
+    def to_fact(self, name: str) -> Fact:
+        """Return the fact that spreads this standing."""
+        payload: tuple[Any, ...] = attrs.astuple(self)
+        return Fact(FACT_KIND, name, self.rank, (str(self.stage), *payload[1:]))
+
+
+@attrs.frozen
+class Sample:
+    """One call as the node beside its target saw it end.
+
+    Attributes:
+        service: The service called.
+        version: The version that the target runs.
+        target: The target's instance.
+        route: The route, with variable parts taken out.
+        ok: Whether the target gave a whole answer that is no failure of its
+            own; a refusal for load is no failure.
+        service_us: Time that the target took, without the queue, in
+            microseconds.
+        cold: Whether the target was in a cold start.
+        suspect: Whether the target crashed while it ran the call.
+    """
+
+    service: str
+    version: str
+    target: str
+    route: str
+    ok: bool
+    service_us: int
+    cold: bool = False
+    suspect: bool = False
+
+
+@attrs.frozen
+class RolloutStatus:
+    """Where a rollout stands, for operators."""
+
+    service: str
+    id: str
+    state: str
+    share: float
+    why: str
