Find members, notice failures, spread settings and facts

Nodes must act together with no second coordination service and no leader. Live members stand on four rings, each ordered by its own hash; a node pings its successors in turn and passes news to both neighbours on each ring, so streams stay open and news floods an expander graph. Random peers (plain SWIM and rumour mongering) were weighed: same traffic, but a new stream each ping, and a share of members that news misses by chance.

Suspicion spreads, death does not: each node removes a suspect by itself, so that tombstones of one side of a healed partition can't remove the other side.

Facade: daisyline.coordination.fleet.Fleet.

--- /dev/null
+++ b/daisyline/coordination/comparison.py
@@ -0,0 +1,100 @@
+"""Compare what two nodes hold, and exchange what either lacks.
+
+The exchange has three steps, of which each is only as long as the difference:
+hashes of buckets, stamps in the buckets that differ, and the newer records.
+"""
+
+from typing import Any
+
+from daisyline.coordination.digest import BUCKET_COUNT
+from daisyline.coordination.effects import Send
+from daisyline.coordination.gossip import Gossip, chunks
+from daisyline.coordination.gossip_messages import (
+    Buckets,
+    RecordsWanted,
+    Rumours,
+    Stamps,
+)
+from daisyline.coordination.gossip_records import (
+    FactRecord,
+    MemberRecord,
+    Stamp,
+    Standing,
+)
+
+
+def answer_buckets(
+    gossip: Gossip, node: str, message: Buckets, now: float
+) -> list[Any]:
+    """List to a peer what this node holds in the buckets that differ."""
+    if len(message.hashes) != BUCKET_COUNT:
+        return []
+    gossip.weigh(node, message.weight, now)
+    differing = gossip.digest.differing(message.hashes)
+    if not differing:
+        return []
+    stamps = [
+        Stamp(name, *gossip.members.live[name].stamp)
+        for name in gossip.names_in(differing)
+    ]
+    facts = gossip.facts.records(differing, now)
+    return [Send(node, Stamps(gossip.weight(now), differing, stamps, facts))]
+
+
+def answer_stamps(
+    gossip: Gossip, node: str, message: Stamps, now: float
+) -> list[Any]:
+    """Send a peer what is newer here, and ask for what is newer there."""
+    gossip.weigh(node, message.weight, now)
+    records = _newer_than(message, gossip)
+    wanted: list[str] = []
+    for stamp in message.stamps:
+        if _is_wanted(stamp, gossip, trusted=gossip.trusts(node, now)):
+            wanted.append(stamp.name)
+        else:
+            records.extend(_removals(stamp.name, gossip))
+    effects = gossip.merge(node, Rumours((), message.facts), now)
+    facts = _facts_lacking(message, gossip, now)
+    effects.extend(chunks(node, records, facts))
+    if wanted:
+        effects.append(Send(node, RecordsWanted(wanted)))
+    return effects
+
+
+def _facts_lacking(
+    message: Stamps, gossip: Gossip, now: float
+) -> list[FactRecord]:
+    """Return the facts that a peer lacks or holds older."""
+    theirs = {record.fact for record in message.facts}
+    mine = gossip.facts.records(message.buckets, now)
+    return [record for record in mine if record.fact not in theirs]
+
+
+def _newer_than(message: Stamps, gossip: Gossip) -> list[MemberRecord]:
+    """Return the live members that a peer lacks or holds older."""
+    theirs = {stamp.name: stamp for stamp in message.stamps}
+    records = []
+    for name in gossip.names_in(message.buckets):
+        held = gossip.members.record_of(name)
+        assert held is not None
+        stamp = theirs.get(name)
+        if stamp is None or held.member.stamp > stamp.order:
+            records.append(held)
+    return records
+
+
+def _is_wanted(stamp: Stamp, gossip: Gossip, *, trusted: bool) -> bool:
+    """Return whether a peer's record of a member may be news here."""
+    held = gossip.members.record_of(stamp.name)
+    if held is None or held.member.stamp < stamp.order:
+        return True
+    tombstone = gossip.members.tombstones.get(stamp.name)
+    if tombstone is None or not trusted:
+        return False
+    return tombstone.record.standing is Standing.SUSPECT
+
+
+def _removals(name: str, gossip: Gossip) -> list[MemberRecord]:
+    """Return the record of a member if it was removed, else nothing."""
+    tombstone = gossip.members.tombstones.get(name)
+    return [tombstone.record] if tombstone else []
--- /dev/null
+++ b/daisyline/coordination/digest.py
@@ -0,0 +1,58 @@
+"""A digest of what a node holds, kept up to date entry by entry."""
+
+import functools
+import itertools
+
+import attrs
+
+from daisyline.coordination.overlay import stable_hash
+
+BUCKET_COUNT = 64
+_CACHED_KEYS = 4096
+
+
+@functools.lru_cache(maxsize=_CACHED_KEYS)
+def bucket_of(key: str) -> int:
+    """Return the bucket in which an entry is."""
+    return stable_hash(key) % BUCKET_COUNT
+
+
+def _no_hashes() -> list[int]:
+    return list(itertools.repeat(0, BUCKET_COUNT))
+
+
+@attrs.define
+class Digest:
+    """Hashes of buckets of entries; equal contents give equal hashes.
+
+    A bucket's hash is the exclusive or of its entries' hashes, so that an
+    entry is added and taken out by the same step in constant time.
+    """
+
+    _hashes: list[int] = attrs.field(factory=_no_hashes)
+    _root: int = 0
+
+    @property
+    def root(self) -> int:
+        """Return one hash over all entries."""
+        return self._root
+
+    @property
+    def hashes(self) -> tuple[int, ...]:
+        """Return the hash of each bucket."""
+        return tuple(self._hashes)
+
+    def toggle(self, key: str, state: str) -> None:
+        """Add an entry, or take it out if it is there."""
+        entry = stable_hash(f'{key}={state}')
+        self._hashes[bucket_of(key)] ^= entry
+        self._root ^= entry
+
+    def differing(self, hashes: tuple[int, ...]) -> tuple[int, ...]:
+        """Return the numbers of the buckets that differ."""
+        pairs = zip(self._hashes, hashes, strict=True)
+        return tuple(
+            number
+            for number, (mine, theirs) in enumerate(pairs)
+            if mine != theirs
+        )
--- /dev/null
+++ b/daisyline/coordination/fleet.py
@@ -0,0 +1,196 @@
+"""One node's view of the fleet: members, settings and facts."""
+
+import functools
+import random
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.effects import PlatformReply, Send
+from daisyline.coordination.fleet_events import (
+    FactChanged,
+    FromPeer,
+    MembersChanged,
+    NodeUnreachable,
+    StreamLost,
+)
+from daisyline.coordination.gossip import Gossip
+from daisyline.coordination.gossip_handlers import receive
+from daisyline.coordination.gossip_messages import (
+    Rumours,
+)
+from daisyline.coordination.gossip_records import (
+    FactRecord,
+    MemberRecord,
+    Standing,
+)
+from daisyline.coordination.seeds import Seeds
+from daisyline.state.facts import Fact
+from daisyline.state.members import Member
+from daisyline.state.settings import Settings
+from daisyline.state.targets import Target
+
+PAUSE_NOTED_S = 1.0
+
+
+@attrs.define
+class Fleet:
+    """Find members, notice failures, and spread settings and facts.
+
+    Events and the time go in, effects come out; `tick` must be called at
+    `next_at`.
+    """
+
+    _gossip: Gossip
+    _seeds: Seeds
+
+    @classmethod
+    def from_config(
+        cls,
+        me: Member,
+        cluster: str,
+        peers: tuple[tuple[str, int], ...],
+        rng: random.Random,
+        now: float,
+    ) -> 'Fleet':
+        """Make the view of a node that has just started.
+
+        Args:
+            me: The node itself.
+            cluster: The cluster's name.
+            peers: Addresses of other nodes that may be tried first.
+            rng: Where random numbers come from.
+            now: The time in seconds.
+        """
+        gossip = Gossip.from_member(me, cluster, rng, now)
+        return cls(gossip=gossip, seeds=Seeds(me, peers, rng, now))
+
+    @property
+    def me(self) -> Member:
+        """Return this node's own record."""
+        return self._gossip.members.me
+
+    @property
+    def members(self) -> Mapping[str, Member]:
+        """Return the live members by name, this node included."""
+        return self._gossip.members.live
+
+    @property
+    def suspects(self) -> Mapping[str, float]:
+        """Return the members that may have failed, best avoided."""
+        return self._gossip.members.suspects
+
+    @property
+    def settings(self) -> Settings:
+        """Return the settings in force on this node."""
+        return self._gossip.settings.served
+
+    @property
+    def settled(self) -> bool:
+        """Return whether this node has learnt what the fleet holds."""
+        return self._gossip.settings.settled
+
+    @property
+    def facts(self) -> Mapping[tuple[str, str], Fact]:
+        """Return the facts by kind and name."""
+        return self._gossip.facts.held
+
+    @property
+    def settings_versions(self) -> Mapping[str, int]:
+        """Return the version that each live member is known to hold."""
+        known = self._gossip.settings.versions
+        versions = {name: known.get(name, 0) for name in self.members}
+        versions[self.me.name] = self._gossip.settings.version
+        return versions
+
+    def next_at(self) -> float:
+        """Return when `tick` must be called next."""
+        return min(
+            self._gossip.next_at(),
+            self._gossip.readers.next_at(),
+            self._seeds.next_at(),
+        )
+
+    def tick(self, now: float) -> list[Any]:
+        """Do what is due."""
+        self._note_pause(now)
+        effects = self._gossip.tick(now)
+        count = len(self.members)
+        effects.extend(self._gossip.readers.tick(count, now))
+        contacts, writes = self._seeds.tick(self.members.values(), now)
+        effects.extend(writes)
+        effects.extend(self._gossip.contact(*address) for address in contacts)
+        return effects + self._report(now)
+
+    def announce(self, target: Target | None, now: float) -> list[Any]:
+        """Tell the fleet of the target beside this node, if it is news."""
+        if target == self.me.target:
+            return []
+        record = self._gossip.members.renew(target)
+        return self._gossip.push((record,), (), '', now) + self._report(now)
+
+    def put_fact(self, fact: Fact, now: float) -> list[Any]:
+        """Hold a fact and spread it, if it is news."""
+        record = FactRecord(fact, fact.ttl_ms)
+        if not self._gossip.facts.merge(record, now):
+            return []
+        return [
+            FactChanged(fact),
+            *self._gossip.push((), (record,), '', now),
+        ]
+
+    def leave(self, now: float) -> list[Any]:
+        """Tell the fleet that this node stops."""
+        record = MemberRecord(self.me, Standing.LEFT)
+        neighbours = self._gossip.members.overlay.neighbours()
+        return [Send(name, Rumours((record,))) for name in neighbours]
+
+    @functools.singledispatchmethod
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Take an event; one that isn't known has no effect."""
+        return []
+
+    @handle.register
+    def _on_message(self, event: FromPeer, now: float) -> list[Any]:
+        self._note_pause(now)
+        effects = receive(event.message, self._gossip, event.node, now)
+        return effects + self._report(now)
+
+    @handle.register
+    def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
+        gossip = self._gossip
+        effects: list[Any] = []
+        neighbours = gossip.members.overlay.neighbours()
+        replied = gossip.readers.replied(event, len(self.members), now)
+        for version, value in replied:
+            effects.extend(
+                gossip.settings.adopt(version, value, neighbours, now)
+            )
+        live = self.members.values()
+        for address in self._seeds.replied(event, live, now):
+            effects.append(gossip.contact(*address))
+        return effects
+
+    @handle.register(StreamLost)
+    @handle.register(NodeUnreachable)
+    def _on_unreachable(
+        self, event: StreamLost | NodeUnreachable, now: float
+    ) -> list[Any]:
+        return self._gossip.detector.probe(event.node, now)
+
+    def _note_pause(self, now: float) -> None:
+        late = now - self.next_at()
+        if late > PAUSE_NOTED_S:
+            self._gossip.paused(late, now)
+
+    def _report(self, now: float) -> list[Any]:
+        """Return what changed among the members, and what follows from it."""
+        changed, removed = self._gossip.members.take_changes()
+        if not changed and not removed:
+            return []
+        effects: list[Any] = [MembersChanged(changed, removed)]
+        for name in removed:
+            effects.extend(self._gossip.forget(name, now))
+        self._gossip.readers.choose(self.members.values(), now)
+        return effects
--- /dev/null
+++ b/daisyline/coordination/gossip_messages.py
@@ -0,0 +1,220 @@
+"""Messages by which nodes spread members, facts and settings."""
+
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.gossip_records import (
+    FactRecord,
+    MemberRecord,
+    Stamp,
+    Summary,
+)
+
+_INTEGER = attrs.validators.instance_of(int)
+_TEXT = attrs.validators.instance_of(str)
+
+
+def _record_from(fields: Any) -> MemberRecord:
+    return fields if isinstance(fields, MemberRecord) else MemberRecord(*fields)
+
+
+def _records_from(entries: Any) -> tuple[MemberRecord, ...]:
+    return tuple(_record_from(entry) for entry in entries)
+
+
+def _fact_records_from(entries: Any) -> tuple[FactRecord, ...]:
+    return tuple(
+        entry if isinstance(entry, FactRecord) else FactRecord(*entry)
+        for entry in entries
+    )
+
+
+def _stamps_from(entries: Any) -> tuple[Stamp, ...]:
+    return tuple(
+        entry if isinstance(entry, Stamp) else Stamp(*entry)
+        for entry in entries
+    )
+
+
+def _summary_from(fields: Any) -> Summary:
+    return fields if isinstance(fields, Summary) else Summary(*fields)
+
+
+def _integers_from(entries: Any) -> tuple[int, ...]:
+    numbers = tuple(entries)
+    if not all(isinstance(number, int) for number in numbers):
+        raise TypeError('a list of integers is expected')
+    return numbers
+
+
+def _names_from(entries: Any) -> tuple[str, ...]:
+    names = tuple(entries)
+    if not all(isinstance(name, str) for name in names):
+        raise TypeError('a list of names is expected')
+    return names
+
+
+@attrs.frozen
+class Join:
+    """Ask a node of the same cluster to take the sender in.
+
+    Attributes:
+        cluster: The sender's cluster; a node of another one doesn't answer.
+        record: The sender.
+        summary: What the sender holds.
+    """
+
+    cluster: str = attrs.field(validator=_TEXT)
+    record: MemberRecord = attrs.field(converter=_record_from)
+    summary: Summary = attrs.field(converter=_summary_from)
+
+
+@attrs.frozen
+class Welcome:
+    """Answer a `Join`.
+
+    Attributes:
+        record: The node that answers.
+        summary: What it holds.
+    """
+
+    record: MemberRecord = attrs.field(converter=_record_from)
+    summary: Summary = attrs.field(converter=_summary_from)
+
+
+@attrs.frozen
+class GossipPing:
+    """Ask a member to show that it is alive.
+
+    Attributes:
+        nonce: Comes back in the `GossipAck`.
+        summary: What the sender holds.
+    """
+
+    nonce: int = attrs.field(validator=_INTEGER)
+    summary: Summary = attrs.field(converter=_summary_from)
+
+
+@attrs.frozen
+class GossipAck:
+    """Answer a `GossipPing`."""
+
+    nonce: int = attrs.field(validator=_INTEGER)
+    summary: Summary = attrs.field(converter=_summary_from)
+
+
+@attrs.frozen
+class ProbeRequest:
+    """Ask a member to ping another in the sender's place.
+
+    Attributes:
+        nonce: Comes back in the `ProbeAnswer`.
+        name: The member to ping.
+    """
+
+    nonce: int = attrs.field(validator=_INTEGER)
+    name: str = attrs.field(validator=_TEXT)
+
+
+@attrs.frozen
+class ProbeAnswer:
+    """Say that the member that was to be pinged has answered."""
+
+    nonce: int = attrs.field(validator=_INTEGER)
+
+
+@attrs.frozen
+class Rumours:
+    """News of members and facts.
+
+    Attributes:
+        records: Members that changed.
+        facts: Facts that are new.
+    """
+
+    records: tuple[MemberRecord, ...] = attrs.field(
+        default=(), converter=_records_from
+    )
+    facts: tuple[FactRecord, ...] = attrs.field(
+        default=(), converter=_fact_records_from
+    )
+
+
+@attrs.frozen
+class Buckets:
+    """Open a comparison of all that two nodes hold.
+
+    Attributes:
+        weight: How many live members the sender holds; 0 if it doubts them.
+        hashes: A hash for each bucket of members and facts.
+    """
+
+    weight: int = attrs.field(validator=_INTEGER)
+    hashes: tuple[int, ...] = attrs.field(converter=_integers_from)
+
+
+@attrs.frozen
+class Stamps:
+    """List the contents of the buckets that differ.
+
+    Attributes:
+        weight: How many live members the sender holds; 0 if it doubts them.
+        buckets: The buckets' numbers.
+        stamps: The live members that the sender holds in them.
+        facts: The facts that it holds in them.
+    """
+
+    weight: int = attrs.field(validator=_INTEGER)
+    buckets: tuple[int, ...] = attrs.field(converter=_integers_from)
+    stamps: tuple[Stamp, ...] = attrs.field(converter=_stamps_from)
+    facts: tuple[FactRecord, ...] = attrs.field(converter=_fact_records_from)
+
+
+@attrs.frozen
+class RecordsWanted:
+    """Ask for the records of some members."""
+
+    names: tuple[str, ...] = attrs.field(converter=_names_from)
+
+
+@attrs.frozen
+class SettingsNotice:
+    """Say which version of the settings the sender holds."""
+
+    version: int = attrs.field(validator=_INTEGER)
+
+
+@attrs.frozen
+class SettingsWanted:
+    """Ask for settings newer than the version that the sender holds."""
+
+    version: int = attrs.field(validator=_INTEGER)
+
+
+@attrs.frozen
+class SettingsContent:
+    """Bring settings.
+
+    Attributes:
+        version: The platform's version.
+        content: The platform object's value as compressed JSON.
+    """
+
+    version: int = attrs.field(validator=_INTEGER)
+    content: bytes = attrs.field(validator=attrs.validators.instance_of(bytes))
+
+
+@attrs.frozen
+class Holders:
+    """Say which members hold a version of the settings.
+
+    Attributes:
+        version: The version.
+        roster: A hash of the names of the sender's live members.
+        bits: A bit for each of these names in order, low bits first.
+    """
+
+    version: int = attrs.field(validator=_INTEGER)
+    roster: int = attrs.field(validator=_INTEGER)
+    bits: bytes = attrs.field(validator=attrs.validators.instance_of(bytes))
--- /dev/null
+++ b/daisyline/coordination/overlay.py
@@ -0,0 +1,84 @@
+"""Choose the few members with which a node speaks regularly.
+
+The live members stand on several rings, each in an order of its own that
+follows from a hash of the names. A node pings its successor on each ring and
+passes news on to both its neighbours. The union of a few random rings is an
+expander graph, so that news reaches all members in few steps over streams
+that stay open.
+"""
+
+import bisect
+import hashlib
+import itertools
+from collections.abc import Container, Iterable, Iterator
+
+import attrs
+
+RING_COUNT = 4
+_HASH_BYTES = 8
+
+_Place = tuple[int, str]
+_Ring = list[_Place]
+
+
+def stable_hash(text: str) -> int:
+    """Return a hash that is the same in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def _place(name: str, ring: int) -> _Place:
+    return (stable_hash(f'{ring}/{name}'), name)
+
+
+def _no_rings() -> list[_Ring]:
+    return [[] for _ in range(RING_COUNT)]
+
+
+@attrs.define
+class Overlay:
+    """The rings, as one node sees them."""
+
+    _me: str
+    _rings: list[_Ring] = attrs.field(factory=_no_rings)
+
+    def add(self, name: str) -> None:
+        """Put a member on every ring; it must not be there."""
+        for number, ring in enumerate(self._rings):
+            bisect.insort(ring, _place(name, number))
+
+    def remove(self, name: str) -> None:
+        """Take a member off every ring; it must be there."""
+        for number, ring in enumerate(self._rings):
+            index = bisect.bisect_left(ring, _place(name, number))
+            assert ring[index][1] == name
+            ring.pop(index)
+
+    def successors(self, passed: Container[str] = ()) -> list[str]:
+        """Return the next member on each ring, without repeats.
+
+        Args:
+            passed: Members that are passed over, as suspects.
+        """
+        return self._pick(itertools.product(range(RING_COUNT), (1,)), passed)
+
+    def neighbours(self, passed: Container[str] = ()) -> list[str]:
+        """Return the members on both sides on each ring, without repeats."""
+        sides = itertools.product(range(RING_COUNT), (1, -1))
+        return self._pick(sides, passed)
+
+    def _pick(
+        self, sides: Iterable[tuple[int, int]], passed: Container[str]
+    ) -> list[str]:
+        found = (
+            next((name for name in self._walk(*side) if name not in passed), '')
+            for side in sides
+        )
+        return list(dict.fromkeys(name for name in found if name))
+
+    def _walk(self, number: int, step: int) -> Iterator[str]:
+        """Yield the other members in the order of a ring."""
+        ring = self._rings[number]
+        start = bisect.bisect_left(ring, _place(self._me, number))
+        for passed in range(len(ring) - 1):
+            yield ring[(start + step * (passed + 1)) % len(ring)][1]
--- /dev/null
+++ b/daisyline/coordination/spread.py
@@ -0,0 +1,198 @@
+"""Spread settings: the larger version wins, and content goes where it lacks."""
+
+import json
+import zlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.effects import Send
+from daisyline.coordination.fleet_events import (
+    SettingsChanged,
+    SettingsRefused,
+)
+from daisyline.coordination.gossip_messages import (
+    SettingsContent,
+    SettingsNotice,
+    SettingsWanted,
+)
+from daisyline.state.failures import Finding
+from daisyline.state.settings import Settings
+
+MAX_CONTENT_BYTES = 2 * 1024 * 1024
+ASK_TIMEOUT_S = 1.0
+START_WAIT_S = 5.0
+OTHER_ANSWERS_WAIT_S = 0.5
+
+
+def settings_from(version: int, value: Any) -> Settings | list[Finding]:
+    """Build settings from the platform object's value, or say what is wrong."""
+    tree = value.get('tree') if isinstance(value, dict) else None
+    if not isinstance(tree, dict):
+        return [Finding('tree', 'is missing or is no object')]
+    return Settings.from_tree(version, tree)
+
+
+def pack_value(value: Any) -> bytes:
+    """Return a value as compressed JSON."""
+    text = json.dumps(value, separators=(',', ':'), sort_keys=True)
+    return zlib.compress(text.encode())
+
+
+def unpack_value(content: bytes) -> Any:
+    """Return the value of compressed JSON.
+
+    Raises:
+        ValueError: If the bytes aren't that, or too long.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(content, MAX_CONTENT_BYTES)
+    except zlib.error as error:
+        raise ValueError('settings are not compressed as expected') from error
+    if not unpacker.eof:
+        raise ValueError('settings are too long or cut short')
+    return json.loads(text)
+
+
+@attrs.define
+class SettingsSpread:
+    """The settings that a node holds, and those it serves.
+
+    After a start, what is held isn't served before peers had time to say what
+    they hold, nor while a live member is known to hold newer settings.
+    """
+
+    _start_until: float
+    _served: Settings = attrs.field(factory=Settings)
+    _held: Settings = attrs.field(factory=Settings)
+    _content: bytes = b''
+    _versions: dict[str, int] = attrs.field(factory=dict)
+    _refused: int = 0
+    _asked: str = ''
+    _asked_until: float = 0
+    _settled: bool = False
+    _peer_answered: bool = False
+
+    @property
+    def served(self) -> Settings:
+        """Return the settings in force on this node."""
+        return self._served
+
+    @property
+    def version(self) -> int:
+        """Return the version that this node holds."""
+        return self._held.version
+
+    @property
+    def settled(self) -> bool:
+        """Return whether this node has learnt what the fleet holds."""
+        return self._settled
+
+    @property
+    def versions(self) -> Mapping[str, int]:
+        """Return the newest version that each peer was heard to hold."""
+        return self._versions
+
+    def next_at(self) -> float:
+        """Return when `tick` must be called next."""
+        waits = []
+        if not self._settled and not self._asked:
+            waits.append(self._start_until)
+        if self._asked:
+            waits.append(self._asked_until)
+        return min(waits, default=float('inf'))
+
+    def heard(self, node: str, version: int, now: float) -> list[Any]:
+        """Note which version a peer holds; ask for it, or offer a newer one."""
+        if not self._peer_answered:
+            self._peer_answered = True
+            self._start_until = now + OTHER_ANSWERS_WAIT_S
+        known = self._versions.get(node, 0)
+        self._versions[node] = max(version, known)
+        effects: list[Any] = []
+        if version < self.version:
+            effects.append(Send(node, SettingsNotice(self.version)))
+        elif version > max(self.version, self._refused):
+            effects.extend(self._ask(node, now))
+        return effects + self._settle(now)
+
+    def wanted(self, node: str, version: int, now: float) -> list[Any]:
+        """Answer a peer that asks for newer settings."""
+        self._versions[node] = max(version, self._versions.get(node, 0))
+        if version >= self.version:
+            return self.heard(node, version, now)
+        return [Send(node, SettingsContent(self.version, self._content))]
+
+    def arrived(
+        self, message: SettingsContent, peers: Iterable[str], now: float
+    ) -> list[Any]:
+        """Take settings that a peer sent."""
+        if message.version <= max(self.version, self._refused):
+            return []
+        try:
+            value = unpack_value(message.content)
+        except ValueError:
+            return []
+        return self.adopt(message.version, value, peers, now)
+
+    def adopt(
+        self, version: int, value: Any, peers: Iterable[str], now: float
+    ) -> list[Any]:
+        """Hold settings if they are newer, and tell peers that lack them."""
+        if version <= max(self.version, self._refused):
+            return []
+        settings = settings_from(version, value)
+        if isinstance(settings, list):
+            self._refused = version
+            return [SettingsRefused(version, tuple(settings))]
+        self._held = settings
+        self._content = pack_value(value)
+        self._asked = ''
+        notice = SettingsNotice(version)
+        effects: list[Any] = [
+            Send(peer, notice)
+            for peer in peers
+            if self._versions.get(peer, 0) < version
+        ]
+        return self._settle(now) + effects
+
+    def tick(self, live: Iterable[str], now: float) -> list[Any]:
+        """Ask another peer if one hasn't answered, and settle if it is time."""
+        if not self._asked or now < self._asked_until:
+            return self._settle(now)
+        asked = self._asked
+        self._asked = ''
+        for name in live:
+            if name != asked and self._versions.get(name, 0) > self.version:
+                return self._ask(name, now)
+        if asked in live:
+            return self._ask(asked, now)
+        return []
+
+    def forget(self, name: str, now: float) -> list[Any]:
+        """Drop what is known of a member that was removed."""
+        self._versions.pop(name, None)
+        if self._asked == name:
+            self._asked_until = now
+        return self._settle(now)
+
+    def _ask(self, node: str, now: float) -> list[Any]:
+        if self._asked and now < self._asked_until:
+            return []
+        self._asked = node
+        self._asked_until = now + ASK_TIMEOUT_S
+        return [Send(node, SettingsWanted(self.version))]
+
+    def _settle(self, now: float) -> list[Any]:
+        """Serve what is held, unless newer settings are known to exist."""
+        if not self._settled:
+            newest = max(self._versions.values(), default=0)
+            behind = newest > max(self.version, self._refused)
+            self._settled = now >= self._start_until and not behind
+        if not self._settled or self._served.version >= self._held.version:
+            return []
+        assert self._held.version > self._served.version
+        self._served = self._held
+        return [SettingsChanged(self._held)]
