Add the entry's and the owner's side of calls

The entry holds the caller, the deadline and the retry budget; the node beside the target admits, runs and keeps ends of calls that may not be repeated, so that an entry whose stream broke can ask. Ruled out: sending such a call again, and giving it up as unknown at once.

--- /dev/null
+++ b/daisyline/coordination/answer_records.py
@@ -0,0 +1,72 @@
+"""Answers kept for a while, so that a lost one can be asked for again."""
+
+import attrs
+
+from daisyline.coordination.messages import Answer, Refused
+
+# Longer than an entry takes to find a broken stream and to ask, in seconds.
+RECORD_S = 30
+# How long a caller's own re-send under its idempotency key is answered, s.
+KEY_RECORD_S = 600
+MAX_RECORD_BYTES = 65_536
+MAX_RECORDS = 4_096
+MAX_TOTAL_BYTES = 4_194_304
+
+
+@attrs.frozen
+class Record:
+    """How a call ended.
+
+    Attributes:
+        message: The answer or refusal, or None if it is not kept whole.
+        until: When it is dropped, in monotonic seconds.
+    """
+
+    message: Answer | Refused | None
+    until: float
+
+    @property
+    def octets(self) -> int:
+        """Return the bytes of body that the record holds."""
+        return len(self.message.body) if isinstance(self.message, Answer) else 0
+
+
+@attrs.define
+class AnswerRecords:
+    """Ends of calls that may not be repeated, by id and by idempotency key.
+
+    Bounded in number and bytes; what must give way is the oldest.
+    """
+
+    _records: dict[str, Record] = attrs.field(factory=dict)
+    _total_bytes: int = 0
+
+    def put(self, name: str, record: Record, now: float) -> None:
+        """Keep how a call ended."""
+        self._drop(name)
+        self._records[name] = record
+        self._total_bytes += record.octets
+        self._evict(now)
+
+    def get(self, name: str, now: float) -> Record | None:
+        """Return how a call ended, if that is still known."""
+        record = self._records.get(name)
+        return record if record is not None and record.until > now else None
+
+    def _drop(self, name: str) -> None:
+        old = self._records.pop(name, None)
+        if old is not None:
+            self._total_bytes -= old.octets
+
+    def _evict(self, now: float) -> None:
+        while self._records and self._is_over(now):
+            self._drop(next(iter(self._records)))
+        assert self._total_bytes >= 0
+
+    def _is_over(self, now: float) -> bool:
+        oldest = next(iter(self._records.values()))
+        return (
+            oldest.until <= now
+            or len(self._records) > MAX_RECORDS
+            or self._total_bytes > MAX_TOTAL_BYTES
+        )
--- /dev/null
+++ b/daisyline/coordination/entry.py
@@ -0,0 +1,312 @@
+"""The entry's side of calls: every caller gets one whole answer or refusal."""
+
+import hashlib
+import heapq
+import math
+import random
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
+from daisyline.coordination.effects import Send
+from daisyline.coordination.messages import Cancel, Run
+from daisyline.coordination.policies import ExpectedWait, Policy
+from daisyline.coordination.retries import (
+    Attempt,
+    Retry,
+    RetryBudget,
+    decide_retry,
+)
+from daisyline.coordination.routing import Candidate, Router
+from daisyline.coordination.target_table import Shares, TargetTable, by_share
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Settings
+from daisyline.state.targets import LoadReport
+
+MS_PER_S = 1000
+# The target's node ends a call at its deadline and says whether it ran; the
+# entry waits this much longer to hear it, in seconds.
+_GRACE_S = 0.2
+
+Effects = list[Any]
+
+
+@attrs.define
+class EntryCall:
+    """A call that this node answers for to its caller.
+
+    Attributes:
+        arrived: The request.
+        attempt: The number of the attempt under way.
+        node: Where it was sent last.
+        tried: The nodes that got it.
+        retried: Whether a retry was spent on it, above it or below it.
+        outcome: `UNKNOWN` once any attempt may have run.
+        begun: Whether the caller has the head of the answer.
+        asking: Whether its node was asked what became of it.
+    """
+
+    arrived: ev.Arrived
+    attempt: int = 1
+    node: str = ''
+    tried: frozenset[str] = frozenset()
+    retried: bool = False
+    outcome: Outcome = Outcome.NOT_RUN
+    begun: bool = False
+    asking: bool = False
+
+
+@attrs.define
+class Entry:
+    """Calls from callers, from their arrival to their answer."""
+
+    _me: str
+    _rng: random.Random
+    _policy: Policy = attrs.field(factory=ExpectedWait)
+    _settings: Settings = attrs.field(factory=Settings)
+    _calls: dict[str, EntryCall] = attrs.field(factory=dict)
+    _children: dict[str, set[str]] = attrs.field(factory=dict)
+    _routers: dict[str, Router] = attrs.field(factory=dict)
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _gives_up: list[tuple[float, str]] = attrs.field(factory=list)
+    table: TargetTable = attrs.field(factory=TargetTable)
+    shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
+    events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
+
+    @classmethod
+    def from_config(
+        cls, me: str, rng: random.Random, events: log.EventLog
+    ) -> 'Entry':
+        """Build the entry's side of a node."""
+        return cls(me=me, rng=rng, events=events)
+
+    @property
+    def calls(self) -> Mapping[str, EntryCall]:
+        """Return the calls under way, by id."""
+        return self._calls
+
+    def use_settings(self, settings: Settings, now: float) -> None:
+        """Follow a change of settings."""
+        self._settings = settings
+        self._budgets.clear()
+        self.table.use_settings(settings, now)
+
+    def begin(self, arrived: ev.Arrived, now: float) -> Effects:
+        """Take a call on and send it to a target."""
+        call = EntryCall(arrived, retried=arrived.retried)
+        assert arrived.call not in self._calls
+        self._calls[arrived.call] = call
+        if arrived.parent:
+            self._children.setdefault(arrived.parent, set()).add(arrived.call)
+        heapq.heappush(
+            self._gives_up, (arrived.deadline + _GRACE_S, arrived.call)
+        )
+        self._budget(arrived.service).earned(now)
+        return self.place(call, now)
+
+    def place(self, call: EntryCall, now: float) -> Effects:
+        """Send a call to a target that it has not been sent to yet."""
+        arrived = call.arrived
+        candidates = self.table.candidates(arrived.service, now)
+        node = self._pick(call, candidates, now)
+        if isinstance(node, Failure):
+            return self.refuse(call, node, now)
+        call.node = node
+        call.tried |= {node}
+        call.asking = False
+        self.router(arrived.service).sent(node, now)
+        self.events.add(
+            log.Picked(
+                at=now,
+                call=arrived.call,
+                service=arrived.service,
+                target=node,
+                attempt=call.attempt,
+                candidates=len(candidates),
+            )
+        )
+        return [Send(node, self._run(call, now))]
+
+    def fail(self, call: EntryCall, failure: Failure, now: float) -> Effects:
+        """Send a call that got no answer elsewhere, or give it up.
+
+        A call whose answer had begun can't be begun anew: its caller's
+        connection is broken, so that no cut answer passes for a whole one.
+        """
+        if failure.outcome == Outcome.UNKNOWN:
+            call.outcome = Outcome.UNKNOWN
+        if call.begun:
+            self.forget(call)
+            return [ev.CutCaller(call.arrived.call, failure)]
+        attempt = Attempt(
+            number=call.attempt,
+            repeatable=self.repeatable(call),
+            retried=call.retried,
+            left_s=call.arrived.deadline - now,
+        )
+        budget = self._budget(call.arrived.service)
+        decision = decide_retry(attempt, failure, budget, now)
+        if isinstance(decision, Failure):
+            return self.refuse(call, failure, now)
+        self._note_retry(call, decision, failure, now)
+        call.attempt = decision.number
+        call.retried = decision.retried
+        return self.place(call, now)
+
+    def refuse(self, call: EntryCall, failure: Failure, now: float) -> Effects:
+        """Tell the caller why there is no answer; true over all attempts."""
+        self.forget(call)
+        truth = attrs.evolve(failure, outcome=call.outcome)
+        self.events.add(
+            log.Refused(
+                at=now,
+                call=call.arrived.call,
+                target=call.node,
+                reason=truth.reason,
+                outcome=truth.outcome,
+                detail=truth.detail,
+            )
+        )
+        return [ev.RefuseCaller(call.arrived.call, truth)]
+
+    def forget(self, call: EntryCall) -> None:
+        """Drop a call that has ended."""
+        self._calls.pop(call.arrived.call, None)
+        siblings = self._children.get(call.arrived.parent)
+        if siblings is not None:
+            siblings.discard(call.arrived.call)
+            if not siblings:
+                self._children.pop(call.arrived.parent)
+
+    def cancel(self, call: EntryCall, now: float) -> Effects:
+        """End a call that nobody waits for."""
+        self.forget(call)
+        self.report(call, None, refused=False, now=now)
+        return [Send(call.node, Cancel(call.arrived.call))]
+
+    def children(self, parent: str) -> list[EntryCall]:
+        """Return the calls that a target made while it served another."""
+        return [self._calls[name] for name in self._children.get(parent, ())]
+
+    def on_node(self, node: str) -> list[EntryCall]:
+        """Return the calls that a node has now."""
+        return [call for call in self._calls.values() if call.node == node]
+
+    def next_at(self) -> float:
+        """Return when `tick` has something to do, in monotonic seconds."""
+        while self._gives_up and self._gives_up[0][1] not in self._calls:
+            heapq.heappop(self._gives_up)
+        return self._gives_up[0][0] if self._gives_up else math.inf
+
+    def tick(self, now: float) -> Effects:
+        """Give up calls whose deadline has passed."""
+        effects: Effects = []
+        while self.next_at() <= now:
+            call = self._calls[heapq.heappop(self._gives_up)[1]]
+            call.outcome = Outcome.UNKNOWN
+            failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
+            effects += [Send(call.node, Cancel(call.arrived.call))]
+            self.report(call, None, refused=False, now=now)
+            if call.begun:
+                self.forget(call)
+                effects += [ev.CutCaller(call.arrived.call, failure)]
+            else:
+                effects += self.refuse(call, failure, now)
+        return effects
+
+    def report(
+        self,
+        call: EntryCall,
+        load: LoadReport | None,
+        refused: bool,
+        now: float,
+    ) -> None:
+        """Count that a call's attempt ended, with the report that came.
+
+        An attempt ends for the router when its answer begins.
+        """
+        if call.begun:
+            return
+        self.router(call.arrived.service).done(
+            call.node, now, load, refused=refused
+        )
+
+    def router(self, service: str) -> Router:
+        """Return the router of a service."""
+        if service not in self._routers:
+            self._routers[service] = Router.from_config(self._policy, self._rng)
+        return self._routers[service]
+
+    def repeatable(self, call: EntryCall) -> bool:
+        """Return whether a call may run more than once."""
+        limits = self._settings.limits_for(call.arrived.service, '')
+        return call.arrived.method.decode() in limits.repeatable_methods
+
+    def _pick(
+        self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
+    ) -> str | Failure:
+        if call.arrived.key:
+            return _pick_by_key(call, candidates)
+        shares = self.shares(call.arrived.service)
+        eligible = by_share(candidates, shares, self._rng.random())
+        router = self.router(call.arrived.service)
+        return router.pick(eligible, now, call.tried)
+
+    def _run(self, call: EntryCall, now: float) -> Run:
+        arrived = call.arrived
+        return Run(
+            call=arrived.call,
+            attempt=call.attempt,
+            service=arrived.service,
+            tenant=arrived.tenant,
+            budget_ms=max(0, int((arrived.deadline - now) * MS_PER_S)),
+            repeatable=self.repeatable(call),
+            key=arrived.key,
+            retried=call.retried,
+            settings_version=self._settings.version,
+            method=arrived.method,
+            path=arrived.path,
+            headers=arrived.headers,
+            body=arrived.body,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            limits = self._settings.limits_for(service, '')
+            self._budgets[service] = RetryBudget.from_limits(limits, 0)
+        return self._budgets[service]
+
+    def _note_retry(
+        self, call: EntryCall, retry: Retry, failure: Failure, now: float
+    ) -> None:
+        self.events.add(
+            log.Retried(
+                at=now,
+                call=call.arrived.call,
+                target=call.node,
+                attempt=retry.number,
+                reason=failure.reason,
+            )
+        )
+
+
+def _pick_by_key(
+    call: EntryCall, candidates: tuple[Candidate, ...]
+) -> str | Failure:
+    """Pick by rendezvous hashing, so that a re-sent call meets its first."""
+    usable = [
+        one.node
+        for one in candidates
+        if one.weight > 0 and one.node not in call.tried
+    ]
+    if not usable:
+        return Failure(Reason.NO_TARGET, detail='no target is left')
+    key = call.arrived.key
+    return max(usable, key=lambda node: _rendezvous(key, node))
+
+
+def _rendezvous(key: str, node: str) -> bytes:
+    return hashlib.blake2b(f'{key}\0{node}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/daisyline/coordination/entry_events.py
@@ -0,0 +1,165 @@
+"""What the entry's side does about each kind of event."""
+
+import functools
+from typing import Any
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
+from daisyline.coordination import messages as msg
+from daisyline.coordination.effects import Send
+from daisyline.coordination.entry import Effects, Entry, EntryCall
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.targets import LoadReport
+
+
+@functools.singledispatch
+def handle(event: Any, entry: Entry, now: float) -> Effects:
+    """Return what the entry's side does about an event."""
+    return []
+
+
+@handle.register
+def _(event: ev.Arrived, entry: Entry, now: float) -> Effects:
+    return entry.begin(event, now)
+
+
+@handle.register
+def _(event: ev.FromNode, entry: Entry, now: float) -> Effects:
+    call = entry.calls.get(getattr(event.message, 'call', ''))
+    # A message about an attempt that is over must not touch the next one.
+    if call is None or call.node != event.node:
+        return []
+    return _take(event.message, entry, call, now)
+
+
+@handle.register
+def _(event: ev.StreamLost, entry: Entry, now: float) -> Effects:
+    return [
+        effect
+        for call in entry.on_node(event.node)
+        for effect in _lost(entry, call, now)
+    ]
+
+
+@handle.register
+def _(event: ev.Undelivered, entry: Entry, now: float) -> Effects:
+    call = entry.calls.get(getattr(event.message, 'call', ''))
+    if call is None or call.node != event.node:
+        return []
+    if isinstance(event.message, msg.Run):
+        outcome = Outcome.NOT_RUN
+    elif isinstance(event.message, msg.Ask):
+        outcome = Outcome.UNKNOWN
+    else:
+        return []
+    entry.report(call, None, refused=True, now=now)
+    failure = Failure(Reason.NODE_LOST, outcome, 'its node is not reached')
+    return entry.fail(call, failure, now)
+
+
+@handle.register
+def _(event: ev.CallerLost, entry: Entry, now: float) -> Effects:
+    call = entry.calls.get(event.call)
+    return [] if call is None else entry.cancel(call, now)
+
+
+@handle.register
+def _(event: ev.CallerTook, entry: Entry, now: float) -> Effects:
+    call = entry.calls.get(event.call)
+    if call is None:
+        return []
+    return [Send(call.node, msg.Credit(event.call, event.octets))]
+
+
+@handle.register
+def _(event: ev.ParentEnded, entry: Entry, now: float) -> Effects:
+    effects: Effects = []
+    for call in entry.children(event.parent):
+        effects += entry.cancel(call, now)
+        failure = Failure(Reason.CANCELLED, Outcome.UNKNOWN)
+        effects.append(ev.RefuseCaller(call.arrived.call, failure))
+    return effects
+
+
+def _lost(entry: Entry, call: EntryCall, now: float) -> Effects:
+    """Go on after a stream was lost with a call on it.
+
+    A call that may run again does so. Of one that may not, the node is asked
+    on a new stream, once, what became of it.
+    """
+    if call.begun or entry.repeatable(call) or call.asking:
+        entry.report(call, None, refused=False, now=now)
+        failure = Failure(Reason.NODE_LOST, Outcome.UNKNOWN)
+        cancel = Send(call.node, msg.Cancel(call.arrived.call))
+        return [cancel, *entry.fail(call, failure, now)]
+    call.asking = True
+    return [Send(call.node, msg.Ask(call.arrived.call))]
+
+
+@functools.singledispatch
+def _take(message: Any, entry: Entry, call: EntryCall, now: float) -> Effects:
+    """Return what a message from a call's node leads to."""
+    return []
+
+
+@_take.register
+def _(
+    message: msg.Answer, entry: Entry, call: EntryCall, now: float
+) -> Effects:
+    assert not call.begun, 'an answer has one head'
+    entry.report(call, _load(message), refused=False, now=now)
+    call.begun = True
+    entry.events.add(
+        log.Answered(
+            at=now,
+            call=message.call,
+            target=call.node,
+            status=message.status,
+        )
+    )
+    if message.last:
+        entry.forget(call)
+    return [
+        ev.AnswerCaller(
+            message.call,
+            message.status,
+            message.headers,
+            message.body,
+            message.last,
+        )
+    ]
+
+
+@_take.register
+def _(
+    message: msg.AnswerPart, entry: Entry, call: EntryCall, now: float
+) -> Effects:
+    assert call.begun, 'a part follows a head'
+    if message.last:
+        entry.forget(call)
+    return [ev.AnswerCallerPart(message.call, message.body, message.last)]
+
+
+@_take.register
+def _(
+    message: msg.Refused, entry: Entry, call: EntryCall, now: float
+) -> Effects:
+    entry.report(call, _load(message), refused=True, now=now)
+    call.retried = call.retried or message.retried
+    failure = Failure(Reason(message.reason), Outcome(message.outcome))
+    return entry.fail(call, failure, now)
+
+
+@_take.register
+def _(
+    message: msg.Running, entry: Entry, call: EntryCall, now: float
+) -> Effects:
+    # Its answer comes on the new stream; should that break, ask again.
+    call.asking = False
+    return []
+
+
+def _load(message: msg.Answer | msg.Refused) -> LoadReport:
+    return LoadReport(
+        message.running, message.waiting, message.limit, message.service_us
+    )
--- /dev/null
+++ b/daisyline/coordination/owner.py
@@ -0,0 +1,301 @@
+"""The side of calls that stands beside the target: it admits and runs them."""
+
+import heapq
+import math
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
+from daisyline.coordination import messages as msg
+from daisyline.coordination.admission import Admission, Admitted
+from daisyline.coordination.answer_records import (
+    KEY_RECORD_S,
+    RECORD_S,
+    AnswerRecords,
+    Record,
+)
+from daisyline.coordination.fair_queue import Ticket
+from daisyline.coordination.jobs import Job
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Settings
+from daisyline.state.targets import LoadReport, Target
+
+MS_PER_S = 1000
+# A call under way at its target has at least this long, in seconds.
+_MIN_BUDGET_S = 0.001
+
+Effects = list[Any]
+Screen = Callable[[msg.Run, float], Failure | None]
+
+
+@attrs.define
+class Owner:
+    """Calls at one target, from their admission to their answer."""
+
+    _me: str
+    _zone: str
+    _events: log.EventLog
+    _settings: Settings = attrs.field(factory=Settings)
+    _target: Target | None = None
+    _admission: Admission | None = None
+    _deadlines: list[tuple[float, str]] = attrs.field(factory=list)
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    records: AnswerRecords = attrs.field(factory=AnswerRecords)
+    stale_peers: dict[str, int] = attrs.field(factory=dict)
+    screen: Screen = attrs.field(default=lambda _run, _now: None)
+    peers: set[str] = attrs.field(factory=set)
+    stopping: bool = False
+
+    @classmethod
+    def from_config(cls, me: str, zone: str, events: log.EventLog) -> 'Owner':
+        """Build the target's side of a node; it has no target yet."""
+        return cls(me=me, zone=zone, events=events)
+
+    @property
+    def target(self) -> Target | None:
+        """Return the target, once it has announced itself."""
+        return self._target
+
+    @property
+    def load(self) -> LoadReport:
+        """Return the target's load."""
+        return LoadReport() if self._admission is None else self._admission.load
+
+    def use_settings(self, settings: Settings, now: float) -> Effects:
+        """Follow a change of settings."""
+        self._settings = settings
+        if self._admission is None or self._target is None:
+            return []
+        limits = settings.limits_for(self._target.service, self._zone)
+        change = self._admission.set_limits(limits, now)
+        return self.follow(change.started, change.refused, now)
+
+    def use_target(self, target: Target | None, now: float) -> Effects:
+        """Follow what the target says of itself; None if it has lapsed."""
+        known = self._target
+        self._target = target
+        if target is None:
+            return []
+        if self._admission is None:
+            limits = self._settings.limits_for(target.service, self._zone)
+            self._admission = Admission.from_limits(limits, now)
+        elif known is not None and known.instance != target.instance:
+            self._admission.turned_cold(now)
+        change = self._admission.set_phase(target.phase, now)
+        return self.follow(change.started, change.refused, now)
+
+    def offer(self, peer: str, run: msg.Run, now: float) -> Effects:
+        """Take a call, let it wait, or refuse it as not run."""
+        failure = self._refusal(peer, run, now)
+        if failure is not None:
+            return [self.refused(peer, run.call, failure, now)]
+        assert self._admission is not None
+        deadline = now + run.budget_ms / MS_PER_S
+        self.jobs[run.call] = Job(run, peer, deadline)
+        ticket = Ticket(run.call, run.tenant, deadline)
+        decision = self._admission.offer(ticket, now)
+        if isinstance(decision, Failure):
+            self.jobs.pop(run.call)
+            return [self.refused(peer, run.call, decision, now)]
+        heapq.heappush(self._deadlines, (deadline, run.call))
+        if isinstance(decision, Admitted):
+            return [self._start(run.call, now)]
+        self._events.add(
+            log.Queued(at=now, call=run.call, waiting=self.load.waiting)
+        )
+        return []
+
+    def withdraw(self, job: Job, now: float) -> Effects:
+        """Drop a call that nobody waits for.
+
+        One that waits never runs; one that runs and may be repeated is
+        stopped; one that may not be repeated goes on to its end, as stopping
+        it half way helps nobody.
+        """
+        job.attached = False
+        if job.started_at is None:
+            assert self._admission is not None
+            self._admission.withdraw(job.run.call, now)
+            self.jobs.pop(job.run.call)
+            return []
+        if not job.run.repeatable:
+            return []
+        return self._abort(job)
+
+    def ended(
+        self, job: Job, now: float, *, status: int, crashed: bool = False
+    ) -> Effects:
+        """Free the slot of a call whose target is done with it."""
+        call = job.run.call
+        assert job.started_at is not None and self._admission is not None
+        assert self.jobs.pop(call) is job
+        service_s = now - job.started_at
+        succeeded = bool(status) and not crashed
+        started = self._admission.finish(
+            call, now, service_s=service_s, succeeded=succeeded
+        )
+        return [
+            ev.Observed(job.run, status, service_s, crashed),
+            ev.ParentEnded(call),
+            *(self._start(name, now) for name in started),
+        ]
+
+    def keep(
+        self, job: Job, message: msg.Answer | msg.Refused | None, now: float
+    ) -> None:
+        """Remember how a call that may not be repeated ended."""
+        run = job.run
+        if run.repeatable:
+            return
+        self.records.put(run.call, Record(message, now + RECORD_S), now)
+        if run.key:
+            name = _key_name(run)
+            self.records.put(name, Record(message, now + KEY_RECORD_S), now)
+
+    def by_key(self, run: msg.Run, now: float) -> Any:
+        """Return what a caller's own re-send gets; None if it is the first.
+
+        It gets the answer of the first if that is known, and is refused with
+        the outcome unknown while the first runs or if its answer is not kept.
+        """
+        if run.repeatable or not run.key:
+            return None
+        record = self.records.get(_key_name(run), now)
+        if record is not None and record.message is not None:
+            return attrs.evolve(record.message, call=run.call)
+        if record is None and run.key not in self._running_keys():
+            return None
+        failure = Failure(Reason.DUPLICATE, Outcome.UNKNOWN, 'it ran before')
+        return self.refused('', run.call, failure, now).message
+
+    def refused(
+        self, peer: str, call: str, failure: Failure, now: float
+    ) -> ev.Reply:
+        """Return the refusal of a call, with the target's load."""
+        load = self.load
+        self._events.add(
+            log.Refused(
+                at=now,
+                call=call,
+                target=self._me,
+                reason=failure.reason,
+                outcome=failure.outcome,
+                detail=failure.detail,
+            )
+        )
+        message = msg.Refused(
+            call=call,
+            reason=failure.reason.value,
+            outcome=failure.outcome.value,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            service_us=load.service_us,
+        )
+        return ev.Reply(peer, message)
+
+    def next_at(self) -> float:
+        """Return when `tick` has something to do, in monotonic seconds."""
+        while self._deadlines and self._deadlines[0][1] not in self.jobs:
+            heapq.heappop(self._deadlines)
+        first = self._deadlines[0][0] if self._deadlines else math.inf
+        if self._admission is None:
+            return first
+        return min(first, self._admission.next_at())
+
+    def tick(self, now: float) -> Effects:
+        """End what has waited or run for too long."""
+        effects: Effects = []
+        if self._admission is not None:
+            effects += self.follow([], self._admission.expire(now), now)
+        while self._deadlines and self._deadlines[0][0] <= now:
+            job = self.jobs.get(heapq.heappop(self._deadlines)[1])
+            if job is not None:
+                effects += self._overdue(job, now)
+        return effects
+
+    def follow(
+        self,
+        started: list[str],
+        refused: list[tuple[str, Failure]],
+        now: float,
+    ) -> Effects:
+        """Carry out what a change of the admission brought about."""
+        effects: Effects = [self._start(call, now) for call in started]
+        for call, failure in refused:
+            job = self.jobs.pop(call)
+            assert job.started_at is None, 'only a waiting call is not run'
+            effects.append(self.refused(job.peer, call, failure, now))
+        return effects
+
+    def _refusal(self, peer: str, run: msg.Run, now: float) -> Failure | None:
+        """Return why a call must not reach the target, if that is so."""
+        if self._target is None or self._target.service != run.service:
+            return Failure(Reason.NO_TARGET, detail='no such target here')
+        if run.call in self.jobs:
+            return Failure(Reason.DUPLICATE, Outcome.UNKNOWN)
+        if self.records.get(run.call, now) is not None:
+            return Failure(Reason.DUPLICATE, detail='it was given up')
+        return self._closed_to(peer) or self.screen(run, now)
+
+    def _closed_to(self, peer: str) -> Failure | None:
+        """Return why this node takes no new call from a peer, if so."""
+        if peer in self.stale_peers:
+            return Failure(Reason.PAUSED, detail='the node stood still')
+        if self.stopping:
+            return Failure(Reason.LEAVING, detail='the node is stopping')
+        if self._settings.zone_is_out(self._zone):
+            return Failure(Reason.ZONE_OUT, detail=f'{self._zone} is out')
+        return None
+
+    def _start(self, call: str, now: float) -> ev.StartTarget:
+        job = self.jobs[call]
+        assert job.started_at is None, 'a call is started once'
+        job.started_at = now
+        load = self.load
+        assert load.running <= self._slots(), 'slots hold at every instant'
+        self._events.add(
+            log.Admitted(
+                at=now, call=call, running=load.running, limit=load.limit
+            )
+        )
+        budget_s = max(_MIN_BUDGET_S, job.deadline - now)
+        return ev.StartTarget(call, job.run, budget_s)
+
+    def _running_keys(self) -> set[str]:
+        return {job.run.key for job in self.jobs.values()}
+
+    def _slots(self) -> float:
+        """Return the contract's slots; a lowered one holds for new calls."""
+        if self._target is None:
+            return math.inf
+        service = self._target.service
+        return self._settings.limits_for(service, self._zone).slots_per_upstream
+
+    def _abort(self, job: Job) -> Effects:
+        if job.aborted:
+            return []
+        job.aborted = True
+        return [ev.AbortTarget(job.run.call), ev.ParentEnded(job.run.call)]
+
+    def _overdue(self, job: Job, now: float) -> Effects:
+        """Stop a call at its deadline; its slot stays taken until it stops."""
+        if job.started_at is None:
+            assert self._admission is not None
+            self._admission.withdraw(job.run.call, now)
+            self.jobs.pop(job.run.call)
+            failure = Failure(Reason.DEADLINE)
+            return [self.refused(job.peer, job.run.call, failure, now)]
+        effects = self._abort(job)
+        if job.attached:
+            job.attached = False
+            failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
+            effects.append(self.refused(job.peer, job.run.call, failure, now))
+        return effects
+
+
+def _key_name(run: msg.Run) -> str:
+    return f'key:{run.key}'
