Check the settings tree and keep its history beside it

The settings object holds the tree and the last 64 changes with their edits, so that a change and its history are one conditional write and a tree taken from an earlier version can be merged with what came after.

limits_for is cached per service and zone; the cache is bounded, as callers can make names up.

--- /dev/null
+++ b/daisyline/state/limits.py
@@ -0,0 +1,85 @@
+"""Limits of a service's upstreams, in the units of the users' contracts."""
+
+from typing import Any
+
+import attrs
+
+DEFAULT_SLOTS = 8
+DEFAULT_CONNECTIONS = 200
+DEFAULT_QUEUE = 64
+DEFAULT_QUEUE_WAIT_MS = 500
+DEFAULT_DEADLINE_MS = 10_000
+DEFAULT_BODY_LIMIT_BYTES = 1_048_576
+DEFAULT_RETRY_PERCENT = 10
+DEFAULT_PROBE_BUDGET_MS_PER_S = 10
+DEFAULT_COLD_START_MS = 10_000
+DEFAULT_ZONE_RETURN_MS = 30_000
+
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 10_000
+MAX_QUEUE = 100_000
+MAX_QUEUE_WAIT_MS = 60_000
+MIN_DEADLINE_MS = 10
+MAX_DEADLINE_MS = 600_000
+MIN_BODY_LIMIT_BYTES = 1024
+MAX_BODY_LIMIT_BYTES = 67_108_864
+PERCENT = 100
+MAX_PROBE_BUDGET_MS_PER_S = 1000
+MAX_COLD_START_MS = 600_000
+MAX_ZONE_RETURN_MS = 3_600_000
+
+LEAST = 'least'
+MOST = 'most'
+
+
+def _number(default: int, least: int, most: int) -> Any:
+    """Define a whole number and the range that the tree may give it."""
+    return attrs.field(default=default, metadata={LEAST: least, MOST: most})
+
+
+@attrs.frozen
+class Limits:
+    """What holds for the upstreams of one service in one zone.
+
+    Attributes:
+        slots_per_upstream: Calls that one target runs at once.
+        connections_per_server: Connections open to one target.
+        queue_per_upstream: Calls that wait at one target's node.
+        queue_wait_ms: Longest wait in that queue, in milliseconds.
+        deadline_ms: A call's deadline if its caller states none.
+        body_limit_bytes: Longest body of a request.
+        retry_percent: Retries allowed per hundred calls.
+        repeatable_methods: Methods that may be sent again.
+        tenant_header: The header that names the caller's tenant or class.
+        probe_budget_ms_per_s: Target time that probes may take, in
+            milliseconds per second.
+        cold_start_ms: How long a target takes to warm up, in milliseconds.
+        zone_return_ms: Over how long a zone's share grows after its return,
+            in milliseconds.
+    """
+
+    slots_per_upstream: int = _number(DEFAULT_SLOTS, 1, MAX_SLOTS)
+    connections_per_server: int = _number(
+        DEFAULT_CONNECTIONS, 1, MAX_CONNECTIONS
+    )
+    queue_per_upstream: int = _number(DEFAULT_QUEUE, 0, MAX_QUEUE)
+    queue_wait_ms: int = _number(DEFAULT_QUEUE_WAIT_MS, 0, MAX_QUEUE_WAIT_MS)
+    deadline_ms: int = _number(
+        DEFAULT_DEADLINE_MS, MIN_DEADLINE_MS, MAX_DEADLINE_MS
+    )
+    body_limit_bytes: int = _number(
+        DEFAULT_BODY_LIMIT_BYTES, MIN_BODY_LIMIT_BYTES, MAX_BODY_LIMIT_BYTES
+    )
+    retry_percent: int = _number(DEFAULT_RETRY_PERCENT, 0, PERCENT)
+    repeatable_methods: tuple[str, ...] = attrs.field(
+        default=('GET', 'HEAD', 'OPTIONS'), converter=tuple
+    )
+    tenant_header: str = 'x-tenant'
+    probe_budget_ms_per_s: int = _number(
+        DEFAULT_PROBE_BUDGET_MS_PER_S, 0, MAX_PROBE_BUDGET_MS_PER_S
+    )
+    cold_start_ms: int = _number(DEFAULT_COLD_START_MS, 0, MAX_COLD_START_MS)
+    zone_return_ms: int = _number(DEFAULT_ZONE_RETURN_MS, 0, MAX_ZONE_RETURN_MS)
+
+
+LIMIT_NAMES = tuple(field.name for field in attrs.fields(Limits))
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -1,48 +1,47 @@
-"""The settings tree: limits in the contract's units, inherited and checked."""
+"""The settings in force: limits, inherited from the general to the special."""
 
+import functools
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
-DEFAULT_SLOTS = 8
-DEFAULT_CONNECTIONS = 200
-DEFAULT_QUEUE = 64
-DEFAULT_QUEUE_WAIT_MS = 500
-DEFAULT_DEADLINE_MS = 10_000
-DEFAULT_BODY_LIMIT_BYTES = 1_048_576
-DEFAULT_RETRY_PERCENT = 10
+from daisyline.state.failures import Finding
+from daisyline.state.limits import LIMIT_NAMES, Limits
+from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.settings_history import StoredSettings
+
+DEFAULT_WEIGHT = 1
+BUILT_IN = 'built in'
+
+# Names of services and zones come from callers' headers, so the cache of
+# limits must not grow with them.
+MAX_CACHED_LIMITS = 4096
+
+_ZONES = 'zones'
+_SERVICES = 'services'
+
+Level = tuple[str, Mapping[str, Any]]
 
 
 @attrs.frozen
-class Limits:
-    """What holds for the upstreams of one service in one zone.
+class EffectiveLimit:
+    """The value of one limit and where it comes from.
 
     Attributes:
-        slots_per_upstream: Calls that one target runs at once.
-        connections_per_server: Connections open to one target.
-        queue_per_upstream: Calls that wait at one target's node.
-        queue_wait_ms: Longest wait in that queue, in milliseconds.
-        deadline_ms: A call's deadline if its caller states none.
-        body_limit_bytes: Longest body of a request.
-        retry_percent: Retries allowed per hundred calls.
-        repeatable_methods: Methods that may be sent again.
-        tenant_header: The header that names the caller's tenant or class.
+        name: The limit's name.
+        content: Its value.
+        place: The place in the tree that sets it, or `built in`.
     """
 
-    slots_per_upstream: int = DEFAULT_SLOTS
-    connections_per_server: int = DEFAULT_CONNECTIONS
-    queue_per_upstream: int = DEFAULT_QUEUE
-    queue_wait_ms: int = DEFAULT_QUEUE_WAIT_MS
-    deadline_ms: int = DEFAULT_DEADLINE_MS
-    body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES
-    retry_percent: int = DEFAULT_RETRY_PERCENT
-    repeatable_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
-    tenant_header: str = 'x-tenant'
+    name: str
+    content: Any
+    place: str
 
 
 @attrs.frozen
 class Settings:
-    """The settings in force at one version.
+    """The settings in force at one version; they never change.
 
     Attributes:
         version: The platform's version of the tree; a larger one is newer.
@@ -51,37 +50,104 @@
 
     version: int = 0
     tree: dict[str, Any] = attrs.field(factory=dict)
+    _cache: dict[tuple[str, str], Limits] = attrs.field(
+        factory=dict, init=False, eq=False, repr=False
+    )
 
     @classmethod
     def from_tree(cls, version: int, tree: dict[str, Any]) -> 'Settings':
         """Build settings from a checked tree."""
         return cls(version=version, tree=tree)
 
+    @classmethod
+    def from_object(
+        cls, version: int, content: Any
+    ) -> 'Settings | list[Finding]':
+        """Read the platform's object, or return every mistake in it.
+
+        Args:
+            version: The object's version.
+            content: The object's value, any JSON.
+        """
+        stored = StoredSettings.from_value(version, content)
+        if isinstance(stored, StoredSettings):
+            return cls(version=version, tree=stored.tree)
+        return stored
+
+    @functools.cached_property
+    def hosts(self) -> Mapping[str, str]:
+        """Return the service of each host name that the tree lists."""
+        return {
+            host: service
+            for service, entry in self._section(_SERVICES).items()
+            for host in entry.get('hosts', ())
+        }
+
     def limits_for(self, service: str, zone: str) -> Limits:
         """Return the limits of a service's upstreams in a zone."""
-        known = {field.name for field in attrs.fields(Limits)}
-        merged: dict[str, Any] = {}
-        for level in self._levels(service, zone):
-            merged.update(
-                (key, level[key]) for key in known.intersection(level)
-            )
-        return Limits(**merged)
+        key = (service, zone)
+        limits = self._cache.get(key)
+        if limits is None:
+            limits = self._inherit(service, zone)
+            if len(self._cache) < MAX_CACHED_LIMITS:
+                self._cache[key] = limits
+        return limits
+
+    def effective(self, service: str, zone: str) -> list[EffectiveLimit]:
+        """Return each limit with its value and the place it comes from."""
+        limits = self.limits_for(service, zone)
+        levels = self._levels(service, zone)
+        return [
+            EffectiveLimit(name, getattr(limits, name), _origin(name, levels))
+            for name in LIMIT_NAMES
+        ]
 
     def zone_is_out(self, zone: str) -> bool:
         """Return whether operators have taken a zone out."""
-        zones = self.tree.get('zones', {})
-        return zones.get(zone, {}).get('state') == 'out'
+        return self._section(_ZONES).get(zone, {}).get('state') == 'out'
 
     def has_service(self, service: str) -> bool:
         """Return whether the tree names a service."""
-        return service in self.tree.get('services', {})
+        return service in self._section(_SERVICES)
+
+    def weight_of(self, tenant: str) -> int:
+        """Return a tenant's share of a queue, relative to the others."""
+        entry = self._section('tenants').get(tenant, {})
+        return int(entry.get('weight', DEFAULT_WEIGHT))
+
+    def rollout_of(self, service: str) -> RolloutPlan | None:
+        """Return the rollout that operators want for a service."""
+        fields = self._section('rollouts').get(service)
+        if fields is None:
+            return None
+        return RolloutPlan.from_fields(service, fields)
 
-    def _levels(self, service: str, zone: str) -> list[dict[str, Any]]:
+    def _section(self, name: str) -> Mapping[str, Any]:
+        return self.tree.get(name, {})
+
+    def _inherit(self, service: str, zone: str) -> Limits:
+        merged: dict[str, Any] = {}
+        for _, level in self._levels(service, zone):
+            merged.update(
+                (name, level[name]) for name in LIMIT_NAMES if name in level
+            )
+        return Limits(**merged)
+
+    def _levels(self, service: str, zone: str) -> list[Level]:
         """Return the settings that apply, the most general first."""
-        of_service = self.tree.get('services', {}).get(service, {})
+        of_service = self._section(_SERVICES).get(service, {})
+        in_zone = of_service.get(_ZONES, {}).get(zone, {})
         return [
-            self.tree.get('defaults', {}),
-            self.tree.get('zones', {}).get(zone, {}),
-            of_service,
-            of_service.get('zones', {}).get(zone, {}),
+            ('defaults', self._section('defaults')),
+            (f'zones.{zone}', self._section(_ZONES).get(zone, {})),
+            (f'services.{service}', of_service),
+            (f'services.{service}.zones.{zone}', in_zone),
         ]
+
+
+def _origin(name: str, levels: list[Level]) -> str:
+    """Return the place of the most special level that sets a limit."""
+    for place, level in reversed(levels):
+        if name in level:
+            return f'{place}.{name}'
+    return BUILT_IN
--- /dev/null
+++ b/daisyline/state/settings_history.py
@@ -0,0 +1,171 @@
+"""The settings object: a tree and its last changes, written as one."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from daisyline.state.failures import Finding
+from daisyline.state.settings_check import check_tree
+from daisyline.state.settings_edits import (
+    Edit,
+    apply_edits,
+    canonical,
+    revert_edits,
+)
+from daisyline.state.settings_rules import shown
+
+MAX_CHANGES = 64
+MAX_SENTENCE = 400
+# A change with more edits is kept without them, to bound the object.
+MAX_KEPT_EDITS = 100
+
+_TREE = 'tree'
+_CHANGES = 'changes'
+
+
+@attrs.frozen
+class Change:
+    """One accepted change of the settings.
+
+    Attributes:
+        id: Names the change; the program that asks for it makes it up.
+        by: Who asked.
+        at: When, in UTC and ISO form.
+        what: One sentence for people.
+        base: The version that the change was made from.
+        edits: What was edited; None if that was too much to keep.
+    """
+
+    id: str
+    by: str
+    at: str
+    what: str
+    base: int = 0
+    edits: tuple[Edit, ...] | None = None
+
+    @classmethod
+    def from_fields(cls, fields: Mapping[str, Any]) -> 'Change':
+        """Build a change from its JSON form, which others may have written."""
+        base = fields.get('base')
+        return cls(
+            id=str(fields['id']),
+            by=str(fields.get('by', '')),
+            at=str(fields.get('at', '')),
+            what=str(fields.get('what', '')),
+            base=base if isinstance(base, int) else 0,
+            edits=_edits_from(fields.get('edits')),
+        )
+
+    def to_fields(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        edits = self.edits
+        if edits is None or len(edits) > MAX_KEPT_EDITS:
+            kept = None
+        else:
+            kept = [edit.to_fields() for edit in edits]
+        return {
+            'id': self.id,
+            'by': self.by,
+            'at': self.at,
+            'what': self.what[:MAX_SENTENCE],
+            'base': self.base,
+            'edits': kept,
+        }
+
+
+@attrs.frozen
+class StoredSettings:
+    """The settings object at one version.
+
+    Attributes:
+        version: The platform's version; 0 if the object doesn't exist.
+        tree: The canonical tree.
+        changes: The last changes, the oldest first.
+    """
+
+    version: int = 0
+    tree: dict[str, Any] = attrs.field(factory=lambda: canonical({}))
+    changes: tuple[Change, ...] = ()
+
+    @classmethod
+    def from_value(
+        cls, version: int, content: Any
+    ) -> 'StoredSettings | list[Finding]':
+        """Read the object's value, or return every mistake in it."""
+        if not isinstance(content, dict) or _TREE not in content:
+            problem = f'{shown(content)} is not an object with a tree'
+            return [Finding('settings', problem)]
+        changes = content.get(_CHANGES, [])
+        findings = check_tree(content[_TREE]) + _check_changes(changes)
+        return findings or cls(
+            version=version,
+            tree=canonical(content[_TREE]),
+            changes=tuple(Change.from_fields(entry) for entry in changes),
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the object's value."""
+        recent = self.changes[-MAX_CHANGES:]
+        return {
+            _TREE: self.tree,
+            _CHANGES: [change.to_fields() for change in recent],
+        }
+
+    def with_change(self, change: Change) -> 'StoredSettings':
+        """Return the settings after a change made from this version."""
+        assert change.base == self.version
+        assert change.edits is not None
+        return attrs.evolve(
+            self,
+            tree=apply_edits(self.tree, change.edits),
+            changes=(*self.changes, change)[-MAX_CHANGES:],
+        )
+
+    def has_change(self, change_id: str) -> bool:
+        """Return whether one of the last changes has this id."""
+        return any(change.id == change_id for change in self.changes)
+
+    def change_from(self, version: int) -> Change | None:
+        """Return the change that was made from a version, if it is known."""
+        for change in self.changes:
+            if change.base == version:
+                return change
+        return None
+
+    def tree_at(self, version: int) -> dict[str, Any] | None:
+        """Return the tree of an earlier version, None if it is forgotten."""
+        if version == self.version:
+            return self.tree
+        tree: dict[str, Any] | None = self.tree
+        for change in reversed(self.changes):
+            if tree is None or change.edits is None:
+                return None
+            tree = revert_edits(tree, change.edits)
+            if change.base == version:
+                return tree
+        return None
+
+
+def _edits_from(content: Any) -> tuple[Edit, ...] | None:
+    """Read edits; None if they are missing or were written otherwise."""
+    if not isinstance(content, list):
+        return None
+    if not all(_is_edit(entry) for entry in content):
+        return None
+    return tuple(Edit.from_fields(entry) for entry in content)
+
+
+def _is_edit(entry: Any) -> bool:
+    place = entry.get('place') if isinstance(entry, dict) else None
+    return isinstance(place, list) and bool(place)
+
+
+def _check_changes(changes: Any) -> list[Finding]:
+    if not isinstance(changes, list):
+        return [Finding(_CHANGES, f'{shown(changes)} is not a list')]
+    return [
+        Finding(f'changes[{index}].id', 'is needed, as a string')
+        for index, entry in enumerate(changes)
+        if not isinstance(entry, dict) or not isinstance(entry.get('id'), str)
+    ]
--- /dev/null
+++ b/tests/state/test_settings_edits.py
@@ -0,0 +1,96 @@
+"""Edits lead from one tree to another and back."""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisyline.state.settings_check import check_tree
+from daisyline.state.settings_edits import (
+    apply_edits,
+    canonical,
+    clashes_of,
+    edits_between,
+    revert_edits,
+)
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+ZONES = ('ghent-a', 'ghent-b')
+SERVICES = ('docs', 'shop')
+LIMITS = st.fixed_dictionaries(
+    {},
+    optional={
+        'slots_per_upstream': st.integers(1, 3),
+        'queue_wait_ms': st.integers(0, 2),
+    },
+)
+ROLLOUT = st.fixed_dictionaries(
+    {
+        'id': st.sampled_from('ab'),
+        'old': st.just('1'),
+        'new': st.sampled_from('23'),
+        'finish_in_s': st.integers(1, 2),
+    },
+    optional={'state': st.sampled_from(('moving', 'stopped'))},
+)
+SERVICE = st.tuples(
+    LIMITS, st.dictionaries(st.sampled_from(ZONES), LIMITS, max_size=2)
+).map(lambda parts: {**parts[0], 'zones': parts[1]})
+TREES = st.fixed_dictionaries(
+    {
+        'cluster': st.just('c'),
+        'zones': st.fixed_dictionaries(
+            {
+                zone: st.tuples(st.sampled_from(('in', 'out')), LIMITS).map(
+                    lambda parts: {
+                        'region': 'fl',
+                        'state': parts[0],
+                        **parts[1],
+                    }
+                )
+                for zone in ZONES
+            }
+        ),
+    },
+    optional={
+        'defaults': LIMITS,
+        'services': st.fixed_dictionaries(
+            {'docs': SERVICE}, optional={'shop': SERVICE}
+        ),
+        'tenants': st.dictionaries(
+            st.sampled_from('xy'),
+            st.integers(1, 3).map(lambda weight: {'weight': weight}),
+        ),
+    },
+).map(canonical)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(old=TREES, new=TREES)
+def test_edits_lead_to_the_new_tree_and_back(old: Any, new: Any) -> None:
+    edits = edits_between(old, new)
+    assert check_tree(new) == []
+    assert apply_edits(old, edits) == new
+    assert revert_edits(new, edits) == old
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(base=TREES, ours=TREES, theirs=TREES)
+def test_edits_without_a_clash_keep_both_sides(
+    base: Any, ours: Any, theirs: Any
+) -> None:
+    mine, other = edits_between(base, ours), edits_between(base, theirs)
+    if not clashes_of(mine, other):
+        merged = apply_edits(theirs, mine)
+        assert merged == apply_edits(ours, other)
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(one=ROLLOUT, two=ROLLOUT)
+def test_a_rollout_is_edited_as_a_whole(one: Any, two: Any) -> None:
+    old = canonical({'rollouts': {'docs': one}})
+    edits = edits_between(old, canonical({'rollouts': {'docs': two}}))
+    names = [edit.name for edit in edits]
+    assert names == ([] if one == two else ['rollouts.docs'])
