Judge rollouts from evidence and spread verdicts as facts

Targets' nodes count calls by route and send the counts to two judges chosen by rendezvous hashing. A judge compares both versions with a betting e-process on each route and on all routes together, evidence counts only as far as it remains without any one group of targets, and the share grows on a schedule while nothing speaks against the new version.

Ruled out: comparing the routes only one by one.

--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -1,19 +1,35 @@
 """Rollouts: evidence goes to judges, verdicts spread as facts."""
 
+import functools
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from random import Random
 from typing import Any
 
 import attrs
 
+from daisyline.coordination.effects import PlatformReply, Send
+from daisyline.coordination.events import EventLog, RolloutMoved
+from daisyline.coordination.evidence import (
+    EVIDENCE_INTERVAL_S,
+    Collector,
+    judges_of,
+)
+from daisyline.coordination.evidence_messages import Evidence
+from daisyline.coordination.fact_events import FactChanged
+from daisyline.coordination.rollout_progress import Progress
+from daisyline.state.facts import Fact
 from daisyline.state.rollout_state import (
-    FIRST_SHARE,
+    FACT_KIND,
     RolloutPlan,
     RolloutStatus,
     Sample,
+    Stage,
 )
 
+# Facts of rollouts whose settings have not come yet, or were removed.
+MAX_FACTS = 1024
+
 
 @attrs.define
 class Rollouts:
@@ -21,54 +37,225 @@
 
     _node: str
     _rng: Random
-    _plans: dict[str, RolloutPlan] = attrs.field(factory=dict)
-    _members: tuple[str, ...] = ()
+    _log: EventLog | None
+    _members: tuple[str, ...]
+    _evidence_at: float
+    _progress: dict[str, Progress] = attrs.field(factory=dict)
+    _collectors: dict[str, Collector] = attrs.field(factory=dict)
+    _facts: dict[str, Fact] = attrs.field(factory=dict)
+    _judges: dict[str, list[str]] = attrs.field(factory=dict)
+    _is_appointed: bool = True
 
     @classmethod
-    def from_config(cls, node: str, rng: Random, now: float) -> 'Rollouts':
-        """Build the rollouts of a node."""
-        return cls(node, rng)
+    def from_config(
+        cls, node: str, rng: Random, now: float, log: EventLog | None = None
+    ) -> 'Rollouts':
+        """Build the rollouts of a node; a log is told of each move."""
+        # The start of the interval is spread over the nodes.
+        first = now + rng.uniform(0, EVIDENCE_INTERVAL_S)
+        return cls(node, rng, log, (node,), first)
 
     def replace_plans(
         self, plans: Mapping[str, RolloutPlan], now: float
     ) -> list[Any]:
         """Take over the plans of new settings, by service."""
-        self._plans = dict(plans)
-        return []
+        known = self._progress
+        self._progress = {}
+        effects: list[Any] = []
+        for plan in plans.values():
+            progress = known.get(plan.service)
+            if progress is None or progress.plan.id != plan.id:
+                progress = Progress.from_plan(plan, now)
+                self._advance(progress, now)
+            progress.replace_plan(plan)
+            self._progress[plan.service] = progress
+            effects.extend(self._stop_if_planned(progress, now))
+        self._choose_judges()
+        return effects
 
     def replace_members(self, names: Sequence[str]) -> None:
         """Take over the live nodes, this one included."""
-        self._members = tuple(names)
+        self._members = tuple(names) or (self._node,)
+        self._choose_judges()
 
     def observe(self, sample: Sample, now: float) -> None:
         """Count a call that ended at the target beside this node."""
+        progress = self._progress.get(sample.service)
+        if progress is None or not progress.is_moving:
+            return
+        plan = progress.plan
+        if sample.version not in {plan.old, plan.new}:
+            return
+        collector = self._collectors.get(sample.service)
+        if collector is None:
+            collector = Collector.from_config(self._node, self._rng)
+            self._collectors[sample.service] = collector
+        collector.observe(sample, now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
-        """Take in evidence, a changed fact or an answer of the platform."""
-        return []
+        """Take in `Evidence`, a `FactChanged` or a `PlatformReply`."""
+        return _handle(event, self, now)
 
     def tick(self, now: float) -> list[Any]:
-        """Do what is due."""
-        return []
+        """Send evidence, judge and record what is due."""
+        self._appoint(now)
+        effects: list[Any] = []
+        if now >= self._evidence_at:
+            self._evidence_at = now + EVIDENCE_INTERVAL_S
+            effects.extend(self._send_evidence())
+        for progress in self._progress.values():
+            before = progress.standing.place
+            effects.extend(progress.tick(now))
+            if progress.standing.place != before:
+                self._report(progress, now)
+        return effects
 
     def next_at(self) -> float:
         """Return when `tick` has something to do next."""
-        return math.inf
+        due = min(
+            (progress.next_at() for progress in self._progress.values()),
+            default=math.inf,
+        )
+        if not self._is_appointed:
+            return 0
+        counted = any(held.has_counts for held in self._collectors.values())
+        return min(due, self._evidence_at) if counted else due
 
     def shares(self, service: str) -> Mapping[str, float] | None:
         """Return each version's share of calls; None without a rollout."""
-        plan = self._plans.get(service)
-        if plan is None:
-            return None
-        return {plan.new: FIRST_SHARE, plan.old: 1 - FIRST_SHARE}
+        progress = self._progress.get(service)
+        return None if progress is None else progress.shares
 
     def stopped(self, service: str, version: str) -> bool:
         """Return whether a version gets no calls any more."""
-        return False
+        progress = self._progress.get(service)
+        if progress is None or version != progress.plan.new:
+            return False
+        return progress.standing.stage is Stage.ROLLED_BACK
 
     def status(self) -> list[RolloutStatus]:
         """Return where each rollout stands, for operators."""
+        return [progress.status for progress in self._progress.values()]
+
+    def take_evidence(self, evidence: Evidence) -> None:
+        """Hand evidence to the rollout that it is about."""
+        progress = self._progress.get(evidence.service)
+        if progress is not None:
+            progress.add_evidence(evidence)
+
+    def take_fact(self, fact: Fact, now: float) -> None:
+        """Take over a fact about a rollout, also of a plan yet to come."""
+        held = self._facts.get(fact.name)
+        if held is not None and not fact.beats(held):
+            return
+        self._facts[fact.name] = fact
+        while len(self._facts) > MAX_FACTS:
+            self._facts.pop(next(iter(self._facts)))
+        for progress in self._progress.values():
+            if progress.plan.fact_name == fact.name:
+                self._advance(progress, now)
+
+    def take_reply(self, reply: PlatformReply, now: float) -> list[Any]:
+        """Hand the platform's answer to the rollout that asked."""
+        effects: list[Any] = []
+        for progress in self._progress.values():
+            before = progress.standing.place
+            effects.extend(progress.take_reply(reply, now))
+            if progress.standing.place != before:
+                self._report(progress, now)
+        return effects
+
+    def _choose_judges(self) -> None:
+        self._is_appointed = False
+        self._judges = {
+            service: judges_of(service, self._members)
+            for service in self._progress
+        }
+
+    def _appoint(self, now: float) -> None:
+        """Judge the rollouts that fall to this node, and no others."""
+        self._is_appointed = True
+        for service, judges in self._judges.items():
+            progress = self._progress[service]
+            if self._node in judges:
+                progress.appoint(self._rng, now)
+            else:
+                progress.dismiss()
+
+    def _send_evidence(self) -> Iterator[Send]:
+        for service, collector in self._moving_collectors():
+            progress = self._progress[service]
+            evidence = collector.take(progress.plan)
+            for judge in self._judges[service]:
+                if judge == self._node:
+                    progress.add_evidence(evidence)
+                else:
+                    yield Send(judge, evidence)
+
+    def _moving_collectors(self) -> list[tuple[str, Collector]]:
+        """Return the collectors with counts; drop those not wanted."""
+        self._collectors = {
+            service: collector
+            for service, collector in self._collectors.items()
+            if service in self._progress and self._progress[service].is_moving
+        }
         return [
-            RolloutStatus(plan.service, plan.id, 'moving', FIRST_SHARE, '')
-            for plan in self._plans.values()
+            (service, collector)
+            for service, collector in self._collectors.items()
+            if collector.has_counts
         ]
+
+    def _advance(self, progress: Progress, now: float) -> None:
+        """Move a rollout on to where its fact says that it stands."""
+        fact = self._facts.get(progress.plan.fact_name)
+        if fact is not None and progress.take_fact(fact, now):
+            self._report(progress, now)
+
+    def _stop_if_planned(self, progress: Progress, now: float) -> list[Any]:
+        effects = progress.stop_if_planned(now)
+        if effects:
+            self._report(progress, now)
+        return effects
+
+    def _report(self, progress: Progress, now: float) -> None:
+        if self._log is not None:
+            status = progress.status
+            self._log.add(
+                RolloutMoved(
+                    now,
+                    service=status.service,
+                    rollout=status.id,
+                    stage=status.state,
+                    share=status.share,
+                    why=status.why,
+                )
+            )
+
+
+@functools.singledispatch
+def _handle(event: object, rollouts: Rollouts, now: float) -> list[Any]:
+    raise TypeError(f'rollouts take no {type(event).__name__}')
+
+
+@_handle.register
+def _handle_evidence(
+    event: Evidence, rollouts: Rollouts, now: float
+) -> list[Any]:
+    rollouts.take_evidence(event)
+    return []
+
+
+@_handle.register
+def _handle_fact(
+    event: FactChanged, rollouts: Rollouts, now: float
+) -> list[Any]:
+    if event.fact.kind == FACT_KIND:
+        rollouts.take_fact(event.fact, now)
+    return []
+
+
+@_handle.register
+def _handle_reply(
+    event: PlatformReply, rollouts: Rollouts, now: float
+) -> list[Any]:
+    return rollouts.take_reply(event, now)
--- a/daisyline/state/rollout_state.py
+++ b/daisyline/state/rollout_state.py
@@ -100,9 +100,10 @@
     def from_fact(cls, fact: Fact) -> 'Standing | None':
         """Read a standing from a fact; None if it does not hold one."""
         try:
-            return cls(*fact.payload)
+            standing = cls(*fact.payload)
         except (TypeError, ValueError):
             return None
+        return standing if standing.rank == fact.rank else None
 
     def to_fact(self, name: str) -> Fact:
         """Return the fact that spreads this standing."""
