--- a/daisyline/coordination/evidence.py
+++ b/daisyline/coordination/evidence.py
@@ -23,6 +23,8 @@
 OTHER_ROUTES = 'other'
 # A target that stays cold for longer is judged as if it were warm.
 COLD_EXCUSED_S = 60.0
+# All calls in flight end with a crash of their target; it counts once.
+ONE_CRASH_S = 1.0
 _EPOCH_BITS = 32
 
 
@@ -88,7 +90,7 @@
     _epoch: int
     _version: str = ''
     _seq: int = 0
-    _crashed: bool = False
+    _crashed_at: float = -math.inf
     _cold_since: float | None = None
     _warm_since: float | None = None
     _routes: dict[str, _Route] = attrs.field(factory=dict)
@@ -112,9 +114,8 @@
         cold = self._is_excused(now) if sample.cold else self._warmed(now)
         if not sample.suspect:
             self._route(sample.route).add(sample, cold=cold)
-        elif not self._crashed:
-            # All calls in flight end with the crash; it counts once.
-            self._crashed = True
+        elif now >= self._crashed_at + ONE_CRASH_S:
+            self._crashed_at = now
             self._route(sample.route).crashes += 1
 
     def take(self, plan: RolloutPlan) -> Evidence:
@@ -124,7 +125,6 @@
             counts.to_row(route) for route, counts in self._routes.items()
         )
         self._routes = {}
-        self._crashed = False
         return Evidence(
             plan.service,
             plan.id,
