--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -167,13 +167,14 @@
     wanted = 'rolled-back' if case.is_bad else 'done'
     right = sum(run.state == wanted for run in runs)
     seconds = sorted(run.seconds for run in runs)
+    longest = seconds[-1]
     calls = sorted(run.calls for run in runs)
     count = len(runs)
     cells = (
         case.name,
         f'{right} of {count} {wanted}',
         f'{statistics.median(seconds):.1f}',
-        f'{seconds[-1]:.1f}',
+        f'{longest:.1f}',
         f'{statistics.median(calls):.0f}',
         str(calls[-1]),
     )
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -1,11 +1,14 @@
 """The record of decisions: typed events with their numbers."""
 
+import itertools
+import operator
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import attrs
 
 MAX_EVENTS = 20_000
+MAX_OTHERS = 2_000
 
 
 @attrs.frozen(slots=True)
@@ -155,20 +158,27 @@
 
 @attrs.define
 class EventLog:
-    """A bounded ring of events with sinks.
+    """Two bounded rings of events, with sinks.
+
+    Events about calls come far more often, so those about anything else have
+    a ring of their own and are not pushed out by them. An event is found by
+    looking through the rings: explaining is rare, recording is not.
 
     Attributes:
         sink_failures: How many times a sink raised.
     """
 
-    _events: deque[Event]
+    _of_calls: deque[Event]
+    _others: deque[Event]
     _sinks: list[Sink] = attrs.field(factory=list)
     sink_failures: int = 0
 
     @classmethod
-    def from_config(cls, max_events: int = MAX_EVENTS) -> 'EventLog':
-        """Build a log that keeps a number of events."""
-        return cls(deque(maxlen=max_events))
+    def from_config(
+        cls, max_events: int = MAX_EVENTS, max_others: int = MAX_OTHERS
+    ) -> 'EventLog':
+        """Build a log that keeps so many events of calls, and others."""
+        return cls(deque(maxlen=max_events), deque(maxlen=max_others))
 
     def add_sink(self, sink: Sink) -> None:
         """Hand every later event to a function too."""
@@ -176,7 +186,10 @@
 
     def add(self, event: Event) -> None:
         """Record an event; a failing sink is counted and never raises."""
-        self._events.append(event)
+        if event.call:
+            self._of_calls.append(event)
+        else:
+            self._others.append(event)
         for sink in self._sinks:
             try:
                 sink(event)
@@ -185,7 +198,7 @@
 
     def about_call(self, call: str) -> list[Event]:
         """Return the events of a call, the oldest first."""
-        return self._where('call', call)
+        return [event for event in self._of_calls if event.call == call]
 
     def about_target(self, target: str) -> list[Event]:
         """Return the events of a target, the oldest first."""
@@ -199,15 +212,14 @@
         """Return the events of a rollout, the oldest first."""
         return self._where('rollout', rollout)
 
-    def _where(self, field: str, wanted: str) -> list[Event]:
-        return list(
-            _matching(self._events, field, wanted),
-        )
-
+    def latest(self) -> list[Event]:
+        """Return the events that are about no single call."""
+        return list(self._others)
 
-def _matching(
-    events: Iterable[Event], field: str, wanted: str
-) -> Iterable[Event]:
-    for event in events:
-        if getattr(event, field, None) == wanted:
-            yield event
+    def _where(self, field: str, wanted: str) -> list[Event]:
+        found = [
+            event
+            for event in itertools.chain(self._of_calls, self._others)
+            if getattr(event, field, None) == wanted
+        ]
+        return sorted(found, key=operator.attrgetter('at'))
