Let only old tombstones yield to a peer that sees more

When a region was cut off, nodes that had not yet noticed saw more members and brought the lost ones back: 50 nodes did not agree within 60 s. A tombstone now yields only after 30 s.

--- a/daisyline/coordination/comparison.py
+++ b/daisyline/coordination/comparison.py
@@ -19,7 +19,6 @@
     FactRecord,
     MemberRecord,
     Stamp,
-    Standing,
 )
 
 
@@ -49,7 +48,7 @@
     records = _newer_than(message, gossip)
     wanted: list[str] = []
     for stamp in message.stamps:
-        if _is_wanted(stamp, gossip, trusted=gossip.trusts(node, now)):
+        if _is_wanted(stamp, gossip, node, now):
             wanted.append(stamp.name)
         else:
             records.extend(_removals(stamp.name, gossip))
@@ -83,15 +82,15 @@
     return records
 
 
-def _is_wanted(stamp: Stamp, gossip: Gossip, *, trusted: bool) -> bool:
+def _is_wanted(stamp: Stamp, gossip: Gossip, node: str, now: float) -> bool:
     """Return whether a peer's record of a member may be news here."""
     held = gossip.members.record_of(stamp.name)
     if held is None or held.member.stamp < stamp.order:
         return True
     tombstone = gossip.members.tombstones.get(stamp.name)
-    if tombstone is None or not trusted:
+    if tombstone is None or not tombstone.yields(now):
         return False
-    return tombstone.record.standing is Standing.SUSPECT
+    return gossip.trusts(node, now)
 
 
 def _removals(name: str, gossip: Gossip) -> list[MemberRecord]:
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -16,6 +16,7 @@
 
 SUSPICION_S = 3.0
 TOMBSTONE_S = 14_400.0
+CERTAIN_S = 30.0
 
 
 class Merge(enum.Enum):
@@ -33,11 +34,20 @@
 
     Attributes:
         record: The last record; its standing is `SUSPECT` or `LEFT`.
-        until: When the tombstone is dropped.
+        removed_at: When it was removed.
     """
 
     record: MemberRecord
-    until: float
+    removed_at: float
+
+    def yields(self, now: float) -> bool:
+        """Return whether a view of more of the fleet goes before this.
+
+        A young tombstone doesn't yield: a peer that holds the member as live
+        may only not have heard of its failure yet.
+        """
+        failed = self.record.standing is Standing.SUSPECT
+        return failed and now >= self.removed_at + CERTAIN_S
 
 
 @attrs.define
@@ -158,7 +168,7 @@
             record = MemberRecord(self._live[name], Standing.SUSPECT)
             self._bury(record, now)
         for name, tombstone in tuple(self._tombstones.items()):
-            if tombstone.until > now:
+            if tombstone.removed_at + TOMBSTONE_S > now:
                 break
             self._tombstones.pop(name)
 
@@ -203,7 +213,7 @@
         held = tombstone.record
         same = record.member.stamp == held.member.stamp
         newer = record.member.stamp > held.member.stamp
-        believed = same and trusted and held.standing is Standing.SUSPECT
+        believed = same and trusted and tombstone.yields(now)
         if record.standing is Standing.LEFT:
             if _order(record) <= _order(held):
                 return Merge.OLD
@@ -237,7 +247,7 @@
             self._changed.pop(name, None)
             self._removed[name] = None
         self._suspects.pop(name, None)
-        self._tombstones[name] = Tombstone(record, now + TOMBSTONE_S)
+        self._tombstones[name] = Tombstone(record, now)
 
     def _toggle(self, member: Member) -> None:
         self._digest.toggle(member.name, str(member.stamp))
