--- a/daisyline/coordination/comparison.py
+++ b/daisyline/coordination/comparison.py
@@ -8,7 +8,7 @@
 
 from daisyline.coordination.digest import BUCKET_COUNT
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip import Gossip, chunks
+from daisyline.coordination.gossip import Gossip
 from daisyline.coordination.gossip_messages import (
     Buckets,
     RecordsWanted,
@@ -20,6 +20,7 @@
     MemberRecord,
     Stamp,
 )
+from daisyline.coordination.outbox import messages_to
 
 
 def answer_buckets(
@@ -54,7 +55,7 @@
             records.extend(_removals(stamp.name, gossip))
     effects = gossip.merge(node, Rumours((), message.facts), now)
     facts = _facts_lacking(message, gossip, now)
-    effects.extend(chunks(node, records, facts))
+    effects.extend(messages_to(node, (*records, *facts)))
     if wanted:
         effects.append(Send(node, RecordsWanted(wanted)))
     return effects
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from daisyline.coordination.effects import PlatformReply, Send
+from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.fleet_events import (
     FactChanged,
     FromPeer,
@@ -17,14 +17,12 @@
 )
 from daisyline.coordination.gossip import Gossip
 from daisyline.coordination.gossip_handlers import receive
-from daisyline.coordination.gossip_messages import (
-    Rumours,
-)
 from daisyline.coordination.gossip_records import (
     FactRecord,
     MemberRecord,
     Standing,
 )
+from daisyline.coordination.outbox import messages_to
 from daisyline.coordination.seeds import Seeds
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
@@ -128,23 +126,25 @@
         if target == self.me.target:
             return []
         record = self._gossip.members.renew(target)
-        return self._gossip.push((record,), (), '', now) + self._report(now)
+        self._gossip.tell(record, '', now)
+        return self._report(now)
 
     def put_fact(self, fact: Fact, now: float) -> list[Any]:
         """Hold a fact and spread it, if it is news."""
         record = FactRecord(fact, fact.ttl_ms)
         if not self._gossip.facts.merge(record, now):
             return []
-        return [
-            FactChanged(fact),
-            *self._gossip.push((), (record,), '', now),
-        ]
+        self._gossip.tell(record, '', now)
+        return [FactChanged(fact)]
 
     def leave(self, now: float) -> list[Any]:
         """Tell the fleet that this node stops."""
         record = MemberRecord(self.me, Standing.LEFT)
-        neighbours = self._gossip.members.overlay.neighbours()
-        return [Send(name, Rumours((record,))) for name in neighbours]
+        return [
+            effect
+            for name in self._gossip.members.overlay.neighbours()
+            for effect in messages_to(name, (record,))
+        ]
 
     @functools.singledispatchmethod
     def handle(self, event: Any, now: float) -> list[Any]:
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -16,26 +16,27 @@
     Buckets,
     GossipPing,
     Join,
+    RecordsWanted,
     Rumours,
 )
 from daisyline.coordination.gossip_records import (
     FactRecord,
     MemberRecord,
+    Notice,
     Standing,
     Summary,
 )
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership import Membership, Merge
+from daisyline.coordination.outbox import Outbox, messages_to
 from daisyline.coordination.readers import Readers
 from daisyline.coordination.spread import START_WAIT_S, SettingsSpread
 from daisyline.state.members import Member
 
-BULK_COUNT = 16
-CHUNK_COUNT = 64
-QUIET_S = 0.2
+QUIET_S = 0.4
 COMPARE_PAUSE_S = 1.0
 TRUST_S = 5.0
-NUDGE_S = 0.3
+NUDGE_S = 0.5
 RETRY_S_PER_MEMBER = 0.5
 RETRY_MIN_S = 1.0
 _NEVER = float('inf')
@@ -63,6 +64,7 @@
     readers: Readers
     detector: FailureDetector
     digest: Digest
+    outbox: Outbox
     rng: random.Random
     _retry_at: float
     _changed_at: float = 0
@@ -89,6 +91,7 @@
             readers=readers,
             detector=FailureDetector(members, rng, now, summary),
             digest=digest,
+            outbox=Outbox(rng),
             rng=rng,
             retry_at=now + RETRY_MIN_S,
         )
@@ -100,6 +103,7 @@
             self.facts.next_at(),
             self.detector.next_at(),
             self.settings.next_at(),
+            self.outbox.next_at(),
             self._nudge_at,
             self._retry_at,
         )
@@ -139,40 +143,33 @@
 
     def merge(self, node: str, message: Rumours, now: float) -> list[Any]:
         """Merge news from a peer and pass on what is new."""
-        records, effects = self._merge_records(node, message.records, now)
-        facts = [fact for fact in message.facts if self.facts.merge(fact, now)]
-        effects.extend(FactChanged(news.fact) for news in facts)
-        effects.extend(self.push(records, facts, node, now))
+        effects: list[Any] = []
+        for record in message.facts:
+            if self.facts.merge(record, now):
+                self.tell(record, node, now)
+                effects.append(FactChanged(record.fact))
+            else:
+                self.outbox.heard_again(record, node)
+        full, wanted = self._complete(message.notices)
+        effects.extend(self._merge_records(node, message.records, now))
+        effects.extend(self._merge_records(node, full, now))
+        if wanted:
+            effects.append(Send(node, RecordsWanted(wanted)))
         return effects
 
-    def push(
-        self,
-        records: Sequence[MemberRecord],
-        facts: Sequence[FactRecord],
-        origin: str,
-        now: float,
-    ) -> list[Any]:
-        """Pass news on to the neighbours, but for the one it came from."""
-        if not records and not facts:
-            return []
+    def tell(
+        self, news: MemberRecord | FactRecord, origin: str, now: float
+    ) -> None:
+        """Pass a piece of news on, but not to the node it came from."""
         self._changed_at = now
-        if len(records) + len(facts) > BULK_COUNT:
-            self._nudge_at = min(self._nudge_at, now + NUDGE_S)
-            return []
-        receivers = dict.fromkeys(self.members.overlay.neighbours())
-        receivers.update(
-            (record.member.name, None)
-            for record in records
-            if record.standing is Standing.SUSPECT
-        )
-        receivers.pop(origin, None)
-        message = Rumours(tuple(records), tuple(facts))
-        return [Send(name, message) for name in receivers]
+        self.outbox.put(news, origin, now)
 
-    def suspect(self, names: Iterable[str], now: float) -> list[Any]:
+    def suspect(self, names: Iterable[str], now: float) -> None:
         """Suspect members and tell the neighbours."""
-        found = (self.members.suspect(name, now) for name in names)
-        return self.push([record for record in found if record], (), '', now)
+        for name in names:
+            record = self.members.suspect(name, now)
+            if record:
+                self.tell(record, '', now)
 
     def compare(self, node: str, root: int, now: float) -> list[Any]:
         """Open a comparison with a peer that holds something else."""
@@ -185,16 +182,14 @@
 
     def tick(self, now: float) -> list[Any]:
         """Do what is due."""
-        self.members.expire(now)
+        if self.members.expire(now):
+            self._changed_at = now
         self.facts.expire(now)
         effects, suspected = self.detector.tick(now)
-        effects.extend(self.suspect(suspected, now))
+        self.suspect(suspected, now)
         effects.extend(self.settings.tick(self.members.live, now))
-        if now >= self._nudge_at:
-            self._nudge_at = _NEVER
-            ping = GossipPing(0, self.summary())
-            neighbours = self.members.overlay.neighbours()
-            effects.extend(Send(name, ping) for name in neighbours)
+        if now >= min(self._nudge_at, self.outbox.next_at()):
+            effects.extend(self._tell_neighbours(now))
         if now >= self._retry_at:
             effects.extend(self._retry_removed(now))
         return effects
@@ -205,27 +200,58 @@
         self._trusted.pop(name, None)
         return self.settings.forget(name, now)
 
+    def _complete(
+        self, notices: Iterable[Notice]
+    ) -> tuple[list[MemberRecord], list[str]]:
+        """Return notices as records, and the members of which more is wanted.
+
+        A suspicion isn't merged before the record that it is about, as that
+        record would then be taken for an older one.
+        """
+        full: list[MemberRecord] = []
+        wanted: list[str] = []
+        for notice in notices:
+            held = self.members.record_of(notice.stamp.name)
+            if held is None:
+                continue
+            ahead = notice.stamp.order > held.member.stamp
+            if ahead and notice.standing is Standing.SUSPECT:
+                wanted.append(notice.stamp.name)
+            else:
+                full.append(notice.of_member(held.member))
+        return full, wanted
+
     def _merge_records(
         self, node: str, records: Iterable[MemberRecord], now: float
-    ) -> tuple[list[MemberRecord], list[Any]]:
-        """Merge records; return what is news, and answers to the rest."""
+    ) -> list[Any]:
+        """Merge records of members; return answers to those not believed."""
         trusted = self.trusts(node, now)
-        sorted_out: dict[Merge, list[MemberRecord]] = {
-            result: [] for result in Merge
-        }
+        disputed: list[MemberRecord] = []
         for record in records:
             result = self.members.merge(record, now, trusted=trusted)
-            sorted_out[result].append(record)
+            if result is Merge.NEWS:
+                self.tell(record, node, now)
+            elif result is Merge.REFUTED:
+                self.tell(MemberRecord(self.members.me), '', now)
+            elif result is Merge.DISPUTED:
+                name = record.member.name
+                disputed.append(self.members.tombstones[name].record)
+            else:
+                self.outbox.heard_again(record, node)
+        return messages_to(node, disputed)
+
+    def _tell_neighbours(self, now: float) -> list[Any]:
+        neighbours = self.members.overlay.neighbours()
         effects: list[Any] = []
-        if sorted_out[Merge.REFUTED]:
-            own = MemberRecord(self.members.me)
-            effects.extend(self.push((own,), (), '', now))
-        tombstones = [
-            self.members.tombstones[disputed.member.name].record
-            for disputed in sorted_out[Merge.DISPUTED]
-        ]
-        effects.extend(chunks(node, tombstones, ()))
-        return sorted_out[Merge.NEWS], effects
+        if now >= self.outbox.next_at():
+            effects, too_much = self.outbox.flush(neighbours)
+            if too_much:
+                self._nudge_at = min(self._nudge_at, now + NUDGE_S)
+        if now >= self._nudge_at:
+            self._nudge_at = _NEVER
+            ping = GossipPing(0, self.summary())
+            effects.extend(Send(name, ping) for name in neighbours)
+        return effects
 
     def _retry_removed(self, now: float) -> list[Any]:
         """Contact one removed member, in case it was only cut off."""
@@ -240,22 +266,3 @@
             return []
         member = self.rng.choice(failed)
         return [self.contact(member.host, member.port)]
-
-
-def chunks(
-    node: str,
-    records: Sequence[MemberRecord],
-    facts: Sequence[FactRecord],
-) -> list[Send]:
-    """Return records and facts as messages of bounded length to one peer."""
-    longest = max(len(records), len(facts))
-    return [
-        Send(
-            node,
-            Rumours(
-                tuple(records[start : start + CHUNK_COUNT]),
-                tuple(facts[start : start + CHUNK_COUNT]),
-            ),
-        )
-        for start in range(0, longest, CHUNK_COUNT)
-    ]
--- a/daisyline/coordination/gossip_handlers.py
+++ b/daisyline/coordination/gossip_handlers.py
@@ -5,7 +5,7 @@
 
 from daisyline.coordination.comparison import answer_buckets, answer_stamps
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip import Gossip, chunks
+from daisyline.coordination.gossip import Gossip
 from daisyline.coordination.gossip_messages import (
     Buckets,
     GossipAck,
@@ -22,6 +22,7 @@
     Welcome,
 )
 from daisyline.coordination.gossip_records import MemberRecord, Summary
+from daisyline.coordination.outbox import messages_to
 
 
 @functools.singledispatch
@@ -128,7 +129,7 @@
     message: RecordsWanted, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
     found = (gossip.members.record_of(name) for name in message.names)
-    return list(chunks(node, [record for record in found if record], ()))
+    return messages_to(node, (record for record in found if record))
 
 
 @receive.register
--- a/daisyline/coordination/gossip_messages.py
+++ b/daisyline/coordination/gossip_messages.py
@@ -7,6 +7,7 @@
 from daisyline.coordination.gossip_records import (
     FactRecord,
     MemberRecord,
+    Notice,
     Stamp,
     Summary,
 )
@@ -37,6 +38,13 @@
     )
 
 
+def _notices_from(entries: Any) -> tuple[Notice, ...]:
+    return tuple(
+        entry if isinstance(entry, Notice) else Notice(*entry)
+        for entry in entries
+    )
+
+
 def _summary_from(fields: Any) -> Summary:
     return fields if isinstance(fields, Summary) else Summary(*fields)
 
@@ -131,6 +139,7 @@
     Attributes:
         records: Members that changed.
         facts: Facts that are new.
+        notices: Members that are suspected or have left.
     """
 
     records: tuple[MemberRecord, ...] = attrs.field(
@@ -139,6 +148,9 @@
     facts: tuple[FactRecord, ...] = attrs.field(
         default=(), converter=_fact_records_from
     )
+    notices: tuple[Notice, ...] = attrs.field(
+        default=(), converter=_notices_from
+    )
 
 
 @attrs.frozen
--- a/daisyline/coordination/gossip_records.py
+++ b/daisyline/coordination/gossip_records.py
@@ -68,6 +68,10 @@
         return (self.incarnation, self.beat)
 
 
+def _stamp_from(fields: Any) -> Stamp:
+    return fields if isinstance(fields, Stamp) else Stamp(*fields)
+
+
 @attrs.frozen
 class Summary:
     """What a node holds, in short.
@@ -81,3 +85,28 @@
     root: int = attrs.field(validator=_INTEGER)
     settings_version: int = attrs.field(validator=_INTEGER)
     confirmed: int = attrs.field(validator=_INTEGER)
+
+
+@attrs.frozen
+class Notice:
+    """What is said of a member whose record the receiver should hold.
+
+    Attributes:
+        stamp: The member's stamp.
+        standing: Whether it is suspected to have failed, or has left.
+    """
+
+    stamp: Stamp = attrs.field(converter=_stamp_from)
+    standing: Standing = attrs.field(converter=Standing)
+
+    @classmethod
+    def from_record(cls, record: MemberRecord) -> 'Notice':
+        """Shorten a record."""
+        member = record.member
+        return cls(Stamp(member.name, *member.stamp), record.standing)
+
+    def of_member(self, member: Member) -> MemberRecord:
+        """Return the record that this one was made from."""
+        _name, incarnation, beat = attrs.astuple(self.stamp)
+        same = attrs.evolve(member, incarnation=incarnation, beat=beat)
+        return MemberRecord(same, self.standing)
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -161,8 +161,12 @@
         self._apply(record, now)
         return record
 
-    def expire(self, now: float) -> None:
-        """Remove suspects whose time is over, and old tombstones."""
+    def expire(self, now: float) -> bool:
+        """Remove suspects whose time is over, and old tombstones.
+
+        Returns:
+            Whether a suspect was removed.
+        """
         over = [name for name, at in self._suspects.items() if at <= now]
         for name in over:
             record = MemberRecord(self._live[name], Standing.SUSPECT)
@@ -171,6 +175,7 @@
             if tombstone.removed_at + TOMBSTONE_S > now:
                 break
             self._tombstones.pop(name)
+        return bool(over)
 
     def postpone(self, seconds: float) -> None:
         """Give suspects more time, as this node was paused that long."""
