--- a/daisyline/coordination/comparison.py
+++ b/daisyline/coordination/comparison.py
@@ -8,7 +8,7 @@
 
 from daisyline.coordination.digest import BUCKET_COUNT
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip import Gossip, chunks
+from daisyline.coordination.gossip import Gossip
 from daisyline.coordination.gossip_messages import (
     Buckets,
     RecordsWanted,
@@ -19,8 +19,8 @@
     FactRecord,
     MemberRecord,
     Stamp,
-    Standing,
 )
+from daisyline.coordination.outbox import messages_to
 
 
 def answer_buckets(
@@ -49,13 +49,13 @@
     records = _newer_than(message, gossip)
     wanted: list[str] = []
     for stamp in message.stamps:
-        if _is_wanted(stamp, gossip, trusted=gossip.trusts(node, now)):
+        if _is_wanted(stamp, gossip, node, now):
             wanted.append(stamp.name)
         else:
             records.extend(_removals(stamp.name, gossip))
     effects = gossip.merge(node, Rumours((), message.facts), now)
     facts = _facts_lacking(message, gossip, now)
-    effects.extend(chunks(node, records, facts))
+    effects.extend(messages_to(node, (*records, *facts)))
     if wanted:
         effects.append(Send(node, RecordsWanted(wanted)))
     return effects
@@ -83,15 +83,15 @@
     return records
 
 
-def _is_wanted(stamp: Stamp, gossip: Gossip, *, trusted: bool) -> bool:
+def _is_wanted(stamp: Stamp, gossip: Gossip, node: str, now: float) -> bool:
     """Return whether a peer's record of a member may be news here."""
     held = gossip.members.record_of(stamp.name)
     if held is None or held.member.stamp < stamp.order:
         return True
     tombstone = gossip.members.tombstones.get(stamp.name)
-    if tombstone is None or not trusted:
+    if tombstone is None or not tombstone.yields(now):
         return False
-    return tombstone.record.standing is Standing.SUSPECT
+    return gossip.trusts(node, now)
 
 
 def _removals(name: str, gossip: Gossip) -> list[MemberRecord]:
