--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/call_events.py
@@ -253,3 +253,18 @@
     status: int
     service_s: float
     crashed: bool = False
+
+
+@attrs.frozen
+class Served:
+    """A caller has its whole answer, for histograms.
+
+    Attributes:
+        service: The service called.
+        tenant: The tenant or class of the caller.
+        took_s: From the request's arrival to the answer's end, in seconds.
+    """
+
+    service: str
+    tenant: str
+    took_s: float
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -40,6 +40,7 @@
 
     Attributes:
         arrived: The request.
+        arrived_at: When it came, in monotonic seconds.
         attempt: The number of the attempt under way.
         node: Where it was sent last.
         tried: The nodes that got it.
@@ -50,6 +51,7 @@
     """
 
     arrived: ev.Arrived
+    arrived_at: float
     attempt: int = 1
     node: str = ''
     tried: frozenset[str] = frozenset()
@@ -96,7 +98,7 @@
 
     def begin(self, arrived: ev.Arrived, now: float) -> Effects:
         """Take a call on and send it to a target."""
-        call = EntryCall(arrived, retried=arrived.retried)
+        call = EntryCall(arrived, now, retried=arrived.retried)
         assert arrived.call not in self._calls
         self._calls[arrived.call] = call
         if arrived.parent:
@@ -151,7 +153,7 @@
         decision = decide_retry(attempt, failure, budget, now)
         if isinstance(decision, Failure):
             return self.refuse(call, failure, now)
-        self._note_retry(call, decision, failure, now)
+        self.events.add(_retried(call, decision, failure, now))
         call.attempt = decision.number
         call.retried = decision.retried
         return self.place(call, now)
@@ -206,15 +208,9 @@
         effects: Effects = []
         while self.next_at() <= now:
             call = self._calls[heapq.heappop(self._gives_up)[1]]
-            call.outcome = Outcome.UNKNOWN
-            failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
-            effects += [Send(call.node, Cancel(call.arrived.call))]
-            self.report(call, None, refused=False, now=now)
-            if call.begun:
-                self.forget(call)
-                effects += [ev.CutCaller(call.arrived.call, failure)]
-            else:
-                effects += self.refuse(call, failure, now)
+            # Of an answer that has begun, the target's node judges progress.
+            if not call.begun:
+                effects += self._give_up(call, now)
         return effects
 
     def report(
@@ -245,6 +241,13 @@
         limits = self._settings.limits_for(call.arrived.service, '')
         return call.arrived.method.decode() in limits.repeatable_methods
 
+    def _give_up(self, call: EntryCall, now: float) -> Effects:
+        call.outcome = Outcome.UNKNOWN
+        self.report(call, None, refused=False, now=now)
+        failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
+        cancel = Send(call.node, Cancel(call.arrived.call))
+        return [cancel, *self.refuse(call, failure, now)]
+
     def _pick(
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
@@ -279,18 +282,17 @@
             self._budgets[service] = RetryBudget.from_limits(limits, 0)
         return self._budgets[service]
 
-    def _note_retry(
-        self, call: EntryCall, retry: Retry, failure: Failure, now: float
-    ) -> None:
-        self.events.add(
-            log.Retried(
-                at=now,
-                call=call.arrived.call,
-                target=call.node,
-                attempt=retry.number,
-                reason=failure.reason,
-            )
-        )
+
+def _retried(
+    call: EntryCall, retry: Retry, failure: Failure, now: float
+) -> log.Retried:
+    return log.Retried(
+        at=now,
+        call=call.arrived.call,
+        target=call.node,
+        attempt=retry.number,
+        reason=failure.reason,
+    )
 
 
 def _pick_by_key(
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -117,17 +117,14 @@
             status=message.status,
         )
     )
-    if message.last:
-        entry.forget(call)
-    return [
-        ev.AnswerCaller(
-            message.call,
-            message.status,
-            message.headers,
-            message.body,
-            message.last,
-        )
-    ]
+    answer = ev.AnswerCaller(
+        message.call,
+        message.status,
+        message.headers,
+        message.body,
+        message.last,
+    )
+    return [answer, *(_served(entry, call, now) if message.last else ())]
 
 
 @_take.register
@@ -135,9 +132,8 @@
     message: msg.AnswerPart, entry: Entry, call: EntryCall, now: float
 ) -> Effects:
     assert call.begun, 'a part follows a head'
-    if message.last:
-        entry.forget(call)
-    return [ev.AnswerCallerPart(message.call, message.body, message.last)]
+    part = ev.AnswerCallerPart(message.call, message.body, message.last)
+    return [part, *(_served(entry, call, now) if message.last else ())]
 
 
 @_take.register
@@ -159,6 +155,14 @@
     return []
 
 
+def _served(entry: Entry, call: EntryCall, now: float) -> Effects:
+    """Drop a call whose answer is whole."""
+    entry.forget(call)
+    arrived = call.arrived
+    took_s = now - call.arrived_at
+    return [ev.Served(arrived.service, arrived.tenant, took_s)]
+
+
 def _load(message: msg.Answer | msg.Refused) -> LoadReport:
     return LoadReport(
         message.running, message.waiting, message.limit, message.service_us
--- a/daisyline/coordination/jobs.py
+++ b/daisyline/coordination/jobs.py
@@ -20,6 +20,7 @@
         started_at: When it was handed to the target; None while it waits.
         attached: Whether anybody still waits for the answer.
         answered: Whether the head went out.
+        moved_at: When the answer last made progress.
         aborted: Whether the target was told to stop.
         unacknowledged: Bytes of the answer that the caller has not taken.
         held: Whether reading from the target is stopped.
@@ -33,6 +34,7 @@
     started_at: float | None = None
     attached: bool = True
     answered: bool = False
+    moved_at: float = 0
     aborted: bool = False
     unacknowledged: int = 0
     held: bool = False
--- /dev/null
+++ b/daisyline/coordination/node_core.py
@@ -0,0 +1,145 @@
+"""The decisions of one node, joined."""
+
+import math
+import random
+from typing import Any
+
+import attrs
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
+from daisyline.coordination import messages as msg
+from daisyline.coordination.entry import Entry
+from daisyline.coordination.fleet import Fleet
+from daisyline.coordination.owner import Owner
+from daisyline.coordination.quarantine import Quarantine, fingerprint
+from daisyline.coordination.rollout import Rollouts
+from daisyline.state.failures import Failure, Reason
+from daisyline.state.histograms import Latencies
+from daisyline.state.members import Member
+from daisyline.state.rollout_state import Sample
+from daisyline.state.targets import Phase, Target
+
+# A target that has not announced itself for this long is not routed to.
+TARGET_LEASE_S = 3.0
+_US_PER_S = 1_000_000
+_SERVER_ERROR = 500
+
+Effects = list[Any]
+
+
+@attrs.define
+class NodeCore:
+    """The decisions of one node, and the messages they pass to each other."""
+
+    name: str
+    entry: Entry
+    owner: Owner
+    fleet: Fleet
+    rollouts: Rollouts
+    quarantine: Quarantine
+    events: log.EventLog
+    latencies: Latencies
+    lease_ends: float = math.inf
+
+    @classmethod
+    def from_config(
+        cls,
+        me: Member,
+        cluster: str,
+        peers: tuple[tuple[str, int], ...],
+        rng: random.Random,
+        now: float,
+    ) -> 'NodeCore':
+        """Build the decisions of a node that has just started."""
+        events = log.EventLog.from_config()
+        core = cls(
+            name=me.name,
+            entry=Entry.from_config(me.name, rng, events),
+            owner=Owner.from_config(me.name, me.zone, events),
+            fleet=Fleet.from_config(me, cluster, peers, rng, now),
+            rollouts=Rollouts.from_config(me.name, rng, now),
+            quarantine=Quarantine.from_config(),
+            events=events,
+            latencies=Latencies.from_config(),
+        )
+        core.entry.shares = core.rollouts.shares
+        core.owner.screen = core.screen
+        core.entry.table.use_members(core.fleet.members.values(), now)
+        return core
+
+    def next_at(self) -> float:
+        """Return when `tick` has something to do, in monotonic seconds."""
+        return min(
+            self.entry.next_at(),
+            self.owner.next_at(),
+            self.fleet.next_at(),
+            self.rollouts.next_at(),
+            self.lease_ends,
+        )
+
+    def announced(self, target: Target | None, now: float) -> Effects:
+        """Follow what the target beside this node says of itself."""
+        if target is not None:
+            self.lease_ends = now + TARGET_LEASE_S
+        if target == self.owner.target:
+            return []
+        return [
+            *self.owner.use_target(target, now),
+            *self.fleet.announce(target, now),
+        ]
+
+    def screen(self, run: msg.Run, now: float) -> Failure | None:
+        """Return why a call must not reach this node's target, if so."""
+        target = self.owner.target
+        if target is not None:
+            if self.rollouts.stopped(target.service, target.version):
+                return Failure(Reason.VERSION_STOPPED, detail=target.version)
+        print_ = fingerprint(run.method, run.path, run.body)
+        if self.quarantine.blocked(print_, now):
+            return Failure(
+                Reason.QUARANTINED, detail='it crashed each target it met'
+            )
+        return None
+
+    def observed(self, event: ev.Observed, now: float) -> Effects:
+        """Learn from a call that has ended at the target."""
+        run = event.run
+        target = self.owner.target
+        print_ = fingerprint(run.method, run.path, run.body)
+        effects: Effects = []
+        if event.crashed:
+            in_flight = [print_, *self._in_flight()]
+            effects += self.quarantine.crashed(in_flight, self.name, now)
+        elif event.status:
+            self.quarantine.succeeded(print_, now)
+        if target is not None:
+            self.rollouts.observe(self._sample(event, target), now)
+        return effects
+
+    def _in_flight(self) -> list[str]:
+        return [
+            fingerprint(job.run.method, job.run.path, job.run.body)
+            for job in self.owner.jobs.values()
+            if job.started_at is not None
+        ]
+
+    def _sample(self, event: ev.Observed, target: Target) -> Sample:
+        return Sample(
+            service=target.service,
+            version=target.version,
+            target=target.instance,
+            route=_route_of(event.run),
+            ok=bool(event.status) and event.status < _SERVER_ERROR,
+            service_us=int(event.service_s * _US_PER_S),
+            cold=target.phase == Phase.COLD,
+            suspect=event.crashed,
+        )
+
+
+def _route_of(run: msg.Run) -> str:
+    """Return the method and the first part of the path of a call."""
+    path = run.path.partition(b'?')[0].decode('latin-1')
+    first = path.strip('/').partition('/')[0]
+    method = run.method.decode('latin-1')
+    return f'{method} /{first}'
--- /dev/null
+++ b/daisyline/coordination/node_events.py
@@ -0,0 +1,180 @@
+"""All events of one node go in here, and outward effects come out."""
+
+import functools
+import math
+from collections import deque
+from typing import Any
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import entry_events, fleet_events, owner_events
+from daisyline.coordination import events as log
+from daisyline.coordination import messages as msg
+from daisyline.coordination.effects import PlatformReply, Send
+from daisyline.coordination.evidence_messages import Evidence
+from daisyline.coordination.fact_events import FactChanged, PutFact
+from daisyline.coordination.node_core import Effects, NodeCore
+
+_US_PER_S = 1_000_000
+
+_CALL_MESSAGES = (
+    msg.Run,
+    msg.Answer,
+    msg.AnswerPart,
+    msg.Refused,
+    msg.Cancel,
+    msg.Credit,
+    msg.Ask,
+    msg.Running,
+    msg.Pong,
+)
+
+
+def handle(event: Any, core: NodeCore, now: float) -> Effects:
+    """Take an event and return what the transport layer must do."""
+    return _settle(_route(event, core, now), core, now)
+
+
+def tick(core: NodeCore, now: float) -> Effects:
+    """Do what is due and return what the transport layer must do."""
+    effects: Effects = []
+    if core.lease_ends <= now:
+        core.lease_ends = math.inf
+        effects += core.announced(None, now)
+    for part in (core.entry, core.owner, core.fleet, core.rollouts):
+        if part.next_at() <= now:
+            effects += part.tick(now)
+    return _settle(effects, core, now)
+
+
+def _settle(effects: Effects, core: NodeCore, now: float) -> Effects:
+    """Carry out the effects that concern this node itself."""
+    outward: Effects = []
+    waiting = deque(effects)
+    while waiting:
+        effect = waiting.popleft()
+        inward = _apply(effect, core, now)
+        if inward is None:
+            outward.append(effect)
+        else:
+            waiting.extend(inward)
+    return outward
+
+
+@functools.singledispatch
+def _route(event: Any, core: NodeCore, now: float) -> Effects:
+    """Hand an event to the decisions that it concerns."""
+    return [
+        *entry_events.handle(event, core.entry, now),
+        *owner_events.handle(event, core.owner, now),
+    ]
+
+
+@_route.register
+def _(event: ev.FromNode, core: NodeCore, now: float) -> Effects:
+    if isinstance(event.message, _CALL_MESSAGES):
+        return [
+            *entry_events.handle(event, core.entry, now),
+            *owner_events.handle(event, core.owner, now),
+        ]
+    if isinstance(event.message, Evidence):
+        return core.rollouts.handle(event.message, now)
+    received = fleet_events.FromPeer(event.node, event.message)
+    return core.fleet.handle(received, now)
+
+
+@_route.register
+def _(event: ev.TargetAnnounced, core: NodeCore, now: float) -> Effects:
+    return core.announced(event.target, now)
+
+
+@_route.register
+def _(event: ev.StreamLost, core: NodeCore, now: float) -> Effects:
+    lost = fleet_events.StreamLost(event.node)
+    return [
+        *entry_events.handle(event, core.entry, now),
+        *core.fleet.handle(lost, now),
+    ]
+
+
+@_route.register
+def _(event: ev.Undelivered, core: NodeCore, now: float) -> Effects:
+    unreachable = fleet_events.NodeUnreachable(event.node)
+    return [
+        *entry_events.handle(event, core.entry, now),
+        *core.fleet.handle(unreachable, now),
+    ]
+
+
+@_route.register
+def _(event: PlatformReply, core: NodeCore, now: float) -> Effects:
+    return [
+        *core.fleet.handle(event, now),
+        *core.rollouts.handle(event, now),
+    ]
+
+
+@functools.singledispatch
+def _apply(effect: Any, core: NodeCore, now: float) -> Effects | None:
+    """Carry out an effect on this node; None if it goes outward."""
+
+
+@_apply.register
+def _(effect: Send, core: NodeCore, now: float) -> Effects | None:
+    return _to_self(effect.node, effect.message, core, now)
+
+
+@_apply.register
+def _(effect: ev.Reply, core: NodeCore, now: float) -> Effects | None:
+    return _to_self(effect.node, effect.message, core, now)
+
+
+def _to_self(
+    node: str, message: Any, core: NodeCore, now: float
+) -> Effects | None:
+    """Take a message to this node at once; others go outward."""
+    if node == core.name:
+        return _route(ev.FromNode(node, message), core, now)
+    return None
+
+
+@_apply.register
+def _(effect: PutFact, core: NodeCore, now: float) -> Effects:
+    return core.fleet.put_fact(effect.fact, now)
+
+
+@_apply.register
+def _(effect: fleet_events.FactChanged, core: NodeCore, now: float) -> Effects:
+    changed = FactChanged(effect.fact)
+    core.quarantine.handle(changed)
+    return core.rollouts.handle(changed, now)
+
+
+@_apply.register
+def _(
+    effect: fleet_events.MembersChanged, core: NodeCore, now: float
+) -> Effects:
+    core.entry.table.use_members(core.fleet.members.values(), now)
+    core.rollouts.replace_members(tuple(core.fleet.members))
+    return []
+
+
+@_apply.register
+def _(
+    effect: fleet_events.SettingsChanged, core: NodeCore, now: float
+) -> Effects:
+    settings = effect.settings
+    core.events.add(log.SettingsChanged(at=now, version=settings.version))
+    core.entry.use_settings(settings, now)
+    return core.owner.use_settings(settings, now)
+
+
+@_apply.register
+def _(effect: ev.Observed, core: NodeCore, now: float) -> Effects:
+    return core.observed(effect, now)
+
+
+@_apply.register
+def _(effect: ev.Served, core: NodeCore, now: float) -> Effects:
+    took_us = int(effect.took_s * _US_PER_S)
+    core.latencies.record(effect.service, effect.tenant, took_us)
+    return []
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -26,6 +26,8 @@
 MS_PER_S = 1000
 # A call under way at its target has at least this long, in seconds.
 _MIN_BUDGET_S = 0.001
+# An answer that stands still for longer is given up, in seconds.
+_STALL_S = 10.0
 
 Effects = list[Any]
 Screen = Callable[[msg.Run, float], Failure | None]
@@ -166,7 +168,7 @@
         record = self.records.get(_key_name(run), now)
         if record is not None and record.message is not None:
             return attrs.evolve(record.message, call=run.call)
-        if record is None and run.key not in self._running_keys():
+        if record is None and run.key not in _keys_of(self.jobs):
             return None
         failure = Failure(Reason.DUPLICATE, Outcome.UNKNOWN, 'it ran before')
         return self.refused('', run.call, failure, now).message
@@ -265,9 +267,6 @@
         budget_s = max(_MIN_BUDGET_S, job.deadline - now)
         return ev.StartTarget(call, job.run, budget_s)
 
-    def _running_keys(self) -> set[str]:
-        return {job.run.key for job in self.jobs.values()}
-
     def _slots(self) -> float:
         """Return the contract's slots; a lowered one holds for new calls."""
         if self._target is None:
@@ -289,6 +288,11 @@
             self.jobs.pop(job.run.call)
             failure = Failure(Reason.DEADLINE)
             return [self.refused(job.peer, job.run.call, failure, now)]
+        if job.answered and now < job.moved_at + _STALL_S:
+            # A long answer may outlast the deadline while it makes progress.
+            due_at = job.moved_at + _STALL_S
+            heapq.heappush(self._deadlines, (due_at, job.run.call))
+            return []
         effects = self._abort(job)
         if job.attached:
             job.attached = False
@@ -299,3 +303,7 @@
 
 def _key_name(run: msg.Run) -> str:
     return f'key:{run.key}'
+
+
+def _keys_of(jobs: dict[str, Job]) -> set[str]:
+    return {job.run.key for job in jobs.values()}
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -69,6 +69,7 @@
         service_us=load.service_us,
     )
     job.keep_head(answer)
+    job.moved_at = now
     effects = _forward(job, answer, len(event.body))
     if event.last:
         owner.keep(job, job.kept, now)
@@ -80,6 +81,7 @@
 def _(event: ev.TargetPart, owner: Owner, now: float) -> Effects:
     job = owner.jobs[event.call]
     job.keep_part(event.body)
+    job.moved_at = now
     part = msg.AnswerPart(event.call, event.body, event.last)
     effects = _forward(job, part, len(event.body))
     if event.last:
@@ -141,6 +143,7 @@
     job = owner.jobs.get(message.call)
     if job is None:
         return []
+    job.moved_at = now
     if job.note_taken(message.octets):
         return [ev.ResumeTarget(message.call)]
     return []
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -116,6 +116,10 @@
         if report is not None:
             view.take(report, now)
 
+    def report_of(self, node: str) -> LoadReport:
+        """Return the last load report of a node."""
+        return self._view(node).report
+
     def forget(self, node: str) -> None:
         """Drop what is known of a node that is gone."""
         self._views.pop(node, None)
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -8,6 +8,8 @@
 import attrs
 import msgpack
 
+from daisyline.coordination import evidence_messages as evidence
+from daisyline.coordination import gossip_messages as gossip
 from daisyline.coordination import messages
 
 PROTOCOL_VERSION = 1
@@ -28,6 +30,26 @@
 )
 
 
+# Classes whose fields hold other classes; they check their own fields.
+_NESTED_MESSAGES: tuple[type, ...] = (
+    gossip.Join,
+    gossip.Welcome,
+    gossip.GossipPing,
+    gossip.GossipAck,
+    gossip.ProbeRequest,
+    gossip.ProbeAnswer,
+    gossip.Rumours,
+    gossip.Buckets,
+    gossip.Stamps,
+    gossip.RecordsWanted,
+    gossip.SettingsNotice,
+    gossip.SettingsWanted,
+    gossip.SettingsContent,
+    gossip.Holders,
+    evidence.Evidence,
+)
+
+
 @attrs.frozen
 class BadFrame:
     """Bytes that are no message; the stream that brought them is closed."""
@@ -102,7 +124,12 @@
 @functools.cache
 def _shapes() -> dict[type, _Shape]:
     """Return the shape of each class of messages, in the order of tags."""
-    return {kind: _shape(tag, kind) for tag, kind in enumerate(_CALL_MESSAGES)}
+    flat = {kind: _shape(tag, kind) for tag, kind in enumerate(_CALL_MESSAGES)}
+    nested = {
+        kind: _Shape(tag, attrs.astuple, ())
+        for tag, kind in enumerate(_NESTED_MESSAGES, len(_CALL_MESSAGES))
+    }
+    return flat | nested
 
 
 @functools.cache
--- a/daisyline/protocol/http.py
+++ b/daisyline/protocol/http.py
@@ -27,6 +27,7 @@
     )
 )
 _OWN_PREFIX = b'daisyline-'
+_CONTEXT_HEADER = b'daisyline-call'
 _BODILESS = frozenset((204, 304))
 
 
@@ -39,12 +40,15 @@
         path: The request's target, byte for byte.
         headers: End-to-end headers in order, names as sent.
         body: The whole body.
+        context: The `Daisyline-Call` header as it came; only the target
+            beside a node is asked for it.
     """
 
     method: bytes
     path: bytes
     headers: Headers
     body: bytes
+    context: str = ''
 
     def header(self, name: bytes) -> bytes:
         """Return the first header of a lower-case name, or empty bytes."""
@@ -193,7 +197,7 @@
             length: The body's length if it is known, in bytes.
         """
         sent = list(headers)
-        if length is not None and status not in _BODILESS:
+        if length is not None and self._has_body(status):
             sent.append((b'Content-Length', str(length).encode()))
         return self._sent(h11.Response(status_code=status, headers=sent))
 
@@ -229,6 +233,12 @@
                 return Continue()
         return None
 
+    def _has_body(self, status: int) -> bool:
+        """Return whether an answer of this status has a body of its own."""
+        request = self._request
+        of_head = request is not None and request.method == b'HEAD'
+        return not of_head and status not in _BODILESS
+
     def _finished(self) -> Request:
         request = self._request
         assert request is not None
@@ -237,6 +247,7 @@
             path=bytes(request.target),
             headers=end_to_end(request.headers.raw_items()),
             body=b''.join(self._body),
+            context=_context_of(request),
         )
 
     def _sent(self, event: h11.Event) -> bytes:
@@ -353,6 +364,13 @@
     return Broken('the connection closed')
 
 
+def _context_of(request: h11.Request) -> str:
+    for name, content in request.headers:
+        if name == _CONTEXT_HEADER:
+            return bytes(content).decode('latin-1')
+    return ''
+
+
 def answer_headers(response: h11.Response) -> Headers:
     """Return an answer's end-to-end headers, its length among them.
 
--- a/daisyline/protocol/metrics.py
+++ b/daisyline/protocol/metrics.py
@@ -49,10 +49,10 @@
         for key, percentiles in self._latencies.percentiles().items():
             labels = dict(zip(_LABELS, key, strict=True))
             for percentile, latency_us in percentiles.items():
-                part = percentile / _PERCENT
+                quantile = format(percentile / _PERCENT, 'g')
                 metric.add_sample(
                     metric.name,
-                    labels | {'quantile': f'{part:g}'},
+                    labels | {'quantile': quantile},
                     latency_us / _US_PER_S,
                 )
             metric.add_metric(
--- /dev/null
+++ b/daisyline/protocol/operator_views.py
@@ -0,0 +1,97 @@
+"""What operators see of a node, as plain values for JSON."""
+
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.node_core import NodeCore
+from daisyline.state.members import Member
+from daisyline.state.targets import LoadReport
+
+
+def status(core: NodeCore) -> dict[str, Any]:
+    """Return the node, its members and its rollouts."""
+    me = core.fleet.me
+    versions = core.fleet.settings_versions
+    return {
+        'name': me.name,
+        'zone': me.zone,
+        'region': me.region,
+        'settings_version': core.fleet.settings.version,
+        'members': [
+            _member(core, member, versions.get(member.name, 0))
+            for member in core.fleet.members.values()
+        ],
+        'rollouts': [
+            attrs.asdict(rollout) for rollout in core.rollouts.status()
+        ],
+    }
+
+
+def explain(core: NodeCore, kind: str, name: str) -> dict[str, Any]:
+    """Return the decisions about a call, target, zone or rollout."""
+    finders = {
+        'call': core.events.about_call,
+        'target': core.events.about_target,
+        'zone': core.events.about_zone,
+        'rollout': core.events.about_rollout,
+    }
+    find = finders.get(kind)
+    found = [] if find is None else find(name)
+    return {
+        'events': [
+            {'kind': type(event).__name__, **attrs.asdict(event)}
+            for event in found
+        ]
+    }
+
+
+def histograms(core: NodeCore) -> dict[str, Any]:
+    """Return the histograms per service and tenant, encoded for merging."""
+    services: dict[str, dict[str, str]] = {}
+    for (service, tenant), encoded in core.latencies.encode().items():
+        services.setdefault(service, {})[tenant] = encoded
+    return {'services': services}
+
+
+def metrics(core: NodeCore) -> bytes:
+    """Return the metrics in the Prometheus text format."""
+    # Only nodes that are scraped pay for the library.
+    from daisyline.protocol.metrics import metrics_text  # noqa: PLC0415
+
+    load = core.owner.load
+    counters = {'sink_failures_total': core.events.sink_failures}
+    gauges = {
+        'running': load.running,
+        'waiting': load.waiting,
+        'slots_usable': load.limit,
+        'members': len(core.fleet.members),
+        'settings_version': core.fleet.settings.version,
+    }
+    return metrics_text(core.latencies, counters, gauges)
+
+
+def _member(core: NodeCore, member: Member, version: int) -> dict[str, Any]:
+    target = member.target
+    load = _load(core, member)
+    return {
+        'name': member.name,
+        'zone': member.zone,
+        'region': member.region,
+        'settings_version': version,
+        'service': '' if target is None else target.service,
+        'version': '' if target is None else target.version,
+        'phase': '' if target is None else target.phase.value,
+        'running': load.running,
+        'waiting': load.waiting,
+        'limit': load.limit,
+    }
+
+
+def _load(core: NodeCore, member: Member) -> LoadReport:
+    """Return the last load report that this node has of a target."""
+    if member.name == core.name:
+        return core.owner.load
+    if member.target is None:
+        return LoadReport()
+    return core.entry.router(member.target.service).report_of(member.name)
--- /dev/null
+++ b/daisyline/protocol/platform.py
@@ -0,0 +1,93 @@
+"""Requests to the platform's object API, and its answers."""
+
+import functools
+import json
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+from daisyline.coordination.effects import (
+    PlatformList,
+    PlatformRead,
+    PlatformReply,
+    PlatformWatch,
+    PlatformWrite,
+)
+from daisyline.protocol.http import Request
+
+PlatformCall = PlatformRead | PlatformList | PlatformWatch | PlatformWrite
+NO_ANSWER = 0
+
+
+@functools.singledispatch
+def request_of(effect: Any, host: str) -> Request:
+    """Return the request for an effect.
+
+    Raises:
+        TypeError: If the effect is none of the platform's.
+    """
+    raise TypeError(f'{effect!r} is not for the platform')
+
+
+@request_of.register
+def _(effect: PlatformRead, host: str) -> Request:
+    return _request(b'GET', _object(effect.kind, effect.name), host)
+
+
+@request_of.register
+def _(effect: PlatformList, host: str) -> Request:
+    return _request(b'GET', f'/v1/objects/{quote(effect.kind)}', host)
+
+
+@request_of.register
+def _(effect: PlatformWatch, host: str) -> Request:
+    query = f'since={effect.since}&wait_ms={effect.wait_ms}'
+    return _request(b'GET', f'/v1/watch/{quote(effect.kind)}?{query}', host)
+
+
+@request_of.register
+def _(effect: PlatformWrite, host: str) -> Request:
+    path = _object(effect.kind, effect.name)
+    body = json.dumps(effect.content).encode()
+    return _request(b'PUT', path, host, effect.version, body)
+
+
+def reply_of(effect: PlatformCall, status: int, body: bytes) -> PlatformReply:
+    """Return the event for an answer; status 0 means that none came."""
+    try:
+        said = json.loads(body) if body else {}
+    except ValueError:
+        return PlatformReply(effect.token, NO_ANSWER)
+    if not isinstance(said, dict):
+        return PlatformReply(effect.token, NO_ANSWER)
+    version = said.get('version', said.get('revision', 0))
+    if not isinstance(version, int):
+        return PlatformReply(effect.token, NO_ANSWER)
+    content = _content(said) if status == HTTPStatus.OK else None
+    return PlatformReply(effect.token, status, version, content)
+
+
+def _content(said: dict[str, Any]) -> Any:
+    if 'items' not in said:
+        return said.get('value')
+    return [
+        (item['name'], item['version'], item.get('value'))
+        for item in said['items']
+    ]
+
+
+def _object(kind: str, name: str) -> str:
+    return f'/v1/objects/{quote(kind)}/{quote(name, safe="")}'
+
+
+def _request(
+    method: bytes,
+    path: str,
+    host: str,
+    version: int | None = None,
+    body: bytes = b'',
+) -> Request:
+    headers = [(b'Host', host.encode())]
+    if version is not None:
+        headers.append((b'If-Match', str(version).encode()))
+    return Request(method, path.encode(), tuple(headers), body)
--- /dev/null
+++ b/daisyline/transport/callers.py
@@ -0,0 +1,185 @@
+"""Callers' connections: requests in, whole answers or refusals out, in order."""
+
+from collections.abc import Callable
+from typing import Any
+
+from daisyline.coordination.call_events import (
+    AnswerCaller,
+    AnswerCallerPart,
+    CallerLost,
+    CallerTook,
+    RefuseCaller,
+)
+from daisyline.coordination.messages import Headers
+from daisyline.protocol.http import (
+    Continue,
+    Malformed,
+    Request,
+    ServerCodec,
+)
+from daisyline.protocol.refusals import body_of, headers_of, status_of
+from daisyline.state.failures import Failure
+from daisyline.transport.loop import Loop
+from daisyline.transport.sockets import Connection
+
+# A caller that sends part of a request and then nothing is cut off, and one
+# that is idle between requests is let go, in seconds.
+_REQUEST_S = 30.0
+_IDLE_S = 75.0
+# A connection closed on a bad request is read on for this long, so that the
+# caller gets to see why, in seconds.
+_LINGER_S = 1.0
+# How far ahead of a slow caller an answer is buffered, in bytes.
+_AHEAD_BYTES = 65_536
+
+OnRequest = Callable[['CallerConnection', Request], None]
+
+
+class CallerConnection:
+    """One caller's connection; one call at a time, the next one after it.
+
+    Attributes:
+        call: The id of the call under way, or empty.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        connection: Connection,
+        body_limit_bytes: int,
+        on_request: OnRequest,
+        on_event: Callable[[Any], None],
+    ) -> None:
+        """Wait for the first request."""
+        self._loop = loop
+        self._connection = connection
+        self._codec = ServerCodec(body_limit_bytes)
+        self._on_request = on_request
+        self._on_event = on_event
+        self._untaken = 0
+        self._closing = False
+        self._refused = False
+        self.call = ''
+        self.on_gone: Callable[[CallerConnection], None] = bool
+        connection.handler = self
+        self._timeout = loop.call_later(_REQUEST_S, connection.abort)
+
+    def opened(self) -> None:
+        """Do nothing; an accepted connection is open."""
+
+    def received(self, octets: bytes) -> None:
+        """Take bytes; a request behind one under way waits its turn."""
+        if self._refused:
+            return
+        self._codec.feed(octets)
+        if self.call:
+            # One that sends ahead of its answers is read no further for now.
+            self._connection.pause()
+        else:
+            self._next()
+
+    def ended(self) -> None:
+        """Treat a caller that has stopped sending as gone."""
+        self._connection.abort()
+
+    def drained(self) -> None:
+        """Let the answer's sender go on once the caller has taken it."""
+        if self._untaken and self.call:
+            taken = self._untaken
+            self._untaken = 0
+            self._on_event(CallerTook(self.call, taken))
+
+    def closed(self) -> None:
+        """Report that nobody waits for the call under way."""
+        self._timeout.cancel()
+        self.on_gone(self)
+        call = self.call
+        self.call = ''
+        if call:
+            self._on_event(CallerLost(call))
+
+    def answer(self, answer: AnswerCaller) -> None:
+        """Send the head and first part of an answer."""
+        length = None
+        if answer.last and not _has_length(answer.headers):
+            length = len(answer.body)
+        octets = self._codec.head(answer.status, answer.headers, length)
+        self._send(octets + self._body(answer.body), answer.body, answer.last)
+
+    def part(self, part: AnswerCallerPart) -> None:
+        """Send a further part of an answer."""
+        self._send(self._codec.part(part.body), part.body, part.last)
+
+    def refuse(self, refusal: RefuseCaller) -> None:
+        """Send a refusal in place of an answer."""
+        self._refuse(refusal.failure, status_of(refusal.failure))
+
+    def cut(self) -> None:
+        """Break the connection, so that the answer can't pass for whole."""
+        self.call = ''
+        self._connection.reset()
+
+    def finish(self) -> None:
+        """Close after the call under way, or at once if there is none."""
+        self._closing = True
+        if not self.call:
+            self._connection.close()
+
+    def _next(self) -> None:
+        """Begin the next request, if it is there whole."""
+        event = self._codec.next_event()
+        if isinstance(event, Continue):
+            self._connection.write(self._codec.say_continue())
+            event = self._codec.next_event()
+        if isinstance(event, Malformed):
+            self._closing = True
+            self._refused = True
+            self._refuse(event.failure, event.status)
+        elif isinstance(event, Request):
+            self._timeout.cancel()
+            self._on_request(self, event)
+
+    def _refuse(self, failure: Failure, status: int) -> None:
+        body = body_of(failure)
+        headers = headers_of(failure, self.call)
+        if self._closing:
+            headers += ((b'Connection', b'close'),)
+        octets = self._codec.head(status, headers, len(body))
+        self._send(octets + self._body(body), body, last=True)
+
+    def _body(self, body: bytes) -> bytes:
+        return self._codec.part(body)
+
+    def _send(self, octets: bytes, body: bytes, last: bool) -> None:
+        if last:
+            octets += self._codec.end()
+        self._connection.write(octets)
+        if last:
+            self._finish_answer()
+        elif self._connection.buffered > _AHEAD_BYTES:
+            self._untaken += len(body)
+        elif self.call:
+            self._on_event(CallerTook(self.call, len(body)))
+
+    def _finish_answer(self) -> None:
+        self.call = ''
+        self._untaken = 0
+        if self._refused:
+            self._connection.end()
+            self._loop.call_later(_LINGER_S, self._connection.abort)
+            return
+        if self._closing or not self._codec.reusable:
+            self._connection.close()
+            return
+        self._timeout = self._loop.call_later(_IDLE_S, self._connection.abort)
+        self._codec.next_cycle()
+        self._connection.resume()
+        self._loop.defer(self._next_if_idle)
+
+    def _next_if_idle(self) -> None:
+        if self._connection.alive and not self.call:
+            self._next()
+
+
+def _has_length(headers: Headers) -> bool:
+    return any(name.lower() == b'content-length' for name, _ in headers)
--- /dev/null
+++ b/daisyline/transport/platform_client.py
@@ -0,0 +1,105 @@
+"""Calls on the platform's object API, each bounded in time."""
+
+from collections.abc import Callable
+from typing import Any
+
+from daisyline.coordination.effects import PlatformWatch
+from daisyline.protocol.http import Broken, ClientCodec, End, Head, Part
+from daisyline.protocol.platform import (
+    NO_ANSWER,
+    PlatformCall,
+    reply_of,
+    request_of,
+)
+from daisyline.transport.loop import Loop
+from daisyline.transport.sockets import Connection
+
+_ANSWER_S = 3.0
+_MS_PER_S = 1000
+
+
+class _PlatformExchange:
+    """One call on the platform, on a connection of its own."""
+
+    def __init__(
+        self, loop: Loop, connection: Connection, effect: PlatformCall
+    ) -> None:
+        """Send the call once the connection is made."""
+        self._connection = connection
+        self._effect = effect
+        self._codec = ClientCodec()
+        self._status = NO_ANSWER
+        self._body: list[bytes] = []
+        self.on_reply: Callable[[Any], None] = bool
+        connection.handler = self
+        wait_s = _ANSWER_S
+        if isinstance(effect, PlatformWatch):
+            wait_s += effect.wait_ms / _MS_PER_S
+        self._timeout = loop.call_later(wait_s, connection.abort)
+
+    def send(self, host: str) -> None:
+        """Write the request."""
+        request = request_of(self._effect, host)
+        self._connection.write(self._codec.request(request))
+
+    def opened(self) -> None:
+        """Do nothing; the request is already buffered."""
+
+    def received(self, octets: bytes) -> None:
+        """Take a part of the answer."""
+        self._codec.feed(octets)
+        event = self._codec.next_event()
+        while isinstance(event, (Head, Part)):
+            if isinstance(event, Head):
+                self._status = event.status
+            else:
+                self._body.append(event.body)
+            event = self._codec.next_event()
+        if isinstance(event, End):
+            self._reply(self._status)
+        elif isinstance(event, Broken):
+            self._connection.abort()
+
+    def ended(self) -> None:
+        """Note that no answer follows."""
+        self._connection.abort()
+
+    def drained(self) -> None:
+        """Do nothing; requests are small."""
+
+    def closed(self) -> None:
+        """Report that the answer was lost; the call may have taken effect."""
+        self._timeout.cancel()
+        self._reply(NO_ANSWER)
+
+    def _reply(self, status: int) -> None:
+        on_reply = self.on_reply
+        self.on_reply = bool
+        body = b''.join(self._body)
+        self._connection.abort()
+        on_reply(reply_of(self._effect, status, body))
+
+
+class PlatformClient:
+    """Carries out the effects that concern the platform."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        on_event: Callable[[Any], None],
+    ) -> None:
+        """Remember where the platform is."""
+        self._loop = loop
+        self._address = address
+        self._on_event = on_event
+        self.calls = 0
+
+    def call(self, effect: PlatformCall) -> None:
+        """Make a call; a `PlatformReply` follows in any case."""
+        self.calls += 1
+        host, port = self._address
+        connection = Connection.dial(self._loop, host, port)
+        exchange = _PlatformExchange(self._loop, connection, effect)
+        exchange.on_reply = self._on_event
+        exchange.send(f'{host}:{port}')
