Add pure models of the platform's store and of a target

Cause: nodes can't be run or judged without a platform and targets to meet. The models are plain decisions (message, time, effects), so that tests and later simulations use them without a socket. One model per process with its own HTTP was ruled out: the same codec and loop serve the stand-ins too.

--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,279 @@
+"""A pure model of the platform's object store."""
+
+import functools
+from typing import Any
+
+import attrs
+
+VALUE_LIMIT_BYTES = 1_048_576
+HISTORY_LENGTH = 64
+
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+
+
+@attrs.frozen
+class Stored:
+    """One version of an object.
+
+    Attributes:
+        name: The object's name, unique in its kind.
+        version: The store's revision at this write.
+        content: The JSON value; `None` once the object is deleted.
+        written_at: When it was written, in monotonic seconds.
+    """
+
+    name: str
+    version: int
+    content: Any
+    written_at: float
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        """Return the object as the API shows it."""
+        return {
+            'name': self.name,
+            'version': self.version,
+            'value': self.content,
+        }
+
+
+@attrs.frozen
+class Read:
+    """Ask for one object."""
+
+    token: Any
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class ListKind:
+    """Ask for all objects of a kind."""
+
+    token: Any
+    kind: str
+
+
+@attrs.frozen
+class Write:
+    """Write an object if its version is still the one named.
+
+    Attributes:
+        token: Comes back in the reply.
+        kind: The object's kind.
+        name: The object's name.
+        version: The version it must have; 0 means that it must not exist.
+        content: The JSON value.
+        octets: The length of the encoded value, in bytes.
+    """
+
+    token: Any
+    kind: str
+    name: str
+    version: int
+    content: Any
+    octets: int = 0
+
+
+@attrs.frozen
+class Delete:
+    """Delete an object if its version is still the one named."""
+
+    token: Any
+    kind: str
+    name: str
+    version: int
+
+
+@attrs.frozen
+class Watch:
+    """Wait until something of a kind changes after a revision.
+
+    Attributes:
+        token: Comes back in the reply.
+        kind: The kind that is watched.
+        since: The revision after which changes count.
+        wait_s: The longest wait, in seconds.
+    """
+
+    token: Any
+    kind: str
+    since: int
+    wait_s: float
+
+
+@attrs.frozen
+class WatchExpired:
+    """Answer a watch whose wait is over."""
+
+    token: Any
+
+
+@attrs.frozen
+class Forget:
+    """Drop a watch whose caller has gone."""
+
+    token: Any
+
+
+@attrs.frozen
+class Reply:
+    """Answer a request with a status and a JSON body."""
+
+    token: Any
+    status: int
+    body: dict[str, Any]
+
+
+@attrs.define
+class Store:
+    """Objects with revisions, conditional updates, deletes and watches.
+
+    Attributes:
+        stale_s: How far reads and lists lag behind writes, in seconds.
+        revision: Grows by one with each write or delete.
+        calls: How many calls came, by kind and verb.
+    """
+
+    stale_s: float = 0
+    revision: int = 0
+    calls: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _histories: dict[tuple[str, str], list[Stored]] = attrs.field(factory=dict)
+    _watches: dict[Any, Watch] = attrs.field(factory=dict)
+
+    @property
+    def watching(self) -> int:
+        """Return how many watches wait."""
+        return len(self._watches)
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, now: float) -> list[Reply]:
+        """Take one message and return the replies that it causes.
+
+        Raises:
+            TypeError: If the store doesn't know the message.
+        """
+        raise TypeError(f'unknown message {message!r}')
+
+    @handle.register
+    def _read(self, message: Read, now: float) -> list[Reply]:
+        self._count(message.kind, 'read')
+        stored = self._seen(message.kind, message.name, now - self.stale_s)
+        if stored is None or stored.content is None:
+            return [Reply(message.token, NOT_FOUND, {})]
+        return [Reply(message.token, OK, stored.fields)]
+
+    @handle.register
+    def _list(self, message: ListKind, now: float) -> list[Reply]:
+        self._count(message.kind, 'list')
+        moment = now - self.stale_s
+        found = [
+            stored
+            for kind, name in sorted(self._histories)
+            if kind == message.kind
+            and (stored := self._seen(kind, name, moment)) is not None
+        ]
+        shown = [
+            stored.fields for stored in found if stored.content is not None
+        ]
+        revision = self.revision
+        if self.stale_s:
+            revision = max((stored.version for stored in found), default=0)
+        body = {'revision': revision, 'items': shown}
+        return [Reply(message.token, OK, body)]
+
+    @handle.register
+    def _write(self, message: Write, now: float) -> list[Reply]:
+        self._count(message.kind, 'write')
+        if message.octets > VALUE_LIMIT_BYTES:
+            return [Reply(message.token, TOO_LARGE, {})]
+        held = self._version(message.kind, message.name)
+        if held != message.version:
+            return [Reply(message.token, CONFLICT, {'version': held})]
+        return self._change(message, message.content, now)
+
+    @handle.register
+    def _delete(self, message: Delete, now: float) -> list[Reply]:
+        self._count(message.kind, 'delete')
+        held = self._version(message.kind, message.name)
+        if not held:
+            return [Reply(message.token, NOT_FOUND, {})]
+        if held != message.version:
+            return [Reply(message.token, CONFLICT, {'version': held})]
+        return self._change(message, None, now)
+
+    @handle.register
+    def _watch(self, message: Watch, now: float) -> list[Reply]:
+        self._count(message.kind, 'watch')
+        changed = self._changes(message)
+        if changed:
+            return [self._watch_reply(message, changed)]
+        self._watches[message.token] = message
+        return []
+
+    @handle.register
+    def _expire(self, message: WatchExpired, now: float) -> list[Reply]:
+        watch = self._watches.pop(message.token, None)
+        return [] if watch is None else [self._watch_reply(watch, [])]
+
+    @handle.register
+    def _forget(self, message: Forget, now: float) -> list[Reply]:
+        self._watches.pop(message.token, None)
+        return []
+
+    def _count(self, kind: str, verb: str) -> None:
+        self.calls[kind, verb] = self.calls.get((kind, verb), 0) + 1
+
+    def _version(self, kind: str, name: str) -> int:
+        """Return the version that an update must name; 0 if none is there."""
+        history = self._histories.get((kind, name))
+        if not history or history[-1].content is None:
+            return 0
+        return history[-1].version
+
+    def _seen(self, kind: str, name: str, moment: float) -> Stored | None:
+        """Return an object as it was at a moment."""
+        history = self._histories.get((kind, name), [])
+        for stored in reversed(history):
+            if stored.written_at <= moment or not self.stale_s:
+                return stored
+        return None
+
+    def _change(
+        self, message: Write | Delete, content: Any, now: float
+    ) -> list[Reply]:
+        self.revision += 1
+        history = self._histories.setdefault((message.kind, message.name), [])
+        assert not history or history[-1].version < self.revision
+        history.append(Stored(message.name, self.revision, content, now))
+        if len(history) > HISTORY_LENGTH:
+            history.pop(0)
+        reply = Reply(message.token, OK, {'version': self.revision})
+        return [reply, *self._wake(message.kind)]
+
+    def _wake(self, kind: str) -> list[Reply]:
+        """Answer the watches of a kind that something has changed for."""
+        replies = []
+        for watch in list(self._watches.values()):
+            if watch.kind == kind:
+                changed = self._changes(watch)
+                if changed:
+                    self._watches.pop(watch.token)
+                    replies.append(self._watch_reply(watch, changed))
+        return replies
+
+    def _changes(self, watch: Watch) -> list[Stored]:
+        newest = [
+            history[-1]
+            for (kind, _name), history in self._histories.items()
+            if kind == watch.kind and history[-1].version > watch.since
+        ]
+        return sorted(newest, key=lambda stored: stored.version)
+
+    def _watch_reply(self, watch: Watch, changed: list[Stored]) -> Reply:
+        shown = [stored.fields for stored in changed]
+        body = {'revision': self.revision, 'items': shown}
+        return Reply(watch.token, OK, body)
--- /dev/null
+++ b/standins/target_model.py
@@ -0,0 +1,220 @@
+"""A pure model of a target: slots, cold starts, faults and a record of calls."""
+
+import functools
+import random
+from typing import Any
+
+import attrs
+
+from standins.target_messages import (
+    Arrived,
+    CallOn,
+    Cancelled,
+    ChainAnswered,
+    Closed,
+    Crash,
+    Drain,
+    Due,
+    Opened,
+    Probed,
+    Reply,
+    Stop,
+    Wait,
+)
+from standins.target_plan import TargetFaults, TargetPlan
+from standins.target_records import Records
+
+MS_PER_S = 1000
+CONNECT_S = 0.001
+PROBE_S = 0.005
+COLD_FAILURE_S = 2.0
+POISON_PATH = '/poison'
+CHAIN_PREFIX = '/chain/'
+
+OK = 200
+FAILED = 500
+TIMED_OUT = 504
+
+
+@attrs.frozen
+class _Run:
+    """A call that runs, and the status that it will end with."""
+
+    arrived: Arrived
+    status: int
+
+
+@attrs.define
+class TargetModel:
+    """Run calls as the plan and the faults say, and record what came.
+
+    Attributes:
+        plan: What the target can bear.
+        random: Where service times and failures come from.
+        faults: The faults in force.
+        cold_left: Calls that are still slower since it turned cold.
+        leaving: Whether it has been told to leave.
+        records: What came and what limits were broken.
+    """
+
+    plan: TargetPlan
+    random: random.Random
+    faults: TargetFaults = attrs.field(factory=TargetFaults)
+    cold_left: int = 0
+    leaving: bool = False
+    records: Records = attrs.field(factory=Records)
+    _running: dict[Any, _Run] = attrs.field(factory=dict)
+    _busy_until: float = 0
+    _failed_until: float = 0
+    _load_seen: tuple[float, int] = (0, 0)
+
+    @classmethod
+    def from_plan(cls, plan: TargetPlan, seed: int) -> 'TargetModel':
+        """Build a target that has just started."""
+        return cls(plan, random.Random(seed), cold_left=plan.cold_calls)
+
+    @property
+    def running(self) -> int:
+        """Return how many calls run."""
+        return len(self._running)
+
+    @property
+    def phase(self) -> str:
+        """Return the phase that the target announces."""
+        if self.leaving:
+            return 'leaving'
+        return 'cold' if self.cold_left else 'ready'
+
+    def turn_cold(self) -> None:
+        """Make the next calls slower, as after a start."""
+        self.cold_left = self.plan.cold_calls
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, now: float) -> list[Any]:
+        """Take one message and return what is to be done.
+
+        Raises:
+            TypeError: If the target doesn't know the message.
+        """
+        raise TypeError(f'unknown message {message!r}')
+
+    @handle.register
+    def _opened(self, message: Opened, now: float) -> list[Any]:
+        self._spend(CONNECT_S, now)
+        self.records.opened(self.plan.connections, now)
+        return []
+
+    @handle.register
+    def _closed(self, message: Closed, now: float) -> list[Any]:
+        self.records.closed()
+        return []
+
+    @handle.register
+    def _arrived(self, message: Arrived, now: float) -> list[Any]:
+        if message.path.startswith(POISON_PATH):
+            return [Crash()]
+        self._running[message.token] = _Run(message, OK)
+        self.records.started(message, self.running, now)
+        self._check_bounds(now)
+        if self._fails_now(message, now):
+            return self._end(message.token, FAILED)
+        seconds = max(0, self._busy_until - now) + self._service_s(message.path)
+        if self.cold_left:
+            self.cold_left -= 1
+        budget_ms = message.budget_ms
+        if budget_ms is not None and budget_ms < seconds * MS_PER_S:
+            self._running[message.token] = _Run(message, TIMED_OUT)
+            seconds = budget_ms / MS_PER_S
+        return [Wait(message.token, seconds)]
+
+    @handle.register
+    def _due(self, message: Due, now: float) -> list[Any]:
+        run = self._running.get(message.token)
+        if run is None:
+            return []
+        hops = hops_of(run.arrived.path) - 1
+        if hops >= 0 and run.status == OK:
+            path = f'{CHAIN_PREFIX}{hops}'
+            return [CallOn(message.token, path)]
+        return self._end(message.token, run.status)
+
+    @handle.register
+    def _chain_answered(self, message: ChainAnswered, now: float) -> list[Any]:
+        return self._end(message.token, message.status or TIMED_OUT)
+
+    @handle.register
+    def _cancelled(self, message: Cancelled, now: float) -> list[Any]:
+        run = self._running.pop(message.token, None)
+        if run is not None:
+            self.records.cancelled(run.arrived)
+        return self._stop_if_idle()
+
+    @handle.register
+    def _probed(self, message: Probed, now: float) -> list[Any]:
+        self._spend(PROBE_S, now)
+        self.records.probes += 1
+        return [Reply(message.token, OK, {'running': self._load(now)})]
+
+    @handle.register
+    def _drain(self, message: Drain, now: float) -> list[Any]:
+        self.leaving = True
+        self.records.left(now)
+        return self._stop_if_idle()
+
+    def _spend(self, seconds: float, now: float) -> None:
+        """Keep the target's processor busy, which delays later calls."""
+        self._busy_until = max(self._busy_until, now) + seconds
+
+    def _load(self, now: float) -> int:
+        """Return the calls that ran when the load was last looked at."""
+        seen_at, _seen = self._load_seen
+        if now - seen_at >= self.plan.load_lag_s:
+            self._load_seen = (now, self.running)
+        return 0 if self.faults.misleading_load else self._load_seen[1]
+
+    def _check_bounds(self, now: float) -> None:
+        """Record calls beyond the bounds; a cold target then fails."""
+        if self.cold_left and self.running > self.plan.cold_bound:
+            self.records.violate('cold', now, self.running)
+            self._failed_until = now + COLD_FAILURE_S
+        elif self.running > self.plan.slots:
+            self.records.violate('slots', now, self.running)
+
+    def _fails_now(self, message: Arrived, now: float) -> bool:
+        if now < self._failed_until:
+            return True
+        hit = self.faults.hit(message.path, self.running)
+        return hit and self.random.random() < self.faults.fail_fast
+
+    def _service_s(self, path: str) -> float:
+        seconds = self.plan.service_s(path, self.random)
+        if self.cold_left:
+            seconds *= self.plan.cold_factor
+        if self.faults.hit(path, self.running):
+            seconds *= self.faults.slow_factor
+        return seconds * max(1, self.running / self.plan.slots)
+
+    def _end(self, token: Any, status: int) -> list[Any]:
+        run = self._running.pop(token, None)
+        if run is None:
+            return []
+        arrived = run.arrived
+        self.records.ended(arrived, status)
+        content = {
+            'call': arrived.call_id,
+            'path': arrived.path,
+            'service': self.plan.service,
+            'version': self.plan.version,
+        }
+        return [Reply(token, status, content), *self._stop_if_idle()]
+
+    def _stop_if_idle(self) -> list[Any]:
+        return [Stop()] if self.leaving and not self._running else []
+
+
+def hops_of(path: str) -> int:
+    """Return how many further calls a path asks for."""
+    if not path.startswith(CHAIN_PREFIX):
+        return 0
+    text = path.removeprefix(CHAIN_PREFIX)
+    return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/tests/standins/test_deployment.py
@@ -0,0 +1,33 @@
+"""The deployments have the users' sizes."""
+
+from collections import Counter
+
+from daisyline.state.settings import Settings
+from standins.deployment import ASSOCIACAO, DEPLOYMENTS, STOFBRIL
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def test_each_service_has_its_upstreams_in_all_zones() -> None:
+    counts = Counter(
+        place.service.name
+        for deployment in DEPLOYMENTS
+        for place in deployment.instances
+    )
+    assert counts == {'catalogue': 6, 'docs': 3, 'pairing': 7, 'sessions': 3}
+    for deployment in DEPLOYMENTS:
+        for service in deployment.services:
+            zones = {
+                place.zone
+                for place in deployment.instances
+                if place.service == service
+            }
+            assert zones == set(deployment.zones)
+
+
+def test_the_trees_state_the_contracts_limits() -> None:
+    stofbril = Settings.from_tree(1, STOFBRIL.tree)
+    associacao = Settings.from_tree(1, ASSOCIACAO.tree)
+    assert stofbril.limits_for('docs', 'ghent-a').slots_per_upstream == 9
+    assert associacao.limits_for('pairing', 'recife').slots_per_upstream == 6
--- /dev/null
+++ b/tests/standins/test_store.py
@@ -0,0 +1,134 @@
+"""The platform's model keeps the object API's promises."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins.store import (
+    CONFLICT,
+    NOT_FOUND,
+    OK,
+    TOO_LARGE,
+    VALUE_LIMIT_BYTES,
+    Delete,
+    ListKind,
+    Read,
+    Store,
+    Watch,
+    WatchExpired,
+    Write,
+)
+from tests.support import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def store() -> Iterator[Store]:
+    yield Store()
+
+
+def _write(version: int, content: Any, octets: int = 0) -> Write:
+    return Write('w', 'settings', 'tree', version, content, octets)
+
+
+def test_an_update_with_an_old_version_changes_nothing(store: Store) -> None:
+    assert store.handle(_write(0, 'a'), 0)[0].body == {'version': 1}
+    for version in (0, 2):
+        reply = store.handle(_write(version, 'b'), 0)[0]
+        assert (reply.status, reply.body) == (CONFLICT, {'version': 1})
+    assert store.handle(Read('r', 'settings', 'tree'), 0)[0].body == {
+        'name': 'tree',
+        'version': 1,
+        'value': 'a',
+    }
+
+
+def test_a_value_over_the_limit_is_turned_away(store: Store) -> None:
+    reply = store.handle(_write(0, 'a', VALUE_LIMIT_BYTES + 1), 0)[0]
+    assert reply.status == TOO_LARGE
+    assert store.revision == 0
+
+
+def test_a_watch_waits_for_a_change_of_its_kind(store: Store) -> None:
+    assert not store.handle(Watch('one', 'settings', 0, 1), 0)
+    assert len(store.handle(Write('w', 'seeds', 'a', 0, []), 0)) == 1
+    replies = store.handle(_write(0, 'a'), 0)
+    assert [reply.token for reply in replies] == ['w', 'one']
+    assert replies[1].body['revision'] == 2
+    assert store.watching == 0
+
+
+def test_a_deleted_object_is_shown_to_watches_alone(store: Store) -> None:
+    store.handle(_write(0, 'a'), 0)
+    store.handle(Watch('one', 'settings', 1, 1), 0)
+    _, woken = store.handle(Delete('d', 'settings', 'tree', 1), 0)
+    assert woken.body['items'][0]['value'] is None
+    assert not store.handle(ListKind('l', 'settings'), 0)[0].body['items']
+    assert store.handle(Read('r', 'settings', 'tree'), 0)[0].status == NOT_FOUND
+
+
+def test_a_watch_that_expires_answers_without_items(store: Store) -> None:
+    store.handle(Watch('one', 'settings', 0, 1), 0)
+    reply = store.handle(WatchExpired('one'), 1)[0]
+    assert reply.body == {'revision': 0, 'items': []}
+    assert not store.handle(WatchExpired('one'), 2)
+
+
+def test_stale_reads_lag_while_updates_do_not(store: Store) -> None:
+    store.stale_s = 2
+    store.handle(_write(0, 'a'), 10)
+    store.handle(_write(1, 'b'), 11)
+    seen = [
+        store.handle(Read('r', 'settings', 'tree'), now)[0]
+        for now in (11.5, 12.5, 13)
+    ]
+    assert [reply.status for reply in seen] == [NOT_FOUND, OK, OK]
+    assert [reply.body.get('value') for reply in seen] == [None, 'a', 'b']
+
+
+def test_each_call_is_counted_by_kind_and_verb(store: Store) -> None:
+    store.handle(_write(0, 'a'), 0)
+    store.handle(_write(0, 'a'), 0)
+    store.handle(Watch('one', 'settings', 5, 1), 0)
+    store.handle(ListKind('l', 'seeds'), 0)
+    assert store.calls == {
+        ('settings', 'write'): 2,
+        ('settings', 'watch'): 1,
+        ('seeds', 'list'): 1,
+    }
+
+
+_steps = st.lists(
+    st.tuples(st.booleans(), st.sampled_from('abc'), st.integers(0, 6))
+)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(steps=_steps)
+def _check_versions(steps: list[tuple[bool, str, int]]) -> None:
+    store = Store()
+    given_out: list[int] = []
+    held: dict[str, int] = {}
+    for deletes, name, version in steps:
+        kind = 'settings'
+        message = (
+            Delete('t', kind, name, version)
+            if deletes
+            else Write('t', kind, name, version, 'content')
+        )
+        reply = store.handle(message, 0)[0]
+        expected = held.get(name, 0)
+        if reply.status == OK:
+            assert version == expected
+            given_out.append(reply.body['version'])
+            held[name] = 0 if deletes else reply.body['version']
+        else:
+            assert version != expected or (deletes and not expected)
+    assert given_out == list(range(1, len(given_out) + 1))
+
+
+def test_versions_grow_and_are_never_used_twice() -> None:
+    _check_versions()
