--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,176 @@
+"""An open-loop caller: a fixed rate over keep-alive connections."""
+
+import functools
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from daisyline.transport.loop import Loop
+from standins.http import Lost, Message
+from standins.http_client import ClientPool
+from standins.tally import Ending, Tally
+
+ID_HEADER = 'x-call-id'
+OUTCOME_HEADER = 'daisyline-outcome'
+SUCCESSES = range(200, 300)
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class CallPlan:
+    """What one caller sends, and how fast.
+
+    Attributes:
+        service: The service called.
+        rate: Calls a second.
+        path: The path of each call.
+        method: The method of each call.
+        tenant: The tenant named in `X-Tenant`, if any.
+        delay_ms: Latency of the way to the entry node, one way.
+        seed: Sets the moments of sending and the choice of entry.
+    """
+
+    service: str
+    rate: float
+    path: str = '/stock'
+    method: str = 'GET'
+    tenant: str = ''
+    delay_ms: float = 0
+    seed: int = 1
+
+    def request(self, call_id: str) -> Message:
+        """Build the request of one call."""
+        headers = {'Host': self.service, 'X-Call-Id': call_id}
+        if self.tenant:
+            headers['X-Tenant'] = self.tenant
+        return Message(self.method, self.path, headers=headers)
+
+
+@attrs.frozen
+class EndedCall:
+    """A call and how it ended, for tests that compare both ends' records.
+
+    Attributes:
+        call_id: The id in `X-Call-Id`.
+        method: The request's method.
+        ending: How it ended.
+        intended_at: When it should have been sent, in monotonic seconds.
+        ended_at: When it ended.
+    """
+
+    call_id: str
+    method: str
+    ending: Ending
+    intended_at: float
+    ended_at: float
+
+
+@functools.singledispatch
+def ending_of(outcome: Any, call_id: str) -> Ending:
+    """Return how a call ended for its caller.
+
+    Raises:
+        TypeError: If the outcome is neither an answer nor a loss.
+    """
+    raise TypeError(f'unknown outcome {outcome!r}')
+
+
+@ending_of.register
+def _(outcome: Lost, call_id: str) -> Ending:
+    return Ending.CUT
+
+
+@ending_of.register
+def _(outcome: Message, call_id: str) -> Ending:
+    refused = outcome.headers.get(OUTCOME_HEADER)
+    if refused is not None:
+        return Ending(refused)
+    if outcome.status not in SUCCESSES:
+        return Ending.FAILED
+    content = outcome.json() or {}
+    echoed = (outcome.headers.get(ID_HEADER), content.get('call'))
+    return Ending.ANSWERED if echoed == (call_id, call_id) else Ending.WRONG
+
+
+class Caller:
+    """Sends calls at a fixed mean rate, however slowly answers come."""
+
+    def __init__(
+        self, loop: Loop, plan: CallPlan, entries: list[tuple[str, int]]
+    ) -> None:
+        """Prepare to call through some entries in turn; nothing is sent."""
+        self.plan = plan
+        self.tally = Tally()
+        self.on_end: Callable[[EndedCall], None] = _ignore
+        self._loop = loop
+        self._random = random.Random(plan.seed)
+        self._pools = itertools.cycle(
+            [ClientPool(loop, host, port) for host, port in entries]
+        )
+        self._numbers = itertools.count(1)
+        self._next_at = 0.0
+        self._until = 0.0
+
+    @property
+    def done(self) -> bool:
+        """Return whether all calls were sent and have ended."""
+        return self._next_at >= self._until and not self.tally.pending
+
+    def start(self, seconds: float) -> None:
+        """Send calls for some seconds from now."""
+        now = self._loop.now()
+        self._next_at = now
+        self._until = now + seconds
+        self._advance()
+
+    def _advance(self) -> None:
+        """Send what is due; each call keeps the time it was meant for."""
+        while self._next_at <= self._loop.now() and not self._over:
+            self._send(self._next_at)
+            self._next_at += self._random.expovariate(self.plan.rate)
+        if not self._over:
+            delay_s = max(0, self._next_at - self._loop.now())
+            self._loop.call_later(delay_s, self._advance)
+
+    @property
+    def _over(self) -> bool:
+        return self._next_at >= self._until
+
+    def _send(self, intended_at: float) -> None:
+        self.tally.sent += 1
+        number = next(self._numbers)
+        call_id = f'{self.plan.service}-{self.plan.seed}-{number}'
+        go = functools.partial(self._go, call_id, intended_at)
+        self._after_delay(go)
+
+    def _go(self, call_id: str, intended_at: float) -> None:
+        arrived = functools.partial(self._arrived, call_id, intended_at)
+        next(self._pools).call(self.plan.request(call_id), arrived)
+
+    def _arrived(
+        self, call_id: str, intended_at: float, outcome: Message | Lost
+    ) -> None:
+        ending = ending_of(outcome, call_id)
+        self._after_delay(
+            functools.partial(self._end, call_id, intended_at, ending)
+        )
+
+    def _end(self, call_id: str, intended_at: float, ending: Ending) -> None:
+        now = self._loop.now()
+        self.tally.end(ending, now - intended_at)
+        method = self.plan.method
+        self.on_end(EndedCall(call_id, method, ending, intended_at, now))
+
+    def _after_delay(self, function: Callable[[], None]) -> None:
+        """Model the latency between the client and the entry node."""
+        if self.plan.delay_ms:
+            self._loop.call_later(self.plan.delay_ms / MS_PER_S, function)
+        else:
+            function()
+
+
+def _ignore(_ended: EndedCall) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,98 @@
+"""The server's side of the stand-ins' HTTP."""
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import h11
+
+from daisyline.transport.loop import Loop
+from daisyline.transport.sockets import Connection, Listener
+from standins.http import Message, Peer, encode
+
+
+class Exchange(Peer):
+    """A server's end of a connection: one request at a time.
+
+    Attributes:
+        request: The request that waits for its answer, if one does.
+    """
+
+    def __init__(self, connection: Connection, server: 'Server') -> None:
+        """Start to read requests."""
+        super().__init__(connection, h11.Connection(h11.SERVER))
+        self.request: Message | None = None
+        self._server = server
+
+    def whole(self, message: Message) -> None:
+        """Serve a request."""
+        self.request = message
+        self._server.serve(self)
+
+    def ended(self) -> None:
+        """Take the caller's half-close as the wish to cancel."""
+        self.connection.abort()
+
+    def closed(self) -> None:
+        """Tell the server that nobody waits on this connection."""
+        self._server.on_close(self)
+
+    def answer(
+        self,
+        status: int,
+        content: Any,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Answer the request with a JSON body."""
+        if not self.connection.alive or self.request is None:
+            return
+        body = json.dumps(content).encode()
+        sent = {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(body)),
+            **(headers or {}),
+        }
+        head_only = self.request.method == 'HEAD'
+        events = [
+            h11.Response(status_code=status, headers=list(sent.items())),
+            h11.Data(data=b'' if head_only else body),
+            h11.EndOfMessage(),
+        ]
+        self.request = None
+        self.connection.write(encode(self.codec, events))
+        self._next()
+
+    def _next(self) -> None:
+        if self.codec.our_state is not h11.DONE:
+            self.connection.close()
+            return
+        self.codec.start_next_cycle()
+        self.advance()
+
+
+class Server:
+    """A listener whose connections carry requests."""
+
+    def __init__(
+        self,
+        on_request: Callable[[Exchange], None],
+        on_open: Callable[[Exchange], None] | None = None,
+        on_close: Callable[[Exchange], None] | None = None,
+    ) -> None:
+        """Note what to call; nothing listens yet."""
+        self.serve = on_request
+        self.on_open = on_open or _ignore
+        self.on_close = on_close or _ignore
+        self.listener: Listener | None = None
+
+    def listen(self, loop: Loop, host: str, port: int) -> 'Server':
+        """Start to accept connections."""
+        self.listener = Listener.open(loop, host, port, self._accept)
+        return self
+
+    def _accept(self, connection: Connection) -> None:
+        self.on_open(Exchange(connection, self))
+
+
+def _ignore(_exchange: Exchange) -> None:
+    """Do nothing."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -107,9 +107,9 @@
 
 @attrs.frozen
 class WatchExpired:
-    """Answer a watch whose wait is over."""
+    """Answer a watch whose wait is over, if it still waits."""
 
-    token: Any
+    watch: Watch
 
 
 @attrs.frozen
@@ -216,8 +216,11 @@
 
     @handle.register
     def _expire(self, message: WatchExpired, now: float) -> list[Reply]:
-        watch = self._watches.pop(message.token, None)
-        return [] if watch is None else [self._watch_reply(watch, [])]
+        watch = message.watch
+        if self._watches.get(watch.token) is not watch:
+            return []
+        self._watches.pop(watch.token)
+        return [self._watch_reply(watch, [])]
 
     @handle.register
     def _forget(self, message: Forget, now: float) -> list[Reply]:
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,235 @@
+"""The process that stands in for a target, beside one node."""
+
+import functools
+import os
+import signal
+import sys
+import uuid
+from typing import Annotated, Any
+
+import attrs
+import cyclopts
+
+from daisyline.transport.loop import Loop
+from standins import target_messages as msg
+from standins.http import Lost, Message
+from standins.http_client import Client, ClientPool
+from standins.http_server import Exchange, Server
+from standins.target_model import OK, TargetModel
+from standins.target_plan import TargetFaults, TargetPlan
+
+HOST = '127.0.0.1'
+ANNOUNCE_S = 1.0
+LINGER_S = 2.0
+NOT_FOUND = 404
+LOAD_PATH = '/load'
+
+
+@attrs.frozen
+class Place:
+    """Where a target listens and which node it stands beside.
+
+    Attributes:
+        port: The TCP port for calls.
+        control_port: The TCP port for faults and records.
+        node_target_port: The TCP port of the node for its target.
+        seed: Sets the service times.
+    """
+
+    port: int
+    control_port: int
+    node_target_port: int
+    seed: int = 1
+
+
+class TargetProcess:
+    """Carries out on sockets what the model of a target decides."""
+
+    def __init__(self, loop: Loop, model: TargetModel, place: Place) -> None:
+        """Serve a model; nothing listens yet."""
+        self._loop = loop
+        self._model = model
+        self._place = place
+        self._instance = uuid.uuid4().hex
+        self._node = ClientPool(loop, HOST, place.node_target_port)
+        self._announcing = True
+        self._active_at = loop.now()
+        self._parents: dict[Exchange, str] = {}
+        self._chains: dict[Exchange, Client] = {}
+
+    def start(self) -> None:
+        """Listen and announce."""
+        self._loop.on_signal = self._drain
+        calls = Server(self._serve, self._opened, self._closed)
+        calls.listen(self._loop, HOST, self._place.port)
+        control = Server(self._control)
+        control.listen(self._loop, HOST, self._place.control_port)
+        self._announce_each_second()
+
+    @functools.singledispatchmethod
+    def carry_out(self, effect: Any) -> None:
+        """Carry out one effect.
+
+        Raises:
+            TypeError: If the effect is not known.
+        """
+        raise TypeError(f'unknown effect {effect!r}')
+
+    @carry_out.register
+    def _wait(self, effect: msg.Wait) -> None:
+        due = functools.partial(self._tell, msg.Due(effect.token))
+        self._loop.call_later(effect.seconds, due)
+
+    @carry_out.register
+    def _reply(self, effect: msg.Reply) -> None:
+        exchange = effect.token
+        self._parents.pop(exchange, None)
+        call_id = effect.content.get('call', '')
+        headers = {'X-Call-Id': call_id} if call_id else {}
+        exchange.answer(effect.status, effect.content, headers)
+
+    @carry_out.register
+    def _call_on(self, effect: msg.CallOn) -> None:
+        headers = {'Host': self._model.plan.service}
+        parent = self._parents.get(effect.token)
+        if parent:
+            headers['Daisyline-Call'] = parent
+        request = Message('GET', effect.path, headers=headers)
+        self._chains[effect.token] = self._node.call(
+            request, functools.partial(self._chain_ended, effect.token)
+        )
+
+    @carry_out.register
+    def _crash(self, effect: msg.Crash) -> None:
+        sys.stderr.write('target: crashed by a call\n')
+        os.kill(os.getpid(), signal.SIGKILL)
+
+    @carry_out.register
+    def _stop(self, effect: msg.Stop) -> None:
+        self._loop.call_later(LINGER_S, self._stop_if_idle)
+
+    def _tell(self, message: Any) -> None:
+        for effect in self._model.handle(message, self._loop.now()):
+            self.carry_out(effect)
+
+    def _serve(self, exchange: Exchange) -> None:
+        request = exchange.request
+        assert request is not None
+        if request.path == LOAD_PATH:
+            self._tell(msg.Probed(exchange))
+            return
+        self._active_at = self._loop.now()
+        headers = request.headers
+        self._parents[exchange] = headers.get('daisyline-call', '')
+        budget = headers.get('daisyline-deadline-ms', '')
+        self._tell(
+            msg.Arrived(
+                token=exchange,
+                call_id=headers.get('x-call-id', ''),
+                method=request.method,
+                path=request.path,
+                budget_ms=int(budget) if budget.isdigit() else None,
+            )
+        )
+
+    def _opened(self, exchange: Exchange) -> None:
+        self._tell(msg.Opened(exchange))
+
+    def _closed(self, exchange: Exchange) -> None:
+        self._parents.pop(exchange, None)
+        chain = self._chains.pop(exchange, None)
+        if chain is not None:
+            chain.connection.abort()
+        self._tell(msg.Cancelled(exchange))
+        self._tell(msg.Closed(exchange))
+
+    def _chain_ended(self, exchange: Exchange, ending: Message | Lost) -> None:
+        self._chains.pop(exchange, None)
+        self._tell(msg.ChainAnswered(exchange, _status_of(ending)))
+
+    def _control(self, exchange: Exchange) -> None:
+        request = exchange.request
+        assert request is not None
+        if request.path == '/control/calls':
+            exchange.answer(OK, self._model.records.to_json())
+        elif request.path == '/control/counts':
+            exchange.answer(OK, self._model.records.counts)
+        elif request.path == '/control/faults':
+            self._set_faults(request.json() or {})
+            exchange.answer(OK, attrs.asdict(self._model.faults))
+        else:
+            exchange.answer(NOT_FOUND, {})
+
+    def _set_faults(self, fields: dict[str, Any]) -> None:
+        if fields.get('crash'):
+            self.carry_out(msg.Crash())
+        if fields.get('cold'):
+            self._model.turn_cold()
+        self._announcing = not fields.get('unannounced', False)
+        self._model.faults = TargetFaults.from_fields(fields)
+
+    def _announce_each_second(self) -> None:
+        if self._announcing:
+            self._announce()
+        self._loop.call_later(ANNOUNCE_S, self._announce_each_second)
+
+    def _announce(self) -> None:
+        content = {
+            'service': self._model.plan.service,
+            'version': self._model.plan.version,
+            'instance': self._instance,
+            'host': HOST,
+            'port': self._place.port,
+            'phase': self._model.phase,
+        }
+        self._node.call(Message.post_json('/announce', content), _ignore)
+
+    def _drain(self, _number: int) -> None:
+        already = self._model.leaving
+        self._tell(msg.Drain())
+        if not already:
+            self._announce()
+
+    def _stop_if_idle(self) -> None:
+        """Stop once nothing has come for a while: the news takes time."""
+        idle_s = self._loop.now() - self._active_at
+        if self._model.running:
+            return
+        if idle_s >= LINGER_S:
+            self._loop.stop()
+        else:
+            self._loop.call_later(LINGER_S - idle_s, self._stop_if_idle)
+
+
+@functools.singledispatch
+def _status_of(ending: Any) -> int:
+    """Return the status of an answer, 0 if none came."""
+    return 0
+
+
+@_status_of.register
+def _(ending: Message) -> int:
+    return ending.status
+
+
+def _ignore(_ending: Message | Lost) -> None:
+    """Do nothing: the next announcement follows in a second."""
+
+
+def main(
+    *,
+    place: Annotated[Place, cyclopts.Parameter(name='*')],
+    plan: Annotated[TargetPlan, cyclopts.Parameter(name='*')],
+) -> None:
+    """Serve calls until told to leave and idle."""
+    loop = Loop.create()
+    model = TargetModel.from_plan(plan, place.seed)
+    TargetProcess(loop, model, place).start()
+    loop.run()
+
+
+if __name__ == '__main__':
+    # `--version` is the version of the service that the target runs.
+    app = cyclopts.App(version_flags=[])
+    app.default(main)
+    app()
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -71,10 +71,20 @@
 
 
 def test_a_watch_that_expires_answers_without_items(store: Store) -> None:
-    store.handle(Watch('one', 'settings', 0, 1), 0)
-    reply = store.handle(WatchExpired('one'), 1)[0]
+    watch = Watch('one', 'settings', 0, 1)
+    store.handle(watch, 0)
+    reply = store.handle(WatchExpired(watch), 1)[0]
     assert reply.body == {'revision': 0, 'items': []}
-    assert not store.handle(WatchExpired('one'), 2)
+    assert not store.handle(WatchExpired(watch), 2)
+
+
+def test_the_end_of_a_watch_leaves_a_newer_one_alone(store: Store) -> None:
+    first = Watch('one', 'settings', 0, 1)
+    store.handle(first, 0)
+    store.handle(_write(0, 'a'), 0.5)
+    store.handle(Watch('one', 'settings', 1, 1), 0.6)
+    assert not store.handle(WatchExpired(first), 1)
+    assert store.watching == 1
 
 
 def test_stale_reads_lag_while_updates_do_not(store: Store) -> None:
