Serve the first calls from end to end

Trial runs found three faults: the pool was never told of the target, an event between two decisions went out of the node, and exceptions in a handler vanished, since circuits' fallback handler was not registered on our channel. The loop now shows each fault and counts it. Ruled out: that the codecs were at fault (a call straight to the stand-in target was answered).

--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/call_events.py
@@ -238,6 +238,13 @@
     target: Target | None
 
 
+@attrs.frozen
+class TargetChanged:
+    """The target beside this node is new, has changed or has lapsed."""
+
+    target: Target | None
+
+
 @attrs.frozen
 class Observed:
     """A call ended at its target, for histograms and for judging versions.
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -59,7 +59,7 @@
             owner=Owner.from_config(me.name, me.zone, events),
             fleet=Fleet.from_config(me, cluster, peers, rng, now),
             rollouts=Rollouts.from_config(me.name, rng, now),
-            quarantine=Quarantine.from_config(),
+            quarantine=Quarantine.from_config(me.name, rng),
             events=events,
             latencies=Latencies.from_config(),
         )
@@ -85,6 +85,7 @@
         if target == self.owner.target:
             return []
         return [
+            ev.TargetChanged(target),
             *self.owner.use_target(target, now),
             *self.fleet.announce(target, now),
         ]
@@ -112,7 +113,7 @@
             in_flight = [print_, *self._in_flight()]
             effects += self.quarantine.crashed(in_flight, self.name, now)
         elif event.status:
-            self.quarantine.succeeded(print_, now)
+            effects += self.quarantine.succeeded(print_, now)
         if target is not None:
             self.rollouts.observe(self._sample(event, target), now)
         return effects
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -145,7 +145,7 @@
 @_apply.register
 def _(effect: fleet_events.FactChanged, core: NodeCore, now: float) -> Effects:
     changed = FactChanged(effect.fact)
-    core.quarantine.handle(changed)
+    core.quarantine.handle(changed, now)
     return core.rollouts.handle(changed, now)
 
 
@@ -168,6 +168,11 @@
     return core.owner.use_settings(settings, now)
 
 
+@_apply.register
+def _(effect: ev.ParentEnded, core: NodeCore, now: float) -> Effects:
+    return entry_events.handle(effect, core.entry, now)
+
+
 @_apply.register
 def _(effect: ev.Observed, core: NodeCore, now: float) -> Effects:
     return core.observed(effect, now)
--- a/daisyline/transport/effects.py
+++ b/daisyline/transport/effects.py
@@ -1,7 +1,9 @@
 """Effects of decisions, carried out on the sockets of a node."""
 
 import functools
-from typing import TYPE_CHECKING, Any
+from typing import Any
+
+import attrs
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination.effects import (
@@ -12,13 +14,33 @@
     Send,
 )
 from daisyline.coordination.fleet_events import SendTo, SettingsRefused
+from daisyline.transport.platform_client import PlatformClient
+from daisyline.transport.ports import Ports
+from daisyline.transport.streams import Streams
+from daisyline.transport.target_pool import TargetPool
+
+
+@attrs.frozen
+class Outlets:
+    """The ways out of a node.
+
+    Attributes:
+        streams: To and from other nodes.
+        platform: Calls on the platform.
+        ports: Callers' and the target's connections.
+        pool: Connections to the target.
+        log: A logger with loguru's methods.
+    """
 
-if TYPE_CHECKING:
-    from daisyline.transport.node import Node
+    streams: Streams
+    platform: PlatformClient
+    ports: Ports
+    pool: TargetPool
+    log: Any
 
 
 @functools.singledispatch
-def perform(effect: Any, node: 'Node') -> None:
+def perform(effect: Any, outlets: Outlets) -> None:
     """Carry out one effect.
 
     Raises:
@@ -28,77 +50,84 @@
 
 
 @perform.register
-def _(effect: Send, node: 'Node') -> None:
-    node.streams.send(effect.node, effect.message)
+def _(effect: Send, outlets: Outlets) -> None:
+    outlets.streams.send(effect.node, effect.message)
 
 
 @perform.register
-def _(effect: SendTo, node: 'Node') -> None:
-    node.streams.send_to(effect.host, effect.port, effect.message)
+def _(effect: SendTo, outlets: Outlets) -> None:
+    outlets.streams.send_to(effect.host, effect.port, effect.message)
 
 
 @perform.register
-def _(effect: ev.Reply, node: 'Node') -> None:
-    node.streams.reply(effect.node, effect.message)
+def _(effect: ev.Reply, outlets: Outlets) -> None:
+    outlets.streams.reply(effect.node, effect.message)
 
 
 @perform.register(PlatformRead)
 @perform.register(PlatformList)
 @perform.register(PlatformWatch)
 @perform.register(PlatformWrite)
-def _platform(effect: Any, node: 'Node') -> None:
-    node.platform.call(effect)
+def _platform(effect: Any, outlets: Outlets) -> None:
+    outlets.platform.call(effect)
 
 
 @perform.register
-def _(effect: ev.AnswerCaller, node: 'Node') -> None:
-    connection = node.ports.take(effect.call, effect.last)
+def _(effect: ev.AnswerCaller, outlets: Outlets) -> None:
+    connection = outlets.ports.take(effect.call, effect.last)
     if connection is not None:
         connection.answer(effect)
 
 
 @perform.register
-def _(effect: ev.AnswerCallerPart, node: 'Node') -> None:
-    connection = node.ports.take(effect.call, effect.last)
+def _(effect: ev.AnswerCallerPart, outlets: Outlets) -> None:
+    connection = outlets.ports.take(effect.call, effect.last)
     if connection is not None:
         connection.part(effect)
 
 
 @perform.register
-def _(effect: ev.RefuseCaller, node: 'Node') -> None:
-    connection = node.ports.take(effect.call, last=True)
+def _(effect: ev.RefuseCaller, outlets: Outlets) -> None:
+    connection = outlets.ports.take(effect.call, last=True)
     if connection is not None:
         connection.refuse(effect)
 
 
 @perform.register
-def _(effect: ev.CutCaller, node: 'Node') -> None:
-    connection = node.ports.take(effect.call, last=True)
+def _(effect: ev.CutCaller, outlets: Outlets) -> None:
+    connection = outlets.ports.take(effect.call, last=True)
     if connection is not None:
         connection.cut()
 
 
 @perform.register
-def _(effect: ev.StartTarget, node: 'Node') -> None:
-    node.pool.start(effect)
+def _(effect: ev.TargetChanged, outlets: Outlets) -> None:
+    outlets.pool.use_target(effect.target)
+
+
+@perform.register
+def _(effect: ev.StartTarget, outlets: Outlets) -> None:
+    outlets.pool.start(effect)
 
 
 @perform.register
-def _(effect: ev.AbortTarget, node: 'Node') -> None:
-    node.pool.abort(effect.call)
+def _(effect: ev.AbortTarget, outlets: Outlets) -> None:
+    outlets.pool.abort(effect.call)
 
 
 @perform.register
-def _(effect: ev.HoldTarget, node: 'Node') -> None:
-    node.pool.hold(effect.call)
+def _(effect: ev.HoldTarget, outlets: Outlets) -> None:
+    outlets.pool.hold(effect.call)
 
 
 @perform.register
-def _(effect: ev.ResumeTarget, node: 'Node') -> None:
-    node.pool.resume(effect.call)
+def _(effect: ev.ResumeTarget, outlets: Outlets) -> None:
+    outlets.pool.resume(effect.call)
 
 
 @perform.register
-def _(effect: SettingsRefused, node: 'Node') -> None:
+def _(effect: SettingsRefused, outlets: Outlets) -> None:
     for finding in effect.findings:
-        node.log.warning(f'Settings {effect.version} are refused: {finding}.')
+        outlets.log.warning(
+            f'Settings {effect.version} are refused: {finding}.'
+        )
--- a/daisyline/transport/loop.py
+++ b/daisyline/transport/loop.py
@@ -1,5 +1,6 @@
 """The one loop of a process: circuits, a poller and a heap of deadlines."""
 
+import sys
 import time
 from collections.abc import Callable
 
@@ -14,6 +15,7 @@
 
     Attributes:
         poller: Watches the sockets.
+        faults: How many exceptions reached the loop; there should be none.
         on_signal: Called with a signal's number; the default stops the loop.
     """
 
@@ -24,6 +26,7 @@
         super().__init__()
         self.poller = FlatPoller().register(self)
         self._deadlines = Deadlines().register(self)
+        self.faults = 0
         self.on_signal: Callable[[int], None] = self._stop_on_signal
 
     @classmethod
@@ -49,6 +52,19 @@
         """Call a function at the end of this turn of the loop."""
         self.poller.defer(function)
 
+    @handler('exception', channel='*')
+    def _on_exception(
+        self,
+        _kind: type[BaseException],
+        error: BaseException,
+        lines: list[str],
+        **_details: object,
+    ) -> None:
+        """Show a fault of the program and go on with the next event."""
+        self.faults += 1
+        trace = ''.join(map(str, lines))
+        sys.stderr.write(f'fault: {error!r}\n{trace}\n')
+
     @handler('signal', channel='*')
     def _on_signal(self, number: int, _frame: object) -> None:
         self.on_signal(number)
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -1,17 +1,19 @@
 """A node: its decisions, its sockets and the loop that joins them."""
 
 import gc
+import math
 import random
 import signal
 import time
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from daisyline.coordination import node_events
 from daisyline.coordination.call_events import Paused
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
 from daisyline.transport.deadlines import Deadline
-from daisyline.transport.effects import perform
+from daisyline.transport.effects import Outlets, perform
 from daisyline.transport.loop import Loop
 from daisyline.transport.operators import listen_to_operators
 from daisyline.transport.platform_client import PlatformClient
@@ -20,7 +22,7 @@
 from daisyline.transport.streams import Streams
 from daisyline.transport.target_pool import TargetPool
 
-_US_PER_S = 1_000_000
+_NS_PER_US = 1_000
 # Collections of the oldest objects take milliseconds, so they are made rare.
 _COLLECT_AT = (20_000, 50, 100)
 # A stop waits this long at most for calls in progress, in seconds.
@@ -31,58 +33,78 @@
 _LEAVE_S = 1.0
 
 
+class NodeConfig(Protocol):
+    """What a node is told at its start; `NodeSettings` is one."""
+
+    name: str
+    zone: str
+    region: str
+    host: str
+    cluster: str
+    callers_port: int
+    peers_port: int
+    target_port: int
+    operators_port: int
+
+    @property
+    def platform_address(self) -> tuple[str, int]:
+        """Return the IP number and the TCP port of the platform."""
+
+
+class _Inlet:
+    """Passes events on to a node that is made after its sockets."""
+
+    def __init__(self) -> None:
+        """Refuse events until a node takes them."""
+        self.take: Callable[[Any], None] = _no_node
+
+    def __call__(self, event: Any) -> None:
+        self.take(event)
+
+
 class Node:
     """One node at work.
 
     Attributes:
         core: Its decisions.
-        streams: Streams to and from other nodes.
-        pool: Connections to the target.
-        ports: Callers' and the target's connections.
-        platform: Calls on the platform.
-        log: Where it says what it does.
     """
 
-    def __init__(self, loop: Loop, core: NodeCore, incarnation: int) -> None:
+    def __init__(self, loop: Loop, core: NodeCore, outlets: Outlets) -> None:
         """Join the parts; nothing is listened on yet."""
         self._loop = loop
-        self._incarnation = incarnation
+        self._outlets = outlets
         self._tick: Deadline | None = None
-        self._tick_at = float('inf')
+        self._tick_at = math.inf
         self._stop_by: float | None = None
         self.core = core
-        self.pool = TargetPool(loop, self.take)
-        self.pool.limit = self._connections_per_server
-        self.ports = Ports(loop, core, incarnation, self.take)
-        loop.poller.on_pause = self._paused
-        loop.on_signal = self._signalled
 
     @classmethod
-    def from_config(cls, config: Any, log: Any) -> 'Node':
+    def from_config(cls, config: NodeConfig, log: Any) -> 'Node':
         """Build a node that listens on the ports of its settings.
 
         Args:
-            config: A `NodeSettings`.
+            config: Its settings.
             log: A logger with loguru's methods.
 
         Raises:
             OSError: If a port can't be bound.
         """
         loop = Loop.create()
-        incarnation = time.time_ns() // (_US_PER_S // 1000)
-        me = Member(
-            name=config.name,
-            host=config.host,
-            port=config.peers_port,
-            zone=config.zone,
-            region=config.region,
-            incarnation=incarnation,
-        )
-        rng = random.Random(f'{config.name}-{incarnation}')
+        me = _member(config)
+        rng = random.Random(f'{me.name}-{me.incarnation}')
         core = NodeCore.from_config(me, config.cluster, (), rng, loop.now())
-        node = cls(loop, core, incarnation)
-        node.log = log
-        node._connect(config)
+        inlet = _Inlet()
+        identity = Identity(config.cluster, me.name, me.incarnation)
+        outlets = Outlets(
+            streams=Streams(loop, identity, inlet),
+            platform=PlatformClient(loop, config.platform_address, inlet),
+            ports=Ports(loop, core, me.incarnation, inlet),
+            pool=TargetPool(loop, inlet),
+            log=log,
+        )
+        node = cls(loop, core, outlets)
+        inlet.take = node.take
+        node._listen(config)
         return node
 
     def run(self) -> None:
@@ -103,24 +125,23 @@
             return
         now = self._loop.now()
         self._stop_by = now + _STOP_S
-        self.log.info('Stopping once the calls in progress are done.')
+        self._outlets.log.info('Stopping once the calls in progress are done.')
         self._carry_out(self.core.fleet.leave(now))
-        self.ports.stop_accepting()
+        self._outlets.ports.stop_accepting()
         self._loop.call_later(_LEAVE_S, self._refuse_peers)
 
-    def _connect(self, config: Any) -> None:
-        identity = Identity(config.cluster, config.name, self._incarnation)
-        self.streams = Streams(self._loop, identity, self.take)
-        self.streams.members = lambda: self.core.fleet.members
-        self.streams.awaits = self._awaits
-        self.platform = PlatformClient(
-            self._loop, config.platform_address, self.take
-        )
-        self.streams.listen(config.host, config.peers_port)
-        self.ports.listen_to_callers(config.host, config.callers_port)
-        self.ports.listen_to_target('127.0.0.1', config.target_port)
+    def _listen(self, config: NodeConfig) -> None:
+        self._loop.poller.on_pause = self._paused
+        self._loop.on_signal = self._signalled
+        outlets = self._outlets
+        outlets.pool.limit = self._connections_per_server
+        outlets.streams.members = lambda: self.core.fleet.members
+        outlets.streams.awaits = self._awaits
+        outlets.streams.listen(config.host, config.peers_port)
+        outlets.ports.listen_to_callers(config.host, config.callers_port)
+        outlets.ports.listen_to_target('127.0.0.1', config.target_port)
         listen_to_operators(
-            self, self._loop, config.host, config.operators_port
+            self.core, self._loop, config.host, config.operators_port
         )
 
     def _awaits(self, node: str) -> bool:
@@ -135,7 +156,7 @@
 
     def _carry_out(self, effects: list[Any]) -> None:
         for effect in effects:
-            perform(effect, self)
+            perform(effect, self._outlets)
         self._arm()
 
     def _arm(self) -> None:
@@ -149,12 +170,12 @@
         self._tick = self._loop.call_at(due_at, self._run_tick)
 
     def _run_tick(self) -> None:
-        self._tick_at = float('inf')
+        self._tick_at = math.inf
         self._tick = None
         self._carry_out(node_events.tick(self.core, self._loop.now()))
 
     def _paused(self, gap_s: float) -> None:
-        self.log.warning(f'Stood still for {gap_s:.1f} s.')
+        self._outlets.log.warning(f'Stood still for {gap_s:.1f} s.')
         self.take(Paused(gap_s))
 
     def _signalled(self, number: int) -> None:
@@ -167,11 +188,26 @@
 
     def _finish_stop(self) -> None:
         """End the loop once nothing is in progress or time is up."""
-        busy = self.ports.busy + len(self.core.owner.jobs)
+        busy = self._outlets.ports.busy + len(self.core.owner.jobs)
         overdue = self._loop.now() > (self._stop_by or 0)
         if busy and not overdue:
             self._loop.call_later(_STOP_CHECK_S, self._finish_stop)
             return
-        self.log.info(f'Stopped with {busy} calls in progress.')
-        self.streams.close()
+        self._outlets.log.info(f'Stopped with {busy} calls in progress.')
+        self._outlets.streams.close()
         self._loop.stop()
+
+
+def _member(config: NodeConfig) -> Member:
+    return Member(
+        name=config.name,
+        host=config.host,
+        port=config.peers_port,
+        zone=config.zone,
+        region=config.region,
+        incarnation=time.time_ns() // _NS_PER_US,
+    )
+
+
+def _no_node(event: Any) -> None:
+    raise RuntimeError(f'{event!r} came before the node was made')
