--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -298,11 +298,17 @@
 def _pick_by_key(
     call: EntryCall, candidates: tuple[Candidate, ...]
 ) -> str | Failure:
-    """Pick by rendezvous hashing, so that a re-sent call meets its first."""
+    """Pick by rendezvous hashing, so that a re-sent call meets its first.
+
+    It is offered to one target only: were it taken elsewhere when that one is
+    full, a re-send could run again there.
+    """
+    if call.tried:
+        return Failure(Reason.OVERLOADED, detail='its target takes no more')
     usable = [
         one.node
         for one in candidates
-        if one.weight > 0 and one.node not in call.tried
+        if one.weight > 0
     ]
     if not usable:
         return Failure(Reason.NO_TARGET, detail='no target is left')
