--- a/tests/coordination/test_calls.py
+++ b/tests/coordination/test_calls.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 import attrs
-from hypothesis import settings, strategies as st
+from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
@@ -29,10 +30,6 @@
 load_tests = function_tests(__name__)
 
 SLOTS = 2
-TREE = {
-    'defaults': {'slots_per_upstream': SLOTS, 'deadline_ms': 3000},
-    'services': {'docs': {}},
-}
 NODES = ('a', 'b')
 
 
@@ -45,18 +42,24 @@
     lost: bool = False
 
 
-class Calls(RuleBasedStateMachine):
-    """Delivers messages in order on streams that break at any moment."""
+class World:
+    """An entry, two targets' nodes, and what is on its way between them."""
 
     def __init__(self) -> None:
-        super().__init__()
+        """Start with warm streams and no calls."""
         self.now = 100.0
-        self.settings = Settings.from_tree(1, TREE)
+        self.settings = Settings.from_tree(
+            1,
+            {
+                'defaults': {'slots_per_upstream': SLOTS, 'deadline_ms': 3000},
+                'services': {'docs': {}},
+            },
+        )
         self.entry = Entry.from_config(
             'e', random.Random(1), EventLog.from_config()
         )
         self.entry.use_settings(self.settings, self.now)
-        self.owners = {name: self._owner(name) for name in NODES}
+        self.owners = {name: _owner(self, name) for name in NODES}
         self.entry.table.use_members(map(_member, NODES), self.now)
         self.links = {name: [Link()] for name in NODES}
         self.started: dict[str, list[str]] = {}
@@ -64,27 +67,30 @@
         self.ends: dict[str, Any] = {}
         self.repeatable: dict[str, bool] = {}
 
-    def _owner(self, name: str) -> Owner:
-        owner = Owner.from_config(name, 'z', EventLog.from_config())
-        owner.use_settings(self.settings, self.now)
-        owner.use_target(_target(name), self.now)
-        return owner
+    @property
+    def is_moving(self) -> bool:
+        """Return whether a message is on its way on a stream that holds."""
+        newest = [streams[-1] for streams in self.links.values()]
+        return any(stream.there or stream.back for stream in newest)
+
+    def to_entry(self, event: Any) -> None:
+        self.from_entry(entry_events.handle(event, self.entry, self.now))
 
-    def _to_entry(self, event: Any) -> None:
-        for effect in entry_events.handle(event, self.entry, self.now):
+    def from_entry(self, effects: list[Any]) -> None:
+        for effect in effects:
             if isinstance(effect, Send):
                 self.links[effect.node][-1].there.append(effect.message)
             elif isinstance(effect, ev.AnswerCaller):
                 assert effect.body == effect.call.encode()
-                self._end(effect.call, effect)
+                self.end(effect.call, effect)
             elif isinstance(effect, (ev.RefuseCaller, ev.CutCaller)):
-                self._end(effect.call, effect)
+                self.end(effect.call, effect)
 
-    def _to_owner(self, name: str, event: Any) -> None:
+    def to_owner(self, name: str, event: Any) -> None:
         owner = self.owners[name]
-        self._carry_out(name, owner_events.handle(event, owner, self.now))
+        self.carry_out(name, owner_events.handle(event, owner, self.now))
 
-    def _carry_out(self, name: str, effects: list[Any]) -> None:
+    def carry_out(self, name: str, effects: list[Any]) -> None:
         for effect in effects:
             if isinstance(effect, ev.Reply):
                 self.links[name][-1].back.append(effect.message)
@@ -92,79 +98,91 @@
                 self.started.setdefault(effect.call, []).append(name)
                 self.at_target[effect.call] = name
 
-    def _end(self, call: str, effect: Any) -> None:
+    def end(self, call: str, effect: Any) -> None:
         assert call not in self.ends, 'one end for each call'
         self.ends[call] = effect
 
+
+class Calls(RuleBasedStateMachine):
+    """Delivers messages in order on streams that break at any moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+
     @rule(method=st.sampled_from((b'GET', b'POST')))
     def arrive(self, method: bytes) -> None:
-        call = f'c{len(self.repeatable)}'
-        self.repeatable[call] = method == b'GET'
-        self._to_entry(
+        call = f'c{len(self.world.repeatable)}'
+        self.world.repeatable[call] = method == b'GET'
+        self.world.to_entry(
             ev.Arrived(
-                call, 'docs', 't', method, b'/x', (), b'', '', self.now + 3
+                call,
+                'docs',
+                't',
+                method,
+                b'/x',
+                (),
+                b'',
+                '',
+                self.world.now + 3,
             )
         )
 
     @rule(name=st.sampled_from(NODES), newest_first=st.booleans())
     def deliver(self, name: str, newest_first: bool) -> None:
         """Deliver what waits on a node's streams; between them in any order."""
-        for link in self.links[name][:: -1 if newest_first else 1]:
+        for link in self.world.links[name][:: -1 if newest_first else 1]:
             while link.there:
                 received = ev.FromNode('e', link.there.popleft())
-                self._to_owner(name, received)
+                self.world.to_owner(name, received)
 
     @rule(name=st.sampled_from(NODES))
     def deliver_one(self, name: str) -> None:
-        link = self.links[name][-1]
+        link = self.world.links[name][-1]
         if link.there:
-            self._to_owner(name, ev.FromNode('e', link.there.popleft()))
+            self.world.to_owner(name, ev.FromNode('e', link.there.popleft()))
 
     @rule(name=st.sampled_from(NODES))
     def deliver_back(self, name: str) -> None:
-        link = self.links[name][-1]
+        link = self.world.links[name][-1]
         while link.back:
-            self._to_entry(ev.FromNode(name, link.back.popleft()))
+            self.world.to_entry(ev.FromNode(name, link.back.popleft()))
 
     @rule()
     def settle(self) -> None:
         """Deliver all there is, as a network without faults does."""
-        while any(link[-1].there or link[-1].back for link in self._links):
+        while self.world.is_moving:
             for name in NODES:
                 self.deliver(name, newest_first=False)
                 self.deliver_back(name)
 
-    @property
-    def _links(self) -> list[list[Link]]:
-        return list(self.links.values())
-
-    @rule(data=st.data())
-    def answer(self, data: Any) -> None:
-        if self.at_target:
-            call = data.draw(st.sampled_from(sorted(self.at_target)))
-            name = self.at_target.pop(call)
+    @rule(draw=st.data())
+    def answer(self, draw: Any) -> None:
+        if self.world.at_target:
+            call = draw.draw(st.sampled_from(sorted(self.world.at_target)))
+            name = self.world.at_target.pop(call)
             head = ev.TargetHead(call, 200, (), call.encode(), last=True)
-            self._to_owner(name, head)
+            self.world.to_owner(name, head)
 
-    @rule(data=st.data(), sent=st.booleans())
-    def fail(self, data: Any, sent: bool) -> None:
-        if self.at_target:
-            call = data.draw(st.sampled_from(sorted(self.at_target)))
-            name = self.at_target.pop(call)
+    @rule(draw=st.data(), sent=st.booleans())
+    def fail(self, draw: Any, sent: bool) -> None:
+        if self.world.at_target:
+            call = draw.draw(st.sampled_from(sorted(self.world.at_target)))
+            name = self.world.at_target.pop(call)
             if not sent:
-                self.started[call].remove(name)
-            self._to_owner(name, ev.TargetFailed(call, sent, sent, ''))
+                self.world.started[call].remove(name)
+            self.world.to_owner(name, ev.TargetFailed(call, sent, sent, ''))
 
     @rule(name=st.sampled_from(NODES), noticed=st.booleans())
     def lose_stream(self, name: str, noticed: bool) -> None:
         """Break a stream; unless its node notices, old bytes still arrive."""
-        old = self.links[name][-1]
+        old = self.world.links[name][-1]
         old.back.clear()
-        self.links[name].append(Link())
+        self.world.links[name].append(Link())
         if noticed:
             old.there.clear()
-            self._to_owner(name, ev.PeerLost('e'))
-        self._to_entry(ev.StreamLost(name))
+            self.world.to_owner(name, ev.PeerLost('e'))
+        self.world.to_entry(ev.StreamLost(name))
 
     @rule(method=st.sampled_from((b'GET', b'POST')))
     def arrive_as_streams_break(self, method: bytes) -> None:
@@ -175,47 +193,52 @@
 
     @rule(name=st.sampled_from(NODES))
     def freeze(self, name: str) -> None:
-        self._to_owner(name, ev.Paused(1))
+        self.world.to_owner(name, ev.Paused(1))
 
     @rule(name=st.sampled_from(NODES))
     def pong(self, name: str) -> None:
-        owner = self.owners[name]
+        owner = self.world.owners[name]
         nonce = owner.stale_peers.get('e')
         if nonce is not None:
-            self._to_owner(name, ev.FromNode('e', msg.Pong(nonce, 0)))
+            self.world.to_owner(name, ev.FromNode('e', msg.Pong(nonce, 0)))
 
     @rule(seconds=st.sampled_from((0.05, 0.6, 4.0)))
     def wait(self, seconds: float) -> None:
-        self.now += seconds
-        for name, owner in self.owners.items():
-            self._carry_out(name, owner.tick(self.now))
-        for effect in self.entry.tick(self.now):
-            if isinstance(effect, Send):
-                self.links[effect.node][-1].there.append(effect.message)
-            elif isinstance(effect, (ev.RefuseCaller, ev.CutCaller)):
-                self._end(effect.call, effect)
+        self.world.now += seconds
+        for name, owner in self.world.owners.items():
+            self.world.carry_out(name, owner.tick(self.world.now))
+        self.world.from_entry(self.world.entry.tick(self.world.now))
 
     @invariant()
     def runs_at_most_once(self) -> None:
-        for call, nodes in self.started.items():
-            assert self.repeatable[call] or len(nodes) <= 1, call
+        for call, nodes in self.world.started.items():
+            assert self.world.repeatable[call] or len(nodes) <= 1, call
 
     @invariant()
     def not_run_is_true(self) -> None:
-        for call, end in self.ends.items():
+        for call, end in self.world.ends.items():
             if isinstance(end, ev.RefuseCaller):
                 if end.failure.outcome == Outcome.NOT_RUN:
-                    assert not self.started.get(call), call
+                    assert not self.world.started.get(call), call
 
     @invariant()
     def slots_hold(self) -> None:
         for name in NODES:
-            held = [one for one in self.at_target.values() if one == name]
+            held = [one for one in self.world.at_target.values() if one == name]
             assert len(held) <= SLOTS
 
     def teardown(self) -> None:
         self.wait(4.0)
-        assert set(self.ends) == set(self.repeatable), 'an end for each call'
+        assert set(self.world.ends) == set(self.world.repeatable), (
+            'an end for each call'
+        )
+
+
+def _owner(world: World, name: str) -> Owner:
+    owner = Owner.from_config(name, 'z', EventLog.from_config())
+    owner.use_settings(world.settings, world.now)
+    owner.use_target(_target(name), world.now)
+    return owner
 
 
 def _target(name: str) -> Target:
