--- a/standins/caller.py
+++ b/standins/caller.py
@@ -15,7 +15,8 @@
 
 ID_HEADER = 'x-call-id'
 OUTCOME_HEADER = 'daisyline-outcome'
-SUCCESSES = range(200, 300)
+SUCCESS = 2
+STATUS_CLASS = 100
 MS_PER_S = 1000
 
 
@@ -30,7 +31,8 @@
         method: The method of each call.
         tenant: The tenant named in `X-Tenant`, if any.
         delay_ms: Latency of the way to the entry node, one way.
-        seed: Sets the moments of sending and the choice of entry.
+        seed: Sets the moments of sending.
+        label: Tells the calls of one caller from another's in their ids.
     """
 
     service: str
@@ -40,6 +42,7 @@
     tenant: str = ''
     delay_ms: float = 0
     seed: int = 1
+    label: str = 'call'
 
     def request(self, call_id: str) -> Message:
         """Build the request of one call."""
@@ -88,7 +91,7 @@
     refused = outcome.headers.get(OUTCOME_HEADER)
     if refused is not None:
         return Ending(refused)
-    if outcome.status not in SUCCESSES:
+    if outcome.status // STATUS_CLASS != SUCCESS:
         return Ending.FAILED
     content = outcome.json() or {}
     echoed = (outcome.headers.get(ID_HEADER), content.get('call'))
@@ -106,13 +109,14 @@
         self.tally = Tally()
         self.on_end: Callable[[EndedCall], None] = _ignore
         self._loop = loop
-        self._random = random.Random(plan.seed)
         self._pools = itertools.cycle(
             [ClientPool(loop, host, port) for host, port in entries]
         )
+        self._prefix = f'{plan.service}-{plan.label}'
+        self._random = random.Random(f'{self._prefix}-{plan.seed}')
         self._numbers = itertools.count(1)
-        self._next_at = 0.0
-        self._until = 0.0
+        self._next_at = float(0)
+        self._until = float(0)
 
     @property
     def done(self) -> bool:
@@ -141,8 +145,7 @@
 
     def _send(self, intended_at: float) -> None:
         self.tally.sent += 1
-        number = next(self._numbers)
-        call_id = f'{self.plan.service}-{self.plan.seed}-{number}'
+        call_id = f'{self._prefix}-{next(self._numbers)}'
         go = functools.partial(self._go, call_id, intended_at)
         self._after_delay(go)
 
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,205 @@
+"""Run both deployments for some seconds and judge what callers saw."""
+
+import functools
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+from daisyline.transport.loop import Loop
+from standins.caller import Caller, CallPlan
+from standins.deployment import ServicePlan
+from standins.fleet import Fleet, Place
+from standins.http import Lost, Message
+from standins.http_client import Client
+from standins.processes import HOST
+from standins.tally import Ending, Tally
+from standins.up import Up, say
+
+DEMO_S = 10.0
+CALLS_PER_S = 40.0
+ORDERS_PER_S = 5.0
+READY_WITHIN_S = 60.0
+LAST_ANSWERS_S = 12.0
+CHECK_S = 0.1
+LEAST_ANSWERED = 0.99
+MEDIAN = 50
+TAIL = 99
+COLUMNS = (
+    'service',
+    'calls',
+    'answered',
+    'not run',
+    'unknown',
+    'failed',
+    'cut',
+    'wrong',
+    'p50 ms',
+    'p99 ms',
+)
+SHOWN_ENDINGS = (
+    Ending.ANSWERED,
+    Ending.NOT_RUN,
+    Ending.UNKNOWN,
+    Ending.FAILED,
+    Ending.CUT,
+    Ending.WRONG,
+)
+
+
+class Demo(Up):
+    """Calls every service once all nodes serve, then ends all.
+
+    Attributes:
+        problems: What went wrong, in plain sentences.
+    """
+
+    def __init__(self, loop: Loop) -> None:
+        """Prepare; nothing is started."""
+        super().__init__(loop)
+        self.problems: list[str] = []
+        self._loop = loop
+        self._callers: list[Caller] = []
+        self._records_due = 0
+        self._give_up = loop.call_later(READY_WITHIN_S, self._not_ready)
+        self.processes.on_exit = self._note_exit
+
+    def ready(self) -> None:
+        """Start to call."""
+        self._give_up.cancel()
+        say(f'all nodes serve; calling for {DEMO_S:.0f} s')
+        for fleet in self.fleets:
+            for service in fleet.deployment.services:
+                self._callers.extend(_callers_of(self._loop, fleet, service))
+        for caller in self._callers:
+            caller.start(DEMO_S)
+        self._give_up = self._loop.call_later(
+            DEMO_S + LAST_ANSWERS_S, self._report
+        )
+        self._wait_for_answers()
+
+    def _wait_for_answers(self) -> None:
+        if all(caller.done for caller in self._callers):
+            self._give_up.cancel()
+            self._report()
+        else:
+            self._loop.call_later(CHECK_S, self._wait_for_answers)
+
+    def _report(self) -> None:
+        say(_row(COLUMNS))
+        for service, tally in sorted(self._tallies().items()):
+            say(_row((service, *_cells(tally))))
+            self.problems.extend(_problems_of(service, tally))
+        self._ask_targets()
+
+    def _tallies(self) -> dict[str, Tally]:
+        tallies: dict[str, Tally] = {}
+        for caller in self._callers:
+            tally = tallies.setdefault(caller.plan.service, Tally())
+            tally.add(caller.tally)
+        return tallies
+
+    def _ask_targets(self) -> None:
+        """Read what each target recorded of broken limits."""
+        places = [place for fleet in self.fleets for place in fleet.places]
+        self._records_due = len(places)
+        for place in places:
+            client = Client.dial(self._loop, HOST, place.control_port)
+            request = Message('GET', '/control/calls')
+            client.call(request, functools.partial(self._recorded, place))
+
+    def _recorded(self, place: Place, ending: Message | Lost) -> None:
+        self.problems.extend(_violations_of(place.target_name, ending))
+        self._records_due -= 1
+        if not self._records_due:
+            self.stop()
+
+    def _note_exit(self, name: str, code: int) -> None:
+        self.problems.append(f'{name} ended by itself with code {code}')
+
+    def _not_ready(self) -> None:
+        self.problems.append(f'not all nodes served in {READY_WITHIN_S:.0f} s')
+        self.stop()
+
+
+def _callers_of(
+    loop: Loop, fleet: Fleet, service: ServicePlan
+) -> Iterator[Caller]:
+    """Make one caller that looks things up and one that orders."""
+    entries = fleet.entries(service.name)
+    client_ms = fleet.deployment.client_ms
+    for method, path, rate in (
+        ('GET', '/stock', CALLS_PER_S),
+        ('POST', '/orders', ORDERS_PER_S),
+    ):
+        plan = CallPlan(
+            service=service.name,
+            rate=rate,
+            path=path,
+            method=method,
+            tenant=fleet.deployment.name,
+            delay_ms=client_ms,
+            label=method,
+        )
+        yield Caller(loop, plan, entries)
+
+
+def _cells(tally: Tally) -> list[str]:
+    counts = [tally.endings[ending] for ending in SHOWN_ENDINGS]
+    latencies = [tally.percentile_ms(rank) for rank in (MEDIAN, TAIL)]
+    return [
+        str(tally.sent),
+        *map(str, counts),
+        *(f'{latency:.1f}' for latency in latencies),
+    ]
+
+
+def _row(cells: tuple[str, ...]) -> str:
+    first, *others = cells
+    aligned = ' '.join(f'{cell:>8}' for cell in others)
+    return f'{first:<10} {aligned}'
+
+
+def _problems_of(service: str, tally: Tally) -> Iterator[str]:
+    """Tell what a caller of a service may not have seen."""
+    for ending in (Ending.FAILED, Ending.CUT, Ending.WRONG):
+        count = tally.endings[ending]
+        if count:
+            yield f'{service}: {count} calls ended {ending}'
+    if tally.pending:
+        yield f'{service}: {tally.pending} calls never ended'
+    answered = tally.endings[Ending.ANSWERED]
+    if answered < LEAST_ANSWERED * tally.sent or not answered:
+        yield f'{service}: just {answered} of {tally.sent} were answered'
+
+
+@functools.singledispatch
+def _violations_of(ending: Any, name: str) -> list[str]:
+    """Tell what a target recorded of broken limits."""
+    return [f'{name} did not give its records']
+
+
+@_violations_of.register
+def _(ending: Message, name: str) -> list[str]:
+    violations = (ending.json() or {}).get('violations', [])
+    limits = sorted({entry['limit'] for entry in violations})
+    return [f'{name}: limit {limit} was broken' for limit in limits]
+
+
+def main() -> int:
+    """Run the demonstration.
+
+    Returns:
+        The exit code: 0 if nothing went wrong.
+    """
+    loop = Loop.create()
+    demo = Demo(loop)
+    demo.start()
+    loop.run()
+    for problem in demo.problems:
+        say(f'problem: {problem}')
+    say('demo failed' if demo.problems else 'demo passed')
+    return 1 if demo.problems else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -78,6 +78,11 @@
             },
         }
 
+    @property
+    def settings(self) -> dict[str, Any]:
+        """Return the platform's object that holds the tree."""
+        return {'tree': self.tree, 'changes': []}
+
 
 STOFBRIL = Deployment(
     name='stofbril',
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,206 @@
+"""The launcher of one deployment: its platform, nodes and targets."""
+
+import functools
+import json
+from collections.abc import Callable
+
+import attrs
+
+from daisyline.transport.loop import Loop
+from standins.deployment import Deployment, Instance
+from standins.http import Lost, Message
+from standins.http_client import Client
+from standins.processes import HOST, Ports, Processes
+
+STAGGER_S = 0.05
+RETRY_S = 0.25
+OK = 200
+NODE_MODULE = 'daisyline.programs.node'
+TARGET_MODULE = 'standins.target'
+PLATFORM_MODULE = 'standins.platform'
+
+
+@attrs.frozen
+class Place:
+    """The ports of a target and of the node beside it."""
+
+    instance: Instance
+    callers_port: int
+    peers_port: int
+    node_target_port: int
+    operators_port: int
+    calls_port: int
+    control_port: int
+    seed: int
+
+    @classmethod
+    def from_ports(cls, instance: Instance, ports: Ports, seed: int) -> 'Place':
+        """Take free ports for an instance."""
+        return cls(instance, *(ports.take() for _ in range(6)), seed=seed)
+
+    @property
+    def node_name(self) -> str:
+        """Return the name of the node's process."""
+        return self.instance.name
+
+    @property
+    def target_name(self) -> str:
+        """Return the name of the target's process."""
+        return f'target-{self.node_name}'
+
+
+class Fleet:
+    """Starts a deployment's processes and tells when they serve."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        deployment: Deployment,
+        ports: Ports,
+        processes: Processes,
+    ) -> None:
+        """Take ports; nothing is started."""
+        self.deployment = deployment
+        self.platform_port = ports.take()
+        self.places = [
+            Place.from_ports(instance, ports, seed)
+            for seed, instance in enumerate(deployment.instances)
+        ]
+        self._loop = loop
+        self._processes = processes
+        self._waiting: set[str] = set()
+
+    @property
+    def platform_name(self) -> str:
+        """Return the name of the platform's process."""
+        name = self.deployment.name
+        return f'platform-{name}'
+
+    def entries(self, service: str) -> list[tuple[str, int]]:
+        """Return the callers' addresses of a service's nodes."""
+        return [
+            (HOST, place.callers_port)
+            for place in self.places
+            if place.instance.service.name == service
+        ]
+
+    def start(self, on_ready: Callable[[], None]) -> None:
+        """Start all; `on_ready` is called once every node serves."""
+        self.start_platform()
+        self._waiting = {place.node_name for place in self.places}
+        for number, place in enumerate(self.places, start=1):
+            self._loop.call_later(
+                STAGGER_S * number,
+                functools.partial(self._start_place, place, on_ready),
+            )
+
+    def start_platform(self) -> None:
+        """Start the platform with the deployment's settings."""
+        self._processes.start(
+            self.platform_name,
+            PLATFORM_MODULE,
+            port=self.platform_port,
+            settings=json.dumps(self.deployment.settings),
+        )
+
+    def start_node(self, place: Place) -> None:
+        """Start the node of a place."""
+        self._processes.start(
+            place.node_name,
+            NODE_MODULE,
+            name=place.node_name,
+            zone=place.instance.zone,
+            region=self.deployment.region,
+            cluster=self.deployment.name,
+            host=HOST,
+            callers_port=place.callers_port,
+            peers_port=place.peers_port,
+            target_port=place.node_target_port,
+            operators_port=place.operators_port,
+            platform=f'http://{HOST}:{self.platform_port}',
+        )
+
+    def start_target(self, place: Place, version: str = 'v1') -> None:
+        """Start the target of a place."""
+        service = place.instance.service
+        self._processes.start(
+            place.target_name,
+            TARGET_MODULE,
+            port=place.calls_port,
+            control_port=place.control_port,
+            node_target_port=place.node_target_port,
+            seed=place.seed,
+            service=service.name,
+            version=version,
+            slots=service.slots,
+            connections=service.connections,
+            service_ms=service.service_ms,
+        )
+
+    def _start_place(self, place: Place, on_ready: Callable[[], None]) -> None:
+        self.start_node(place)
+        self.start_target(place)
+        self._ask(place, on_ready)
+
+    def _ask(self, place: Place, on_ready: Callable[[], None]) -> None:
+        """Ask a node for its status, then through it for its service."""
+        answered = functools.partial(self._status, place, on_ready)
+        self._call(place.operators_port, '/status', '', answered)
+
+    def _status(
+        self,
+        place: Place,
+        on_ready: Callable[[], None],
+        ending: Message | Lost,
+    ) -> None:
+        if not _is_ok(ending):
+            self._ask_again(place, on_ready)
+            return
+        served = functools.partial(self._served, place, on_ready)
+        service = place.instance.service.name
+        self._call(place.callers_port, '/ready', service, served)
+
+    def _served(
+        self,
+        place: Place,
+        on_ready: Callable[[], None],
+        ending: Message | Lost,
+    ) -> None:
+        if not _is_ok(ending):
+            self._ask_again(place, on_ready)
+            return
+        self._waiting.discard(place.node_name)
+        if not self._waiting:
+            on_ready()
+
+    def _ask_again(self, place: Place, on_ready: Callable[[], None]) -> None:
+        again = functools.partial(self._ask, place, on_ready)
+        self._loop.call_later(RETRY_S, again)
+
+    def _call(
+        self,
+        port: int,
+        path: str,
+        service: str,
+        on_end: Callable[[Message | Lost], None],
+    ) -> None:
+        """Call once over a connection of its own."""
+        client = Client.dial(self._loop, HOST, port)
+
+        def ended(ending: Message | Lost) -> None:
+            client.connection.abort()
+            on_end(ending)
+
+        headers = {'Host': service or HOST}
+        client.call(Message('GET', path, headers=headers), ended)
+
+
+@functools.singledispatch
+def _is_ok(_ending: object) -> bool:
+    """Return whether a call was answered with success."""
+    return False
+
+
+@_is_ok.register
+def _(ending: Message) -> bool:
+    return ending.status == OK
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,132 @@
+"""Child processes of the launcher, started, watched and ended."""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+
+import attrs
+
+from daisyline.transport.loop import Loop
+
+HOST = '127.0.0.1'
+# Below the range that the kernel takes ports for outgoing connections from.
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+CHECK_S = 0.1
+KILL_AFTER_S = 10.0
+
+
+@attrs.define
+class Ports:
+    """Finds free TCP ports on loopback, each given out once."""
+
+    _next: int
+
+    @classmethod
+    def from_random(cls) -> 'Ports':
+        """Begin anywhere, so that several launchers rarely meet."""
+        return cls(random.randrange(FIRST_PORT, LAST_PORT))
+
+    def take(self) -> int:
+        """Return a free port."""
+        while True:
+            port = self._next
+            self._next = port + 1 if port < LAST_PORT else FIRST_PORT
+            if _is_free(port):
+                return port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+class Processes:
+    """Children by name.
+
+    Attributes:
+        on_exit: Called with the name and the exit code of a child that ended
+            before it was told to.
+    """
+
+    def __init__(self, loop: Loop) -> None:
+        """Start without children."""
+        self.on_exit: Callable[[str, int], None] = _ignore_exit
+        self._loop = loop
+        self._children: dict[str, subprocess.Popen[bytes]] = {}
+        self._ending: set[str] = set()
+        self._on_all_ended: Callable[[], None] | None = None
+        self._check()
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the children that run."""
+        return list(self._children)
+
+    def start(self, name: str, module: str, /, **flags: object) -> None:
+        """Start a Python module; `None` flags are left out."""
+        assert name not in self._children, f'{name} runs already'
+        command = [sys.executable, '-m', module]
+        for flag, setting in flags.items():
+            if setting is not None:
+                dashed = flag.replace('_', '-')
+                command.extend((f'--{dashed}', str(setting)))
+        # A session of its own keeps a Ctrl-C for the launcher to pass on.
+        self._ending.discard(name)
+        self._children[name] = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            env={'DAISYLINE_LOG_LEVEL': 'ERROR', **os.environ},
+            start_new_session=True,
+        )
+
+    def pid(self, name: str) -> int:
+        """Return a child's process id."""
+        return self._children[name].pid
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a child a signal; its end then counts as asked for."""
+        child = self._children.get(name)
+        if child is not None:
+            if number in {signal.SIGTERM, signal.SIGKILL}:
+                self._ending.add(name)
+            child.send_signal(number)
+
+    def stop_all(self, on_ended: Callable[[], None]) -> None:
+        """End all children, in order if they can; then call a function."""
+        self._on_all_ended = on_ended
+        for name in self.names:
+            self.signal(name, signal.SIGTERM)
+        self._loop.call_later(KILL_AFTER_S, self.kill_all)
+
+    def kill_all(self) -> None:
+        """End all children at once."""
+        for name in self.names:
+            self.signal(name, signal.SIGKILL)
+
+    def _check(self) -> None:
+        """Reap children that have ended."""
+        for name, child in list(self._children.items()):
+            code = child.poll()
+            if code is not None:
+                self._children.pop(name)
+                if name not in self._ending:
+                    self.on_exit(name, code)
+        if self._on_all_ended is not None and not self._children:
+            on_ended = self._on_all_ended
+            self._on_all_ended = None
+            on_ended()
+        self._loop.call_later(CHECK_S, self._check)
+
+
+def _ignore_exit(_name: str, _code: int) -> None:
+    """Do nothing."""
