Let the demo read the targets' records

Cause: the demo handed the name and the answer over the wrong way round, so every target seemed to hide its records.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -108,7 +108,7 @@
             client.call(request, functools.partial(self._recorded, place))
 
     def _recorded(self, place: Place, ending: Message | Lost) -> None:
-        self.problems.extend(_violations_of(place.target_name, ending))
+        self.problems.extend(_violations_of(ending, place.target_name))
         self._records_due -= 1
         if not self._records_due:
             self.stop()
