--- a/daisyline/state/settings_history.py
+++ b/daisyline/state/settings_history.py
@@ -18,7 +18,7 @@
 MAX_CHANGES = 64
 MAX_SENTENCE = 400
 # A change with more edits is kept without them, to bound the object.
-MAX_KEPT_EDITS = 100
+MAX_KEPT_EDITS = 40
 
 _TREE = 'tree'
 _CHANGES = 'changes'
