--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -120,7 +120,7 @@
         fields = self._section('rollouts').get(service)
         if fields is None:
             return None
-        return RolloutPlan.from_fields(service, fields)
+        return RolloutPlan(service=service, **fields)
 
     def _section(self, name: str) -> Mapping[str, Any]:
         return self.tree.get(name, {})
