Give operators a command for settings, zones, rollouts and status

The command is a thin shell: flags become an intent, SettingsChange decides what to read and write, the edge prints a result or one UserError with its exit code.

--- a/daisyline/coordination/settings_change.py
+++ b/daisyline/coordination/settings_change.py
@@ -12,16 +12,25 @@
     PlatformReply,
     PlatformWrite,
 )
+from daisyline.coordination.settings_endings import (
+    Applied,
+    Author,
+    Clashed,
+    Ending,
+    Mistaken,
+    Pause,
+    Resume,
+    Unchanged,
+)
 from daisyline.coordination.settings_intents import (
     base_of,
     intended_tree,
     replaces_all,
     sentence_of,
 )
-from daisyline.state.failures import Failure, Finding, Outcome, Reason
+from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings_check import check_tree
 from daisyline.state.settings_edits import (
-    Clash,
     Edit,
     apply_edits,
     canonical,
@@ -46,90 +55,6 @@
 _FIRST_SERVER_ERROR = 500
 
 
-@attrs.frozen
-class Pause:
-    """Wait, then hand in `Resume`.
-
-    Attributes:
-        seconds: How long.
-        why: One sentence for people.
-    """
-
-    seconds: float
-    why: str = ''
-
-
-@attrs.frozen
-class Resume:
-    """Say that a pause is over."""
-
-
-@attrs.frozen
-class Author:
-    """Who asks for a change.
-
-    Attributes:
-        change_id: Names the change; unique.
-        by: The operator.
-        at: The time of the request, in UTC and ISO form.
-    """
-
-    change_id: str
-    by: str
-    at: str
-
-
-@attrs.frozen
-class Applied:
-    """The change is in the store.
-
-    Attributes:
-        version: A version that holds it.
-        edits: What was edited.
-        rounds: How many writes were tried.
-    """
-
-    version: int
-    edits: tuple[Edit, ...]
-    rounds: int
-
-
-@attrs.frozen
-class Unchanged:
-    """The settings were as wanted already, nothing was written."""
-
-    version: int
-
-
-@attrs.frozen
-class Clashed:
-    """Another operator changed the same places; nothing was written.
-
-    Attributes:
-        version: The version in force.
-        clashes: Both edits of each place.
-    """
-
-    version: int
-    clashes: tuple[Clash, ...]
-
-
-@attrs.frozen
-class Mistaken:
-    """The tree has mistakes; nothing was written.
-
-    Attributes:
-        findings: Every mistake.
-        stored: Whether they are in the settings that are in force.
-    """
-
-    findings: tuple[Finding, ...]
-    stored: bool = False
-
-
-Ending = Applied | Unchanged | Clashed | Mistaken | Failure
-
-
 @attrs.define
 class SettingsChange:
     """One change on its way into the store.
--- /dev/null
+++ b/daisyline/coordination/settings_in_force.py
@@ -0,0 +1,53 @@
+"""Follow a change until it is in force on every node."""
+
+import attrs
+
+from daisyline.state.fleet_status import FleetStatus
+
+POLL_S = 0.25
+
+
+@attrs.define
+class InForce:
+    """The nodes that lack a version of the settings, as one node sees them.
+
+    Attributes:
+        version: The version that is wanted.
+        asked: Whether any node has answered.
+        total: How many nodes there are.
+        lacking: The names of those that hold older settings.
+    """
+
+    version: int
+    _until: float
+    asked: bool = False
+    total: int = 0
+    lacking: tuple[str, ...] = ()
+
+    @classmethod
+    def from_config(cls, version: int, wait_s: float, now: float) -> 'InForce':
+        """Build it for a version and a time to wait, in seconds."""
+        return cls(version, now + wait_s)
+
+    @property
+    def everywhere(self) -> bool:
+        """Return whether every node that is known holds the version."""
+        return self.asked and not self.lacking
+
+    def observe(self, status: FleetStatus) -> None:
+        """Take in what a node says of all nodes."""
+        held = {
+            member.name: member.settings_version for member in status.members
+        }
+        held[status.name] = status.settings_version
+        self.asked = True
+        self.total = len(held)
+        self.lacking = tuple(
+            sorted(name for name, had in held.items() if had < self.version)
+        )
+
+    def pause_s(self, now: float) -> float | None:
+        """Return how long to wait before asking again; None at the end."""
+        if self.everywhere or now >= self._until:
+            return None
+        return min(POLL_S, self._until - now)
--- /dev/null
+++ b/daisyline/programs/operator_errors.py
@@ -0,0 +1,105 @@
+"""The one error that the operators' command shows, and its exit codes."""
+
+import enum
+import functools
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.settings_endings import (
+    Clashed,
+    Mistaken,
+)
+from daisyline.state.failures import Failure, Finding, Outcome, Reason
+from daisyline.state.settings_edits import ABSENT, Edit
+from daisyline.state.settings_rules import shown
+
+
+class ExitCode(enum.IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    PLATFORM_DOWN = 4
+    NOT_IN_FORCE = 5
+
+
+@attrs.frozen
+class UserError(Exception):
+    """An error for people; it is printed as it is.
+
+    Attributes:
+        lines: What went wrong and what to do.
+        code: The command's exit code.
+    """
+
+    lines: tuple[str, ...]
+    code: ExitCode = ExitCode.FAILED
+
+
+def usage(line: str) -> UserError:
+    """Return the error for a wrong command line."""
+    return UserError((line,), ExitCode.USAGE)
+
+
+def with_findings(findings: Iterable[Finding]) -> UserError:
+    """Return the error that lists every mistake."""
+    lines = tuple(str(finding) for finding in findings)
+    return UserError(lines, ExitCode.USAGE)
+
+
+_NO_ERROR: UserError | None = None
+
+
+@functools.singledispatch
+def error_of(ending: Any) -> UserError | None:
+    """Return the error of a change that was not made; None if it was."""
+    return _NO_ERROR
+
+
+@error_of.register
+def _failure(ending: Failure) -> UserError:
+    codes = {
+        Reason.PLATFORM_DOWN: ExitCode.PLATFORM_DOWN,
+        Reason.CONFLICT: ExitCode.CONFLICT,
+        Reason.NOT_FOUND: ExitCode.USAGE,
+    }
+    lines = [ending.detail or str(ending.reason)]
+    if ending.outcome is Outcome.UNKNOWN:
+        lines.append(
+            'It is not known whether the change was made: '
+            'see daisyline config history.'
+        )
+    else:
+        lines.append('Nothing was changed.')
+    return UserError(tuple(lines), codes.get(ending.reason, ExitCode.FAILED))
+
+
+@error_of.register
+def _mistaken(ending: Mistaken) -> UserError:
+    lines = [str(finding) for finding in ending.findings]
+    if ending.stored:
+        lines.append(
+            'These mistakes are in the stored settings: put a checked tree '
+            'in their place by config apply --whole FILE.'
+        )
+    lines.append('Nothing was changed.')
+    return UserError(tuple(lines), ExitCode.USAGE)
+
+
+@error_of.register
+def _clashed(ending: Clashed) -> UserError:
+    lines = [f'Another operator made version {ending.version}.']
+    for clash in ending.clashes:
+        lines.append(_side('yours', clash.ours))
+        lines.append(_side('in force', clash.theirs))
+    lines.append('Nothing was changed. Take a new copy by config show.')
+    return UserError(tuple(lines), ExitCode.CONFLICT)
+
+
+def _side(whose: str, edit: Edit) -> str:
+    content = 'nothing' if edit.new is ABSENT else shown(edit.new)
+    return f'{edit.name}: {whose} {content}'
--- /dev/null
+++ b/daisyline/programs/operator_output.py
@@ -0,0 +1,45 @@
+"""Print tables for people and JSON for programs."""
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+RED = '31'
+GREEN = '32'
+YELLOW = '33'
+
+_GAP = '  '
+
+
+def say(text: str) -> None:
+    """Print one line of the result."""
+    sys.stdout.write(f'{text}\n')
+
+
+def progress(text: str) -> None:
+    """Print one line for people that is no part of the result."""
+    sys.stderr.write(f'{text}\n')
+
+
+def say_json(content: Any) -> None:
+    """Print a JSON value."""
+    say(json.dumps(content, indent=2, sort_keys=True, default=str))
+
+
+def say_table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print rows in columns as wide as their widest entry."""
+    lines = [list(head), *([str(cell) for cell in row] for row in rows)]
+    columns = list(zip(*lines, strict=True))
+    widths = [max(map(len, column)) for column in columns]
+    for line in lines:
+        cells = zip(line, widths, strict=True)
+        padded = [cell.ljust(width) for cell, width in cells]
+        say(_GAP.join(padded).rstrip())
+
+
+def paint(text: str, colour: str) -> str:
+    """Return a text in colour if a terminal shows it."""
+    if not sys.stdout.isatty():
+        return text
+    return f'\033[{colour}m{text}\033[0m'
--- /dev/null
+++ b/daisyline/programs/operator_settings.py
@@ -0,0 +1,153 @@
+"""Carry out a change of the settings and wait until it is in force."""
+
+import datetime
+import functools
+import random
+import time
+import uuid
+from typing import Any
+
+from daisyline.coordination.effects import (
+    PlatformRead,
+    PlatformReply,
+    PlatformWrite,
+)
+from daisyline.coordination.settings_change import SettingsChange
+from daisyline.coordination.settings_endings import (
+    Applied,
+    Author,
+    Pause,
+    Resume,
+    Unchanged,
+)
+from daisyline.coordination.settings_in_force import InForce
+from daisyline.programs.operator_context import Common, read_status
+from daisyline.programs.operator_errors import (
+    ExitCode,
+    UserError,
+    error_of,
+)
+from daisyline.programs.operator_output import progress, say, say_json
+from daisyline.transport import operator_client
+
+PLATFORM_PATIENCE_S = 20.0
+MAX_NAMED_NODES = 10
+
+
+def make_change(common: Common, intent: Any) -> int:
+    """Make a change, wait until it is in force, and say so.
+
+    Raises:
+        UserError: If it was not made, or is not in force in time.
+    """
+    ending = _carried_out(common, intent)
+    error = error_of(ending)
+    if error is not None:
+        raise error
+    _tell(common, ending)
+    if common.nodes and common.wait_s > 0:
+        _wait(common, ending.version)
+    elif not common.nodes:
+        progress('Not waited until it is in force: no --nodes given.')
+    return ExitCode.DONE
+
+
+def now_in_utc() -> str:
+    """Return the time of day for the history."""
+    return datetime.datetime.now(datetime.UTC).isoformat(timespec='seconds')
+
+
+def _carried_out(common: Common, intent: Any) -> Any:
+    author = Author(str(uuid.uuid4()), common.author, now_in_utc())
+    give_up_at = time.monotonic() + PLATFORM_PATIENCE_S
+    change = SettingsChange.from_config(
+        intent, author, give_up_at, random.Random()
+    )
+    url = common.platform_url
+    effects = change.start()
+    while effects:
+        event = _carry_out(effects[0], url)
+        effects = change.handle(event, time.monotonic())
+    return change.ending
+
+
+@functools.singledispatch
+def _carry_out(effect: Any, url: str) -> Any:
+    """Carry out one effect and return the event that it leads to."""
+    raise TypeError(effect)
+
+
+@_carry_out.register
+def _read(effect: PlatformRead, url: str) -> PlatformReply:
+    return operator_client.read_object(url, effect)
+
+
+@_carry_out.register
+def _write(effect: PlatformWrite, url: str) -> PlatformReply:
+    return operator_client.write_object(url, effect)
+
+
+@_carry_out.register
+def _pause(effect: Pause, url: str) -> Resume:
+    progress(effect.why)
+    time.sleep(effect.seconds)
+    return Resume()
+
+
+def _tell(common: Common, ending: Applied | Unchanged) -> None:
+    edits = ending.edits if isinstance(ending, Applied) else ()
+    if common.as_json:
+        places = [edit.name for edit in edits]
+        say_json({'version': ending.version, 'edited': places})
+        return
+    for edit in edits:
+        say(f'edited {edit.name}')
+    if isinstance(ending, Unchanged):
+        say(f'Already so at version {ending.version}, nothing was written.')
+    else:
+        say(f'Accepted as version {ending.version}.')
+
+
+def _wait(common: Common, version: int) -> None:
+    """Wait until every node holds a version.
+
+    Raises:
+        UserError: If some lack it after the time to wait.
+    """
+    spread = InForce.from_config(version, common.wait_s, time.monotonic())
+    while not spread.everywhere:
+        _observe(common, spread)
+        pause_s = spread.pause_s(time.monotonic())
+        if pause_s is None:
+            break
+        holding = spread.total - len(spread.lacking)
+        progress(f'In force on {holding} of {spread.total} nodes.')
+        time.sleep(pause_s)
+    if not spread.everywhere:
+        raise _not_in_force(spread)
+    progress(f'In force on all {spread.total} nodes.')
+
+
+def _observe(common: Common, spread: InForce) -> None:
+    """Ask the fleet once; the change is accepted, so a failure is no end."""
+    try:
+        spread.observe(read_status(common))
+    except UserError as error:
+        progress(' '.join(error.lines))
+
+
+def _not_in_force(spread: InForce) -> UserError:
+    lacking = 'No node answers, so it is not known where it is in force.'
+    if spread.asked:
+        lacking = _lacking(spread)
+    return UserError(
+        (f'Version {spread.version} is accepted and spreads on.', lacking),
+        ExitCode.NOT_IN_FORCE,
+    )
+
+
+def _lacking(spread: InForce) -> str:
+    names = ', '.join(spread.lacking[:MAX_NAMED_NODES])
+    more = len(spread.lacking) - MAX_NAMED_NODES
+    rest = f' and {more} more' if more > 0 else ''
+    return f'Not yet in force on {names}{rest}.'
--- a/tests/coordination/settings_store.py
+++ b/tests/coordination/settings_store.py
@@ -11,12 +11,12 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.coordination.settings_change import (
+from daisyline.coordination.settings_change import SettingsChange
+from daisyline.coordination.settings_endings import (
     Applied,
     Author,
     Pause,
     Resume,
-    SettingsChange,
 )
 from daisyline.coordination.settings_intents import PutTree
 from daisyline.state.settings_edits import canonical
--- a/tests/coordination/test_settings_change.py
+++ b/tests/coordination/test_settings_change.py
@@ -5,11 +5,11 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from daisyline.coordination.settings_change import (
+from daisyline.coordination.settings_change import SettingsChange
+from daisyline.coordination.settings_endings import (
     Applied,
     Clashed,
     Mistaken,
-    SettingsChange,
     Unchanged,
 )
 from daisyline.coordination.settings_intents import (
