--- /dev/null
+++ b/bench/model/__init__.py
@@ -0,0 +1,1 @@
+"""A discrete-event model of entries and targets, for measuring policies."""
--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from daisyline.coordination.breaker import Breaker
 from daisyline.coordination.concurrency import Concurrency
 from daisyline.coordination.fair_queue import FairQueue, Ticket
 from daisyline.state.failures import Failure, Outcome, Reason
@@ -88,6 +89,7 @@
     _concurrency: Concurrency
     _queue: FairQueue
     _now: float
+    _breaker: Breaker = attrs.field(factory=Breaker)
     _announced: Phase = Phase.READY
     _running: set[str] = attrs.field(factory=set)
     _waits: _Waits = attrs.field(factory=_Waits)
@@ -129,7 +131,7 @@
         return self._enqueue(ticket, now)
 
     def finish(
-        self, call: str, now: float, *, service_s: float, succeeded: bool
+        self, call: str, now: float, *, service_s: float, succeeded: bool | None
     ) -> list[str]:
         """Free the slot of a call that ended; unknown calls are ignored.
 
@@ -137,7 +139,8 @@
             call: The call's id.
             now: Monotonic seconds.
             service_s: How long the target took, in seconds.
-            succeeded: Whether the target answered without a failure.
+            succeeded: Whether the target answered without a failure; `None`
+                if the end says nothing of the target, as a caller that left.
 
         Returns:
             The calls that hold a slot from now on.
@@ -145,7 +148,10 @@
         if call not in self._running:
             return []
         self._running.remove(call)
-        self._concurrency.observe(service_s, succeeded=succeeded)
+        if succeeded is not None:
+            self._concurrency.observe(service_s, succeeded=succeeded)
+            if self._breaker.observe(now, succeeded=succeeded):
+                self._refuse_all(Reason.OVERLOADED)
         return self._fill(now)
 
     def withdraw(self, call: str, now: float) -> bool:
@@ -177,15 +183,17 @@
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def set_phase(self, phase: Phase, now: float) -> Change:
-        """Follow what the target says of itself; repeats change nothing."""
-        if phase == self._announced:
+        """Follow what the target says of itself; repeats change nothing.
+
+        Leaving is final: a target that starts again is another instance.
+        """
+        if self._announced in {phase, Phase.LEAVING}:
             return Change()
         self._announced = phase
         if phase == Phase.COLD:
             self.turned_cold(now)
         if phase == Phase.LEAVING:
-            for ticket in self._queue.clear():
-                self._refuse(ticket, Reason.LEAVING)
+            self._refuse_all(Reason.LEAVING)
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def turned_cold(self, now: float) -> None:
@@ -204,11 +212,15 @@
             return Failure(Reason.LEAVING, detail='the target is leaving')
         if ticket.give_up_at <= now:
             return Failure(Reason.DEADLINE, detail='the deadline has passed')
+        if self._breaker.is_open(now):
+            return Failure(Reason.OVERLOADED, detail='the target fails calls')
         return None
 
     def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
         gives_up_at = self._gives_up_at(ticket, now)
-        if now + self._expected_wait_s(ticket.tenant) > gives_up_at:
+        turns = self._queue.ahead_of(ticket.tenant) + 1
+        wait_s = turns * self._concurrency.service_s / self._concurrency.limit
+        if now + wait_s > gives_up_at:
             return Failure(Reason.OVERLOADED, detail='the wait is too long')
         dropped = self._queue.push(ticket)
         if ticket in dropped:
@@ -225,11 +237,6 @@
             ticket.give_up_at - self._concurrency.service_s,
         )
 
-    def _expected_wait_s(self, tenant: str) -> float:
-        """Return how long a new call would wait, in seconds."""
-        turns = self._queue.ahead_of(tenant) + 1
-        return turns * self._concurrency.service_s / self._concurrency.limit
-
     def _has_slot(self) -> bool:
         return self.running < self._concurrency.limit
 
@@ -253,6 +260,10 @@
                 started.append(ticket.call)
         return started
 
+    def _refuse_all(self, reason: Reason) -> None:
+        for ticket in self._queue.clear():
+            self._refuse(ticket, reason)
+
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
         self._waits.discard(ticket.call)
         self._refused.append((ticket.call, Failure(reason)))
--- a/daisyline/coordination/concurrency.py
+++ b/daisyline/coordination/concurrency.py
@@ -1,5 +1,6 @@
 """The slots of one target that may be used now: cold targets start at one."""
 
+import math
 from collections import deque
 
 import attrs
@@ -7,21 +8,21 @@
 from daisyline.state.settings import Limits
 
 #: Weight of the newest call in the smoothed service time.
-SMOOTHING = 0.125
-#: Weight of the newest call in the baseline; some hundred calls renew it.
+SMOOTHING = 1 / 32
+#: Weight of the newest call in the baselines; some hundred calls renew them.
 BASELINE_SMOOTHING = 0.01
-#: Calls after which the baseline says something.
+#: Calls after which the baselines say something.
 BASELINE_CALLS = 32
-#: Calls in a row that must all be slow before a target is found cold.
+#: How many of the last calls are looked at to find a target cold.
 COLD_WINDOW_CALLS = 8
-#: How many times slower than the baseline each of these calls must be.
+#: How many times slower than usual the fastest of them must then be.
 COLD_RATIO = 3.0
+#: How many of them must have failed to find a target cold.
+COLD_FAILURES = 4
 #: How many times slower than the baseline a call of a warm target may be.
 STEADY_RATIO = 2.0
 #: What a slow success adds to the limit, as a part of a fast one.
 SLOW_GROWTH = 0.25
-#: Failures in a row after which a target is taken for cold.
-COLD_FAILURES = 5
 
 
 @attrs.define
@@ -33,18 +34,18 @@
     a slot, as in additive increase, until the contract's slots are reached;
     a failure while it grows halves the limit.
 
-    The rise of service times is judged by the fastest of the last calls, so
-    that one slow route among others doesn't count. A route that is slow for
-    all calls, or a neighbour that slows all of them as much as a cold start
-    would, can't be told from a cold start.
+    The rise of service times is judged by the fastest of the last calls
+    against the usual fastest, so that one slow route among others doesn't
+    count. A route that is slow for all of them, or a neighbour that slows
+    them as much as a cold start would, can't be told from a cold start.
     """
 
     _slots: int
     _limit: float = 1
     _service_s: float = 0
     _baseline_s: float = 0
+    _usual_fastest_s: float = 0
     _seen: int = 0
-    _failures: int = 0
     _recent: deque[float] = attrs.field(
         factory=lambda: deque(maxlen=COLD_WINDOW_CALLS)
     )
@@ -79,7 +80,6 @@
     def turned_cold(self) -> None:
         """Go back to one slot."""
         self._limit = 1
-        self._failures = 0
         self._recent.clear()
 
     def observe(self, service_s: float, *, succeeded: bool) -> None:
@@ -89,27 +89,16 @@
             service_s: How long the target took, in seconds.
             succeeded: Whether the target answered without a failure.
         """
-        if succeeded:
-            self._succeed(service_s)
-        else:
-            self._fail()
-        assert 1 <= self.limit <= max(1, self._slots)
-
-    def _succeed(self, service_s: float) -> None:
-        self._failures = 0
-        self._recent.append(service_s)
+        self._recent.append(service_s if succeeded else math.inf)
         if self._is_found_cold():
             self.turned_cold()
-        else:
+        elif succeeded:
             self._grow(service_s)
-        self._learn(service_s)
-
-    def _fail(self) -> None:
-        self._failures += 1
-        if self._failures >= COLD_FAILURES:
-            self.turned_cold()
         elif self.is_growing:
             self._limit = max(1, self._limit / 2)
+        if succeeded:
+            self._learn(service_s)
+        assert 1 <= self.limit <= max(1, self._slots)
 
     def _grow(self, service_s: float) -> None:
         is_slow = self._knows_baseline() and (
@@ -119,23 +108,28 @@
         self._limit = min(self._slots, self._limit + growth / self._limit)
 
     def _is_found_cold(self) -> bool:
-        """Return whether all of the last calls were far over the baseline."""
+        """Return whether the last calls show a sudden change for worse."""
+        if self._recent.count(math.inf) >= COLD_FAILURES:
+            return True
         if self.is_growing or not self._knows_baseline():
             return False
         if len(self._recent) < COLD_WINDOW_CALLS:
             return False
-        return min(self._recent) > COLD_RATIO * self._baseline_s
+        return min(self._recent) > COLD_RATIO * self._usual_fastest_s
 
     def _knows_baseline(self) -> bool:
         return self._seen >= BASELINE_CALLS
 
     def _learn(self, service_s: float) -> None:
-        """Smooth the service time and, more slowly, its baseline."""
+        """Smooth the service time and, more slowly, the baselines."""
         self._seen += 1
         first_weight = 1 / self._seen
+        slow_weight = max(BASELINE_SMOOTHING, first_weight)
         self._service_s += max(SMOOTHING, first_weight) * (
             service_s - self._service_s
         )
-        self._baseline_s += max(BASELINE_SMOOTHING, first_weight) * (
-            service_s - self._baseline_s
+        self._baseline_s += slow_weight * (service_s - self._baseline_s)
+        fastest_s = min(self._recent, default=service_s)
+        self._usual_fastest_s += slow_weight * (
+            fastest_s - self._usual_fastest_s
         )
--- a/daisyline/coordination/fair_queue.py
+++ b/daisyline/coordination/fair_queue.py
@@ -1,5 +1,6 @@
 """A bounded queue that tenants share by start-time fair queueing."""
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -155,12 +156,15 @@
         return ticket
 
     def _most_per_tenant(self) -> int:
-        return max(1, int(self._bound * TENANT_PART))
+        return math.ceil(self._bound * TENANT_PART)
 
     def _may_displace(self, tenant: str, longest: str) -> bool:
-        """Return whether a tenant would still be shorter than the longest."""
+        """Return whether one more call leaves a tenant under the longest.
+
+        A tenant that has not got its share of a full queue then always may.
+        """
         mine = (self._length(tenant) + 1) / self._weight(tenant)
-        return mine <= (self._length(longest) - 1) / self._weight(longest)
+        return mine < self._length(longest) / self._weight(longest)
 
     def _longest(self) -> str:
         """Return the tenant that holds most for its weight."""
--- a/daisyline/coordination/policies.py
+++ b/daisyline/coordination/policies.py
@@ -2,30 +2,47 @@
 
 import functools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 
 @attrs.frozen
-class Option:
-    """A target that may be picked, as the router sees it now.
+class Candidate:
+    """A target that calls of one service may go to.
 
     Attributes:
         node: The node beside it.
-        weight: Its share of calls among equally loaded targets; positive.
-        outstanding: Calls that this node has sent it and that go on.
-        load: Calls that it holds, from its last report and own sends since.
-        wait_s: Seconds that a new call would wait there and be served.
+        version: The version that it runs.
+        zone: The availability zone it stands in.
+        weight: Its share of calls; folds the ramp of a returning zone and
+            the share of its version in. 0 means never.
     """
 
     node: str
+    version: str
+    zone: str
     weight: float
+
+
+@attrs.frozen
+class Estimate:
+    """A target's load as an entry node sees it now.
+
+    Attributes:
+        outstanding: Calls that this node has sent it and that go on.
+        load: Calls it holds for each slot that it may use, with a new one.
+        wait_s: Seconds that a new call would take there, the way included.
+    """
+
     outstanding: int
     load: float
     wait_s: float
 
 
+Estimator = Callable[[Candidate], Estimate]
+
+
 @attrs.frozen
 class WeightedRandom:
     """Pick by weight, without regard to load."""
@@ -49,7 +66,7 @@
         draws: How many are drawn; few enough that entries don't herd.
     """
 
-    draws: int = 3
+    draws: int = 2
 
 
 Policy = WeightedRandom | LeastOutstanding | PowerOfTwo | ExpectedWait
@@ -57,66 +74,85 @@
 
 @functools.singledispatch
 def choose(
-    policy: Policy, options: Sequence[Option], rng: random.Random
-) -> Option:
-    """Pick one of at least one option."""
+    policy: Policy,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    """Pick one of at least one candidate; all have a positive weight."""
     raise TypeError('not a policy')
 
 
 @choose.register
 def _weighted_random(
-    policy: WeightedRandom, options: Sequence[Option], rng: random.Random
-) -> Option:
-    return _draw(options, rng)
+    policy: WeightedRandom,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    return _draw(candidates, rng)
 
 
 @choose.register
 def _least_outstanding(
-    policy: LeastOutstanding, options: Sequence[Option], rng: random.Random
-) -> Option:
-    fewest = min(_per_weight(option) for option in options)
-    ties = [option for option in options if _per_weight(option) <= fewest]
+    policy: LeastOutstanding,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    loads = [
+        (estimate(candidate).outstanding + 1) / candidate.weight
+        for candidate in candidates
+    ]
+    fewest = min(loads)
+    ties = [
+        candidate
+        for candidate, load in zip(candidates, loads, strict=True)
+        if load <= fewest
+    ]
     return _draw(ties, rng)
 
 
 @choose.register
 def _power_of_two(
-    policy: PowerOfTwo, options: Sequence[Option], rng: random.Random
-) -> Option:
-    drawn = _draw_some(options, 2, rng)
-    return min(drawn, key=lambda option: option.load)
+    policy: PowerOfTwo,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    drawn = _draw_some(candidates, 2, rng)
+    return min(drawn, key=lambda candidate: estimate(candidate).load)
 
 
 @choose.register
 def _expected_wait(
-    policy: ExpectedWait, options: Sequence[Option], rng: random.Random
-) -> Option:
-    drawn = _draw_some(options, policy.draws, rng)
-    return min(drawn, key=lambda option: option.wait_s)
-
-
-def _per_weight(option: Option) -> float:
-    return (option.outstanding + 1) / option.weight
+    policy: ExpectedWait,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    drawn = _draw_some(candidates, policy.draws, rng)
+    return min(drawn, key=lambda candidate: estimate(candidate).wait_s)
 
 
-def _draw(options: Sequence[Option], rng: random.Random) -> Option:
+def _draw(candidates: Sequence[Candidate], rng: random.Random) -> Candidate:
     """Draw one by weight."""
-    mark = rng.random() * sum(option.weight for option in options)
-    for option in options:
-        mark -= option.weight
+    mark = rng.random() * sum(candidate.weight for candidate in candidates)
+    for candidate in candidates:
+        mark -= candidate.weight
         if mark < 0:
-            return option
-    return options[-1]
+            return candidate
+    return candidates[-1]
 
 
 def _draw_some(
-    options: Sequence[Option], count: int, rng: random.Random
-) -> list[Option]:
+    candidates: Sequence[Candidate], count: int, rng: random.Random
+) -> list[Candidate]:
     """Draw different ones by weight."""
-    left = list(options)
+    left = list(candidates)
     drawn = []
     while left and len(drawn) < count:
-        option = _draw(left, rng)
-        left.remove(option)
-        drawn.append(option)
+        candidate = _draw(left, rng)
+        left.remove(candidate)
+        drawn.append(candidate)
     return drawn
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -6,31 +6,20 @@
 
 import attrs
 
-from daisyline.coordination.policies import Option, Policy, choose
+from daisyline.coordination.policies import (
+    Candidate,
+    Estimate,
+    Policy,
+    choose,
+)
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.targets import LoadReport
 
 US_PER_S = 1_000_000
-#: After this time a report counts for a third, in seconds.
+#: After this time a report counts for about a third, in seconds.
 REPORT_DECAY_S = 0.1
-
-
-@attrs.frozen
-class Candidate:
-    """A target that calls of one service may go to.
-
-    Attributes:
-        node: The node beside it.
-        version: The version that it runs.
-        zone: The availability zone it stands in.
-        weight: Its share of calls; folds the ramp of a returning zone and
-            the share of its version in. 0 means never.
-    """
-
-    node: str
-    version: str
-    zone: str
-    weight: float
+#: What a target that has just refused seems to take longer, in seconds.
+REFUSED_WAIT_S = 0.1
 
 
 @attrs.define
@@ -38,9 +27,10 @@
     """What an entry node knows of one target's load."""
 
     outstanding: int = 0
-    report: LoadReport = attrs.field(factory=LoadReport)
+    report: LoadReport | None = None
     others: float = 0
     report_at: float = -math.inf
+    refused_at: float = -math.inf
 
     def take(self, report: LoadReport, now: float) -> None:
         """Keep a report, less the calls that are our own."""
@@ -48,33 +38,64 @@
         self.others = max(0, report.running + report.waiting - self.outstanding)
         self.report_at = now
 
-    def option(self, candidate: Candidate, now: float) -> Option:
-        """Return the target as it probably is now."""
-        age_s = now - self.report_at
-        others = self.others * math.exp(-age_s / REPORT_DECAY_S)
-        load = self.outstanding + others
-        turns = max(1, (load + 1) / self.report.limit)
-        return Option(
-            node=candidate.node,
-            weight=candidate.weight,
+    def estimate(self, now: float, service_s: float, way_s: float) -> Estimate:
+        """Return the target's load as it probably is now.
+
+        Args:
+            now: Monotonic seconds.
+            service_s: The service time to take if there is no report.
+            way_s: The round trip to the target.
+        """
+        fading = math.exp((self.report_at - now) / REPORT_DECAY_S)
+        load = self.outstanding + self.others * fading + 1
+        if self.report is not None:
+            load /= self.report.limit
+            service_s = self.report.service_us / US_PER_S
+        penalty_s = REFUSED_WAIT_S * math.exp(
+            (self.refused_at - now) / REPORT_DECAY_S
+        )
+        return Estimate(
             outstanding=self.outstanding,
             load=load,
-            wait_s=turns * max(1, self.report.service_us) / US_PER_S,
+            wait_s=service_s * (1 + load) + penalty_s + way_s,
         )
 
 
 @attrs.define
 class Router:
-    """Picks targets for one service at one entry node."""
+    """Picks targets for one service at one entry node.
+
+    Attributes:
+        _zone: The zone the node stands in.
+        _far_s: The round trip to another zone, in seconds.
+    """
 
     _policy: Policy
     _rng: random.Random
+    _zone: str = ''
+    _far_s: float = 0
+    _service_s: float = 0
     _views: dict[str, _View] = attrs.field(factory=dict)
 
     @classmethod
-    def from_config(cls, policy: Policy, rng: random.Random) -> 'Router':
-        """Build a router that knows no load yet."""
-        return cls(policy=policy, rng=rng)
+    def from_config(
+        cls,
+        policy: Policy,
+        rng: random.Random,
+        *,
+        zone: str = '',
+        far_ms: float = 0,
+    ) -> 'Router':
+        """Build a router that knows no load yet.
+
+        Args:
+            policy: How to pick.
+            rng: Where random numbers come from.
+            zone: The availability zone the node stands in.
+            far_ms: The round trip to other zones in milliseconds; 0 means
+                that the own zone isn't preferred.
+        """
+        return cls(policy, rng, zone=zone, far_s=far_ms / 1000)
 
     def pick(
         self,
@@ -89,14 +110,20 @@
             now: Monotonic seconds.
             tried: Nodes that have refused this call.
         """
-        options = [
-            self._view(candidate.node).option(candidate, now)
+        open_candidates = [
+            candidate
             for candidate in candidates
             if candidate.weight > 0 and candidate.node not in tried
         ]
-        if not options:
+        if not open_candidates:
             return Failure(Reason.NO_TARGET, detail='no target is left')
-        return choose(self._policy, options, self._rng).node
+
+        def estimate(candidate: Candidate) -> Estimate:
+            way_s = 0 if candidate.zone == self._zone else self._far_s
+            view = self._view(candidate.node)
+            return view.estimate(now, self._service_s, way_s)
+
+        return choose(self._policy, open_candidates, estimate, self._rng).node
 
     def sent(self, node: str, now: float) -> None:
         """Count a call that went to a node."""
@@ -113,8 +140,11 @@
         """Count a call that ended, with the report that came, if any."""
         view = self._view(node)
         view.outstanding = max(0, view.outstanding - 1)
+        if refused:
+            view.refused_at = now
         if report is not None:
             view.take(report, now)
+            self._service_s = report.service_us / US_PER_S
 
     def forget(self, node: str) -> None:
         """Drop what is known of a node that is gone."""
