Let a busy target leave a call to a less busy one, and test admission

An entry of a large fleet hears of a target's load about once in two seconds, too late for load that shifts in milliseconds, while the target's node knows it exactly. A ticket now says whether its call can still move; such a call is refused as not run after two service times in the queue.

A retry spent below is charged to the budgets above, so that the budget where a call came in bounds the whole chain; budgets of single layers alone add up over layers that each fail now and then.

--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -14,6 +14,10 @@
 from daisyline.state.targets import LoadReport, Phase
 
 MS_PER_S = 1000
+#: A call that can still move waits at most this many service times, or this
+#: long, whichever is more.
+MOVE_WAIT_SERVICES = 2
+MOVE_WAIT_S = 0.004
 US_PER_S = 1_000_000
 
 
@@ -149,7 +153,8 @@
             return []
         self._running.remove(call)
         if succeeded is not None:
-            self._concurrency.observe(service_s, succeeded=succeeded)
+            if self._concurrency.observe(service_s, succeeded=succeeded):
+                self._refuse_all(Reason.OVERLOADED, movable_only=True)
             if self._breaker.observe(now, succeeded=succeeded):
                 self._refuse_all(Reason.OVERLOADED)
         return self._fill(now)
@@ -231,11 +236,13 @@
         return Queued()
 
     def _gives_up_at(self, ticket: Ticket, now: float) -> float:
-        """Return when a call that still waits has no use any more."""
-        return min(
-            now + self._contract.queue_wait_ms / MS_PER_S,
-            ticket.give_up_at - self._concurrency.service_s,
-        )
+        """Return when a call that still waits is refused."""
+        service_s = self._concurrency.service_s
+        wait_s = self._contract.queue_wait_ms / MS_PER_S
+        if ticket.may_move:
+            move_wait_s = max(MOVE_WAIT_S, MOVE_WAIT_SERVICES * service_s)
+            wait_s = min(wait_s, move_wait_s)
+        return min(now + wait_s, ticket.give_up_at - service_s)
 
     def _has_slot(self) -> bool:
         return self.running < self._concurrency.limit
@@ -260,8 +267,10 @@
                 started.append(ticket.call)
         return started
 
-    def _refuse_all(self, reason: Reason) -> None:
-        for ticket in self._queue.clear():
+    def _refuse_all(
+        self, reason: Reason, *, movable_only: bool = False
+    ) -> None:
+        for ticket in self._queue.take_out(movable_only=movable_only):
             self._refuse(ticket, reason)
 
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
--- a/daisyline/coordination/concurrency.py
+++ b/daisyline/coordination/concurrency.py
@@ -8,7 +8,7 @@
 from daisyline.state.settings import Limits
 
 #: Weight of the newest call in the smoothed service time.
-SMOOTHING = 1 / 32
+SMOOTHING = 0.03
 #: Weight of the newest call in the baselines; some hundred calls renew them.
 BASELINE_SMOOTHING = 0.01
 #: Calls after which the baselines say something.
@@ -82,13 +82,14 @@
         self._limit = 1
         self._recent.clear()
 
-    def observe(self, service_s: float, *, succeeded: bool) -> None:
-        """Learn from a call that ended.
+    def observe(self, service_s: float, *, succeeded: bool) -> bool:
+        """Learn from a call that ended; return whether slots were lost.
 
         Args:
             service_s: How long the target took, in seconds.
             succeeded: Whether the target answered without a failure.
         """
+        limit_before = self.limit
         self._recent.append(service_s if succeeded else math.inf)
         if self._is_found_cold():
             self.turned_cold()
@@ -99,6 +100,7 @@
         if succeeded:
             self._learn(service_s)
         assert 1 <= self.limit <= max(1, self._slots)
+        return self.limit < limit_before
 
     def _grow(self, service_s: float) -> None:
         is_slow = self._knows_baseline() and (
--- a/daisyline/coordination/fair_queue.py
+++ b/daisyline/coordination/fair_queue.py
@@ -18,11 +18,13 @@
         call: The call's id.
         tenant: The tenant or class of the caller.
         give_up_at: The call's deadline, in monotonic seconds.
+        may_move: Whether its entry node can still offer it to another target.
     """
 
     call: str
     tenant: str
     give_up_at: float
+    may_move: bool = False
 
 
 @attrs.define
@@ -126,15 +128,16 @@
         """Take a call out wherever it stands; return whether it waited."""
         return self._remove(call) is not None
 
-    def clear(self) -> list[Ticket]:
-        """Empty the queue and return the calls that waited."""
+    def take_out(self, *, movable_only: bool) -> list[Ticket]:
+        """Take out all calls, or those that another target may take."""
         tickets = [
             ticket
             for line in self._lines.values()
             for ticket in line.calls.values()
+            if ticket.may_move or not movable_only
         ]
-        self._lines.clear()
-        self._tenants.clear()
+        for ticket in tickets:
+            self._remove(ticket.call)
         return tickets
 
     def _remove(self, call: str) -> Ticket | None:
--- a/daisyline/coordination/retries.py
+++ b/daisyline/coordination/retries.py
@@ -33,7 +33,13 @@
 
 @attrs.define
 class RetryBudget:
-    """Retries of an entry node for one service, as a part of its calls."""
+    """Retries of an entry node for one service, as a part of its calls.
+
+    A retry spent by a layer below is charged here too, so that the budget
+    where a call came in bounds the retries of the whole chain. Calls in
+    progress at once may overdraw it by one each; nothing is retried until
+    the debt is earned back.
+    """
 
     _per_call: float
     _saved: float = RESERVE
@@ -47,13 +53,45 @@
         """Count a call of a caller; retries are no calls."""
         self._saved = min(MOST_SAVED, self._saved + self._per_call)
 
+    def allows(self, now: float) -> bool:
+        """Return whether there is a retry left."""
+        return self._saved >= 1
+
     def spend(self, now: float) -> bool:
         """Take one retry out, or return that none is left."""
-        if self._saved < 1:
+        if not self.allows(now):
             return False
         self._saved -= 1
         return True
 
+    def charge(self, now: float) -> None:
+        """Take out a retry that a layer below has spent."""
+        self._saved -= 1
+
+
+def mark_down(above: bool, budget: RetryBudget, now: float) -> bool:
+    """Return the mark that goes down with a first attempt.
+
+    Args:
+        above: The mark that came with the call this one is made for.
+        budget: The budget of the node that sends.
+        now: Monotonic seconds.
+    """
+    return above or not budget.allows(now)
+
+
+def settle(sent: bool, came_up: bool, budget: RetryBudget, now: float) -> None:
+    """Charge the budget if a layer below has spent a retry.
+
+    Args:
+        sent: The mark that went down with the attempt.
+        came_up: The mark of its answer or failure.
+        budget: The budget of the node that sent it.
+        now: Monotonic seconds.
+    """
+    if came_up and not sent:
+        budget.charge(now)
+
 
 @attrs.frozen
 class Attempt:
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -110,11 +110,7 @@
             now: Monotonic seconds.
             tried: Nodes that have refused this call.
         """
-        open_candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.weight > 0 and candidate.node not in tried
-        ]
+        open_candidates = untried(candidates, tried)
         if not open_candidates:
             return Failure(Reason.NO_TARGET, detail='no target is left')
 
@@ -152,3 +148,18 @@
 
     def _view(self, node: str) -> _View:
         return self._views.setdefault(node, _View())
+
+
+def untried(
+    candidates: Sequence[Candidate], tried: frozenset[str]
+) -> list[Candidate]:
+    """Return the targets that a call may still go to.
+
+    A call for which one is left, and which has tries left, may move: its
+    ticket says so, and a busy target leaves it to a less busy one.
+    """
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.weight > 0 and candidate.node not in tried
+    ]
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,221 @@
+"""Admission keeps its counts and ends each call exactly once."""
+
+import math
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from daisyline.coordination.admission import Admission, Admitted, Queued
+from daisyline.coordination.fair_queue import Ticket
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Limits
+from daisyline.state.targets import Phase
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+SLOTS = st.integers(min_value=1, max_value=9)
+QUEUE = st.integers(min_value=0, max_value=8)
+SECONDS = st.floats(min_value=0, max_value=2)
+
+
+class CallLedger(RuleBasedStateMachine):
+    """Offers calls and checks what became of each."""
+
+    @initialize(slots=SLOTS, queue=QUEUE)
+    def start(self, slots: int, queue: int) -> None:
+        self.now = 0.0
+        self.limits = Limits(slots_per_upstream=slots, queue_per_upstream=queue)
+        self.admission = Admission.from_limits(self.limits, self.now)
+        self.ends: Counter[str] = Counter()
+        self.offered: list[str] = []
+        self.running: list[str] = []
+        self.waiting: dict[str, float] = {}
+        self.over_from_before = 0
+
+    @rule(tenant=st.sampled_from('abc'), left_s=SECONDS, may_move=st.booleans())
+    def offer(self, tenant: str, left_s: float, may_move: bool) -> None:
+        call = str(len(self.offered))
+        self.offered.append(call)
+        ticket = Ticket(call, tenant, self.now + left_s, may_move)
+        decision = self.admission.offer(ticket, self.now)
+        if isinstance(decision, Admitted):
+            assert left_s > 0
+            self._began([call])
+        elif isinstance(decision, Queued):
+            longest_s = self.limits.queue_wait_ms / 1000
+            self.waiting[call] = min(ticket.give_up_at, self.now + longest_s)
+        else:
+            self._refused([(call, decision)])
+        self._collect()
+
+    @rule(
+        which=st.integers(min_value=0),
+        service_s=SECONDS,
+        succeeded=st.sampled_from([True, True, True, False, None]),
+    )
+    def finish(
+        self, which: int, service_s: float, succeeded: bool | None
+    ) -> None:
+        if self.running:
+            call = self.running.pop(which % len(self.running))
+            self.over_from_before = max(0, self.over_from_before - 1)
+            self._began(
+                self.admission.finish(
+                    call, self.now, service_s=service_s, succeeded=succeeded
+                )
+            )
+            self._collect()
+
+    @rule(which=st.integers(min_value=0))
+    def withdraw(self, which: int) -> None:
+        if self.waiting:
+            call = sorted(self.waiting)[which % len(self.waiting)]
+            assert self.admission.withdraw(call, self.now)
+            assert not self.admission.withdraw(call, self.now)
+            self.waiting.pop(call)
+            self.ends[call] += 1
+
+    @rule(passed_s=SECONDS)
+    def wait(self, passed_s: float) -> None:
+        self.now += passed_s
+        self._refused(self.admission.expire(self.now))
+        assert self.admission.next_at() > self.now
+        assert all(at > self.now for at in self.waiting.values())
+
+    @rule(slots=SLOTS, queue=QUEUE)
+    def set_limits(self, slots: int, queue: int) -> None:
+        self.over_from_before = max(0, len(self.running) - slots)
+        self.limits = Limits(slots_per_upstream=slots, queue_per_upstream=queue)
+        change = self.admission.set_limits(self.limits, self.now)
+        self._began(change.started)
+        self._refused(change.refused)
+
+    @rule(phase=st.sampled_from([Phase.COLD, Phase.READY]))
+    def set_phase(self, phase: Phase) -> None:
+        change = self.admission.set_phase(phase, self.now)
+        self._began(change.started)
+        self._refused(change.refused)
+
+    @rule()
+    def turn_cold(self) -> None:
+        self.admission.turned_cold(self.now)
+        assert self.admission.load.limit == 1
+
+    @invariant()
+    def counts_are_exact(self) -> None:
+        if not hasattr(self, 'admission'):
+            return
+        load = self.admission.load
+        slots = self.limits.slots_per_upstream
+        assert load.running == len(self.running)
+        assert load.waiting == len(self.waiting)
+        assert len(self.running) <= slots + self.over_from_before
+        assert 1 <= load.limit <= slots
+        assert len(self.waiting) <= self.limits.queue_per_upstream
+        ended = {call for call, count in self.ends.items() if count == 1}
+        assert ended | set(self.waiting) == set(self.offered)
+        assert not ended & set(self.waiting)
+        assert len(ended) == self.ends.total()
+
+    def teardown(self) -> None:
+        """A leaving target refuses what waits and what comes after."""
+        if not hasattr(self, 'admission'):
+            return
+        before = sorted(self.waiting)
+        change = self.admission.set_phase(Phase.LEAVING, self.now)
+        assert not change.started
+        assert sorted(call for call, _ in change.refused) == before
+        for _, failure in change.refused:
+            assert failure == Failure(Reason.LEAVING, Outcome.NOT_RUN)
+        late = self.admission.offer(Ticket('late', 'a', math.inf), self.now)
+        assert isinstance(late, Failure)
+        assert late.reason == Reason.LEAVING
+        assert self.admission.running == len(self.running)
+
+    def _collect(self) -> None:
+        if self.admission.next_at() <= self.now:
+            self._refused(self.admission.expire(self.now))
+
+    def _began(self, calls: list[str]) -> None:
+        for call in calls:
+            assert self.waiting.pop(call, math.inf) > self.now
+            self.ends[call] += 1
+            self.running.append(call)
+
+    def _refused(self, refused: list[tuple[str, Failure]]) -> None:
+        for call, failure in refused:
+            assert failure.outcome == Outcome.NOT_RUN
+            self.waiting.pop(call, None)
+            self.ends[call] += 1
+
+
+def test_counts_hold_and_each_call_ends_once_in_any_order_of_events() -> None:
+    run_state_machine_as_test(
+        CallLedger,
+        settings=settings(
+            max_examples=150,
+            stateful_step_count=50,
+            derandomize=True,
+            deadline=None,
+        ),
+    )
+
+
+def test_a_queue_of_no_places_refuses_instead_of_failing() -> None:
+    admission = Admission.from_limits(Limits(queue_per_upstream=0), 0)
+    assert admission.offer(Ticket('a', '', 9), 0) == Admitted()
+    refused = admission.offer(Ticket('b', '', 9), 0)
+    assert isinstance(refused, Failure)
+    assert refused.outcome == Outcome.NOT_RUN
+
+
+def test_a_call_that_cannot_start_before_its_deadline_is_shed_at_once() -> None:
+    admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
+    admission.offer(Ticket('a', '', 9), 0)
+    admission.finish('a', 0.1, service_s=0.1, succeeded=True)
+    admission.offer(Ticket('b', '', 9), 1)
+    shed = admission.offer(Ticket('c', '', 1.15), 1)
+    assert isinstance(shed, Failure)
+    assert shed.reason == Reason.OVERLOADED
+    assert admission.offer(Ticket('d', '', 9), 1) == Queued()
+    movable = Ticket('e', '', 9, may_move=True)
+    assert admission.offer(movable, 1) == Queued()
+    movable = Ticket('f', '', 9, may_move=True)
+    assert isinstance(admission.offer(movable, 1), Failure)
+
+
+def test_a_busy_target_with_a_wrong_estimate_still_serves() -> None:
+    admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
+    admission.offer(Ticket('slow', '', 99), 0)
+    admission.finish('slow', 50, service_s=50, succeeded=True)
+    for number in range(200):
+        now = 50 + number
+        assert admission.offer(Ticket(str(number), '', now + 1), now) == (
+            Admitted()
+        )
+        admission.finish(str(number), now, service_s=0.01, succeeded=True)
+    assert admission.load.service_us < 1_000_000
+
+
+def test_a_target_that_fails_fast_gets_few_calls_until_it_answers() -> None:
+    admission = Admission.from_limits(Limits(), 0)
+    ran = 0
+    for number in range(1000):
+        now = number / 100
+        if admission.offer(Ticket(str(number), '', 99), now) == Admitted():
+            ran += 1
+            admission.finish(str(number), now, service_s=0, succeeded=False)
+    assert ran <= 15
+    recovers = admission.offer(Ticket('well', '', 99), 20)
+    assert recovers == Admitted()
+    admission.finish('well', 20, service_s=0, succeeded=True)
+    assert admission.offer(Ticket('next', '', 99), 20) == Admitted()
--- /dev/null
+++ b/tests/coordination/test_retries.py
@@ -0,0 +1,156 @@
+"""Retries stay within their budget over a chain of calls."""
+
+import random
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisyline.coordination.retries import (
+    MAX_TRIES,
+    RESERVE,
+    Attempt,
+    Retry,
+    RetryBudget,
+    decide_retry,
+    mark_down,
+    settle,
+)
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.settings import Limits
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+DEPTH = 11
+LOST = Failure(Reason.TARGET_LOST, Outcome.UNKNOWN)
+
+
+@attrs.define
+class Chain:
+    """Layers that call one another, each with a budget, down to a bottom."""
+
+    failing: float
+    percent: int
+    seed: int
+    uses_mark: bool = True
+    attempts: int = 0
+    budgets: list[RetryBudget] = attrs.field(init=False)
+    rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        limits = Limits(retry_percent=self.percent)
+        self.rng = random.Random(self.seed)
+        self.budgets = [
+            RetryBudget.from_limits(limits, 0) for _ in range(DEPTH)
+        ]
+
+    def call(self, layer: int = 0, above: bool = False) -> tuple[bool, bool]:
+        """Make a layer's call; return whether it succeeded, and the mark."""
+        budget = self.budgets[layer]
+        budget.earned(0)
+        mark = mark_down(above and self.uses_mark, budget, 0)
+        number = 1
+        retried = above
+        while True:
+            succeeded, came_up = self._run(layer, mark)
+            came_up = came_up and self.uses_mark
+            settle(mark, came_up, budget, 0)
+            retried = retried or came_up
+            if succeeded:
+                return True, retried
+            decision = decide_retry(
+                Attempt(number, True, retried and self.uses_mark, 9),
+                LOST,
+                budget,
+                0,
+            )
+            if isinstance(decision, Failure):
+                return False, retried
+            number = decision.number
+            mark = decision.retried
+            retried = True
+
+    def _run(self, layer: int, mark: bool) -> tuple[bool, bool]:
+        if layer + 1 == DEPTH:
+            self.attempts += 1
+            return self._is_well(), mark
+        succeeded, came_up = self.call(layer + 1, mark)
+        return succeeded and self._is_well(), came_up
+
+    def _is_well(self) -> bool:
+        return self.rng.random() >= self.failing
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    failing=st.sampled_from([0, 0.01, 0.1, 0.5, 0.9, 1]),
+    percent=st.integers(0, 30),
+    calls=st.integers(1, 300),
+    seed=st.integers(0, 99),
+)
+def test_attempts_do_not_multiply_over_a_chain_of_failing_layers(
+    failing: float, percent: int, calls: int, seed: int
+) -> None:
+    chain = Chain(failing, percent, seed)
+    for _ in range(calls):
+        before = chain.attempts
+        chain.call()
+        assert chain.attempts - before <= 2
+    most = calls * (1 + percent / 100) + RESERVE
+    assert chain.attempts <= most + 1e-6
+
+
+def test_attempts_multiply_if_the_mark_is_not_passed_on() -> None:
+    chain = Chain(failing=1, percent=10, seed=1, uses_mark=False)
+    chain.call()
+    assert chain.attempts > 2
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    reason=st.sampled_from(Reason),
+    repeatable=st.booleans(),
+    retried=st.booleans(),
+)
+def test_a_call_refused_as_not_run_moves_a_bounded_number_of_times(
+    reason: Reason, repeatable: bool, retried: bool
+) -> None:
+    budget = RetryBudget.from_limits(Limits(retry_percent=0), 0)
+    sent = 1
+    attempt = Attempt(1, repeatable, retried, 9)
+    while isinstance(
+        decision := decide_retry(attempt, Failure(reason), budget, 0), Retry
+    ):
+        sent += 1
+        assert decision.retried == retried
+        attempt = attrs.evolve(attempt, number=decision.number)
+    assert sent <= MAX_TRIES
+    assert decision == Failure(reason)
+    assert budget == RetryBudget.from_limits(Limits(retry_percent=0), 0)
+
+
+def test_a_call_that_may_have_run_is_not_sent_again_unless_repeatable() -> None:
+    budget = RetryBudget.from_limits(Limits(), 0)
+    assert decide_retry(Attempt(1, False, False, 9), LOST, budget, 0) == LOST
+    assert decide_retry(Attempt(1, True, True, 9), LOST, budget, 0) == LOST
+    assert decide_retry(Attempt(1, True, False, 0), LOST, budget, 0) == LOST
+    assert decide_retry(Attempt(1, True, False, 9), LOST, budget, 0) == Retry(
+        2, retried=True
+    )
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(percent=st.integers(0, 100), steps=st.lists(st.booleans()))
+def test_a_budget_spends_no_more_than_its_part_and_its_reserve(
+    percent: int, steps: list[bool]
+) -> None:
+    budget = RetryBudget.from_limits(Limits(retry_percent=percent), 0)
+    earned = spent = 0
+    for is_call in steps * 5:
+        if is_call:
+            budget.earned(0)
+            earned += 1
+        else:
+            spent += budget.spend(0)
+    assert spent <= earned * percent / 100 + RESERVE + 1e-6
--- /dev/null
+++ b/tests/coordination/test_routing.py
@@ -0,0 +1,140 @@
+"""The router picks what it may, prefers the less loaded and doesn't herd."""
+
+import random
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisyline.coordination.policies import (
+    Candidate,
+    ExpectedWait,
+    LeastOutstanding,
+    PowerOfTwo,
+    WeightedRandom,
+)
+from daisyline.coordination.routing import Router
+from daisyline.coordination.zone_return import ramp
+from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.targets import LoadReport
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+POLICIES = (
+    WeightedRandom(),
+    LeastOutstanding(),
+    PowerOfTwo(),
+    ExpectedWait(),
+)
+IDLE = LoadReport(running=0, waiting=0, limit=9, service_us=10_000)
+BUSY = LoadReport(running=9, waiting=9, limit=9, service_us=10_000)
+
+
+def _router(policy: object, seed: int = 1, far_ms: float = 0) -> Router:
+    return Router.from_config(
+        policy, random.Random(seed), zone='here', far_ms=far_ms
+    )
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    policy=st.sampled_from(POLICIES),
+    weights=st.lists(st.sampled_from([0, 0.05, 1, 2.5]), max_size=8),
+    tried=st.frozensets(st.sampled_from('01234567')),
+    seed=st.integers(0, 9),
+)
+def test_only_untried_targets_with_a_weight_are_picked(
+    policy: object, weights: list[float], tried: frozenset[str], seed: int
+) -> None:
+    candidates = [
+        Candidate(str(number), 'v1', 'here', weight)
+        for number, weight in enumerate(weights)
+    ]
+    allowed = {
+        candidate.node
+        for candidate in candidates
+        if candidate.weight and candidate.node not in tried
+    }
+    picked = _router(policy, seed).pick(candidates, 0, tried)
+    if allowed:
+        assert picked in allowed
+    else:
+        assert isinstance(picked, Failure)
+        assert picked.reason == Reason.NO_TARGET
+        assert picked.outcome == Outcome.NOT_RUN
+
+
+def test_every_policy_keeps_to_the_weights_among_idle_targets() -> None:
+    candidates = [
+        Candidate('old', 'v1', 'here', 0.95),
+        Candidate('new', 'v2', 'here', 0.05),
+    ]
+    for policy in POLICIES:
+        router = _router(policy)
+        picks: Counter[str | Failure] = Counter()
+        for number in range(2000):
+            node = router.pick(candidates, number, frozenset())
+            router.sent(node, number)
+            router.done(node, number, IDLE, refused=False)
+            picks[node] += 1
+        assert picks['new'] <= 2000 * 0.05 * 1.5, policy
+
+
+def test_a_busy_target_is_avoided_until_its_report_is_old() -> None:
+    candidates = [Candidate(node, '', 'here', 1) for node in ('a', 'b')]
+    for policy in (PowerOfTwo(), ExpectedWait()):
+        router = _router(policy)
+        for node, report in (('a', BUSY), ('b', IDLE)):
+            router.sent(node, 0)
+            router.done(node, 0, report, refused=False)
+        soon = {router.pick(candidates, 0.001, frozenset()) for _ in range(50)}
+        assert soon == {'b'}
+        for _ in range(3):
+            router.sent('b', 0.001)
+        assert router.pick(candidates, 60, frozenset()) == 'a'
+
+
+def test_entries_with_one_stale_report_do_not_all_pick_one_target() -> None:
+    candidates = [Candidate(str(node), '', 'here', 1) for node in range(19)]
+    for policy in (PowerOfTwo(), ExpectedWait()):
+        picks: Counter[str | Failure] = Counter()
+        for seed in range(1100):
+            router = _router(policy, seed)
+            for candidate in candidates:
+                report = IDLE if candidate.node == '0' else BUSY
+                router.sent(candidate.node, 0)
+                router.done(candidate.node, 0, report, refused=False)
+            picks[router.pick(candidates, 0.001, frozenset())] += 1
+        assert picks['0'] <= 1100 * 3 / 19 * 1.3
+
+
+def test_the_own_zone_is_preferred_only_while_it_is_not_slower() -> None:
+    candidates = [
+        Candidate('near', '', 'here', 1),
+        Candidate('far', '', 'there', 1),
+    ]
+    router = _router(ExpectedWait(), far_ms=2)
+    for node in ('near', 'far'):
+        router.sent(node, 0)
+        router.done(node, 0, IDLE, refused=False)
+    picks = {router.pick(candidates, 0, frozenset()) for _ in range(50)}
+    assert picks == {'near'}
+    router.sent('near', 0)
+    router.done('near', 0, BUSY, refused=False)
+    picks = {router.pick(candidates, 0, frozenset()) for _ in range(50)}
+    assert picks == {'far'}
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    earlier=st.floats(-1, 100),
+    later=st.floats(-1, 100),
+    ramp_ms=st.integers(0, 60_000),
+)
+def test_a_ramp_never_falls_and_ends_at_the_whole_weight(
+    earlier: float, later: float, ramp_ms: int
+) -> None:
+    first, second = sorted((earlier, later))
+    assert 0 < ramp(first, ramp_ms) <= ramp(second, ramp_ms) <= 1
+    assert ramp(ramp_ms / 1000, ramp_ms) == 1
