--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from daisyline.coordination.breaker import Breaker
 from daisyline.coordination.concurrency import Concurrency
 from daisyline.coordination.fair_queue import FairQueue, Ticket
 from daisyline.state.failures import Failure, Outcome, Reason
@@ -13,6 +14,10 @@
 from daisyline.state.targets import LoadReport, Phase
 
 MS_PER_S = 1000
+#: A call that can still move waits at most this many service times, or this
+#: long, whichever is more.
+MOVE_WAIT_SERVICES = 2
+MOVE_WAIT_S = 0.004
 US_PER_S = 1_000_000
 
 
@@ -88,6 +93,7 @@
     _concurrency: Concurrency
     _queue: FairQueue
     _now: float
+    _breaker: Breaker = attrs.field(factory=Breaker)
     _announced: Phase = Phase.READY
     _running: set[str] = attrs.field(factory=set)
     _waits: _Waits = attrs.field(factory=_Waits)
@@ -129,7 +135,7 @@
         return self._enqueue(ticket, now)
 
     def finish(
-        self, call: str, now: float, *, service_s: float, succeeded: bool
+        self, call: str, now: float, *, service_s: float, succeeded: bool | None
     ) -> list[str]:
         """Free the slot of a call that ended; unknown calls are ignored.
 
@@ -137,7 +143,8 @@
             call: The call's id.
             now: Monotonic seconds.
             service_s: How long the target took, in seconds.
-            succeeded: Whether the target answered without a failure.
+            succeeded: Whether the target answered without a failure; `None`
+                if the end says nothing of the target, as a caller that left.
 
         Returns:
             The calls that hold a slot from now on.
@@ -145,7 +152,11 @@
         if call not in self._running:
             return []
         self._running.remove(call)
-        self._concurrency.observe(service_s, succeeded=succeeded)
+        if succeeded is not None:
+            if self._concurrency.observe(service_s, succeeded=succeeded):
+                self._refuse_all(Reason.OVERLOADED, movable_only=True)
+            if self._breaker.observe(now, succeeded=succeeded):
+                self._refuse_all(Reason.OVERLOADED)
         return self._fill(now)
 
     def withdraw(self, call: str, now: float) -> bool:
@@ -177,15 +188,17 @@
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def set_phase(self, phase: Phase, now: float) -> Change:
-        """Follow what the target says of itself; repeats change nothing."""
-        if phase == self._announced:
+        """Follow what the target says of itself; repeats change nothing.
+
+        Leaving is final: a target that starts again is another instance.
+        """
+        if self._announced in {phase, Phase.LEAVING}:
             return Change()
         self._announced = phase
         if phase == Phase.COLD:
             self.turned_cold(now)
         if phase == Phase.LEAVING:
-            for ticket in self._queue.clear():
-                self._refuse(ticket, Reason.LEAVING)
+            self._refuse_all(Reason.LEAVING)
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def turned_cold(self, now: float) -> None:
@@ -204,11 +217,15 @@
             return Failure(Reason.LEAVING, detail='the target is leaving')
         if ticket.give_up_at <= now:
             return Failure(Reason.DEADLINE, detail='the deadline has passed')
+        if self._breaker.is_open(now):
+            return Failure(Reason.OVERLOADED, detail='the target fails calls')
         return None
 
     def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
         gives_up_at = self._gives_up_at(ticket, now)
-        if now + self._expected_wait_s(ticket.tenant) > gives_up_at:
+        turns = self._queue.ahead_of(ticket.tenant) + 1
+        wait_s = turns * self._concurrency.service_s / self._concurrency.limit
+        if now + wait_s > gives_up_at:
             return Failure(Reason.OVERLOADED, detail='the wait is too long')
         dropped = self._queue.push(ticket)
         if ticket in dropped:
@@ -219,16 +236,13 @@
         return Queued()
 
     def _gives_up_at(self, ticket: Ticket, now: float) -> float:
-        """Return when a call that still waits has no use any more."""
-        return min(
-            now + self._contract.queue_wait_ms / MS_PER_S,
-            ticket.give_up_at - self._concurrency.service_s,
-        )
-
-    def _expected_wait_s(self, tenant: str) -> float:
-        """Return how long a new call would wait, in seconds."""
-        turns = self._queue.ahead_of(tenant) + 1
-        return turns * self._concurrency.service_s / self._concurrency.limit
+        """Return when a call that still waits is refused."""
+        service_s = self._concurrency.service_s
+        wait_s = self._contract.queue_wait_ms / MS_PER_S
+        if ticket.may_move:
+            move_wait_s = max(MOVE_WAIT_S, MOVE_WAIT_SERVICES * service_s)
+            wait_s = min(wait_s, move_wait_s)
+        return min(now + wait_s, ticket.give_up_at - service_s)
 
     def _has_slot(self) -> bool:
         return self.running < self._concurrency.limit
@@ -253,6 +267,12 @@
                 started.append(ticket.call)
         return started
 
+    def _refuse_all(
+        self, reason: Reason, *, movable_only: bool = False
+    ) -> None:
+        for ticket in self._queue.take_out(movable_only=movable_only):
+            self._refuse(ticket, reason)
+
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
         self._waits.discard(ticket.call)
         self._refused.append((ticket.call, Failure(reason)))
--- a/daisyline/coordination/fair_queue.py
+++ b/daisyline/coordination/fair_queue.py
@@ -1,5 +1,6 @@
 """A bounded queue that tenants share by start-time fair queueing."""
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -17,11 +18,13 @@
         call: The call's id.
         tenant: The tenant or class of the caller.
         give_up_at: The call's deadline, in monotonic seconds.
+        may_move: Whether its entry node can still offer it to another target.
     """
 
     call: str
     tenant: str
     give_up_at: float
+    may_move: bool = False
 
 
 @attrs.define
@@ -125,15 +128,16 @@
         """Take a call out wherever it stands; return whether it waited."""
         return self._remove(call) is not None
 
-    def clear(self) -> list[Ticket]:
-        """Empty the queue and return the calls that waited."""
+    def take_out(self, *, movable_only: bool) -> list[Ticket]:
+        """Take out all calls, or those that another target may take."""
         tickets = [
             ticket
             for line in self._lines.values()
             for ticket in line.calls.values()
+            if ticket.may_move or not movable_only
         ]
-        self._lines.clear()
-        self._tenants.clear()
+        for ticket in tickets:
+            self._remove(ticket.call)
         return tickets
 
     def _remove(self, call: str) -> Ticket | None:
@@ -155,12 +159,15 @@
         return ticket
 
     def _most_per_tenant(self) -> int:
-        return max(1, int(self._bound * TENANT_PART))
+        return math.ceil(self._bound * TENANT_PART)
 
     def _may_displace(self, tenant: str, longest: str) -> bool:
-        """Return whether a tenant would still be shorter than the longest."""
+        """Return whether one more call leaves a tenant under the longest.
+
+        A tenant that has not got its share of a full queue then always may.
+        """
         mine = (self._length(tenant) + 1) / self._weight(tenant)
-        return mine <= (self._length(longest) - 1) / self._weight(longest)
+        return mine < self._length(longest) / self._weight(longest)
 
     def _longest(self) -> str:
         """Return the tenant that holds most for its weight."""
