Keep a judge within its budget in a large fleet

With 19 targets at 155 calls a second each and 16 routes, a judge received 14.8 KB a second and spent 14.7 ms of processor time a second, over 7 KB and 1.1% of a core. Small fleets keep 0.5 s. Message sizes are msgpack's without frames. Ruled out: coarser latency buckets, as a version slower by half would then be within what is allowed.

--- a/daisyline/coordination/evidence.py
+++ b/daisyline/coordination/evidence.py
@@ -16,10 +16,13 @@
 from daisyline.state.rollout_state import RolloutPlan, Sample
 
 # Fixed, whatever the outcomes: a block that ended at a failure would bias
-# the comparison.
+# the comparison. In a large fleet a judge hears of more targets, and the
+# longer interval keeps it within its budget.
 EVIDENCE_INTERVAL_S = 0.5
+LARGE_FLEET_INTERVAL_S = 2.0
+LARGE_FLEET_MEMBERS = 50
 JUDGES = 2
-MAX_ROUTES = 16
+MAX_ROUTES = 10
 OTHER_ROUTES = 'other'
 # A target that stays cold for longer is judged as if it were warm.
 COLD_EXCUSED_S = 60.0
@@ -37,6 +40,13 @@
     return sorted(members, key=lambda name: _score(service, name))[-JUDGES:]
 
 
+def interval_s(members: int) -> float:
+    """Return how often evidence is sent and judged, in seconds."""
+    if members > LARGE_FLEET_MEMBERS:
+        return LARGE_FLEET_INTERVAL_S
+    return EVIDENCE_INTERVAL_S
+
+
 def _score(service: str, name: str) -> bytes:
     return hashlib.blake2b(f'{service}\n{name}'.encode()).digest()
 
--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -13,6 +13,7 @@
 from daisyline.coordination.evidence import (
     EVIDENCE_INTERVAL_S,
     Collector,
+    interval_s,
     judges_of,
 )
 from daisyline.coordination.evidence_messages import Evidence
@@ -102,7 +103,7 @@
         self._appoint(now)
         effects: list[Any] = []
         if now >= self._evidence_at:
-            self._evidence_at = now + EVIDENCE_INTERVAL_S
+            self._evidence_at = now + interval_s(len(self._members))
             effects.extend(self._send_evidence())
         for progress in self._progress.values():
             before = progress.standing.place
@@ -178,10 +179,11 @@
     def _appoint(self, now: float) -> None:
         """Judge the rollouts that fall to this node, and no others."""
         self._is_appointed = True
+        every_s = interval_s(len(self._members))
         for service, judges in self._judges.items():
             progress = self._progress[service]
             if self._node in judges:
-                progress.appoint(self._rng, now)
+                progress.appoint(self._rng, every_s, now)
             else:
                 progress.dismiss()
 
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -9,7 +9,7 @@
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.evidence_messages import Evidence
 from daisyline.coordination.fact_events import PutFact
-from daisyline.coordination.rollout_judge import EVALUATE_S, Judge
+from daisyline.coordination.rollout_judge import Judge
 from daisyline.coordination.rollout_record import Record
 from daisyline.coordination.rollout_schedule import decide, settle_s
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
@@ -35,6 +35,7 @@
 
     judge: Judge
     record: Record
+    interval_s: float
     evaluate_at: float
     settled_at: float
     judged_before: int = 0
@@ -98,15 +99,17 @@
         if (plan.old, plan.new) != versions:
             self._bench = None
 
-    def appoint(self, rng: Random, now: float) -> None:
-        """Become a judge, with no evidence yet."""
+    def appoint(self, rng: Random, interval_s: float, now: float) -> None:
+        """Become a judge, with no evidence yet, or go on as one."""
         if self._bench is None:
             self._bench = Bench(
                 Judge.from_plan(self.plan),
                 Record.from_plan(self.plan, rng, now),
-                now + EVALUATE_S,
+                interval_s,
+                now + interval_s,
                 now + settle_s(self.plan),
             )
+        self._bench.interval_s = interval_s
 
     def dismiss(self) -> None:
         """Be a judge no more."""
@@ -182,7 +185,7 @@
         """Judge the evidence of the last interval."""
         if now - bench.evaluate_at > PAUSE_S:
             bench.settled_at = now + settle_s(self.plan)
-        bench.evaluate_at = now + EVALUATE_S
+        bench.evaluate_at = now + bench.interval_s
         judgement = bench.judge.evaluate()
         bench.judged = judgement.judged
         if now < bench.settled_at and not judgement.bad:
