--- a/daisyline/programs/operator_fleet.py
+++ b/daisyline/programs/operator_fleet.py
@@ -103,7 +103,7 @@
 
 
 def _heading(percentile: float) -> str:
-    short = f'{percentile:g}'
+    short = format(percentile, 'g')
     return f'P{short} us'
 
 
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -49,6 +49,6 @@
     circuits.web serves it: its faults with pipelining and rewritten paths
     don't matter to a read-only port, where they would on the callers' one.
     """
-    server = Server((host, port), channel='operators')
+    server = Server((host, port), channel='operators', display_banner=False)
     server.register(root)
     _Views(core).register(server)
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -1,1 +1,229 @@
 """Fixtures that the tests of several modules share."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+
+from standins.processes import HOST, Ports
+from tests.support import fixture
+
+START_S = 20.0
+STEP_S = 0.05
+SLOTS = 2
+
+
+@attrs.define
+class Process:
+    """One process that a test started."""
+
+    popen: Any
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.signal(signal.SIGTERM)
+        return int(self.popen.wait(timeout=START_S))
+
+
+@attrs.define
+class Place:
+    """A node, the target beside it and their ports."""
+
+    name: str
+    zone: str
+    callers: int
+    peers: int
+    for_target: int
+    operators: int
+    calls: int
+    control: int
+    node: Process | None = None
+    target: Process | None = None
+
+    def status(self) -> dict[str, Any]:
+        """Return what the node says on its operators' port."""
+        return fetch(self.operators, '/status')
+
+    def faults(self, **faults: Any) -> None:
+        """Set faults of the target."""
+        fetch(self.control, '/control/faults', method='POST', body=faults)
+
+    def ran(self) -> list[dict[str, Any]]:
+        """Return the calls that the target has run."""
+        return fetch(self.control, '/control/calls')['calls']
+
+
+@attrs.define
+class SmallFleet:
+    """A platform and a few nodes with their targets, as real processes."""
+
+    ports: Ports
+    platform_port: int
+    processes: list[Process] = attrs.field(factory=list)
+    places: list[Place] = attrs.field(factory=list)
+
+    def run(self, module: str, **flags: Any) -> Process:
+        """Start a program of ours or a stand-in."""
+        words = [
+            word
+            for name, given in flags.items()
+            for word in (_flag(name), str(given))
+        ]
+        popen = subprocess.Popen(
+            [sys.executable, '-m', module, *words],
+            stdout=subprocess.DEVNULL,
+            stderr=open(os.devnull, 'w') if _is_quiet() else None,
+        )
+        process = Process(popen)
+        self.processes.append(process)
+        return process
+
+    def add(self, zone: str) -> Place:
+        """Start one more node with its target."""
+        number = len(self.places)
+        free = (self.ports.take() for _ in range(6))
+        place = Place(f'n{number}', zone, *free)
+        self.places.append(place)
+        self.start_node(place)
+        self.start_target(place)
+        return place
+
+    def start_node(self, place: Place) -> None:
+        """Start the node of a place."""
+        place.node = self.run(
+            'daisyline.programs.node',
+            name=place.name,
+            zone=place.zone,
+            region='flanders',
+            cluster='stofbril',
+            host=HOST,
+            callers_port=place.callers,
+            peers_port=place.peers,
+            target_port=place.for_target,
+            operators_port=place.operators,
+            platform=f'http://{HOST}:{self.platform_port}',
+        )
+
+    def start_target(self, place: Place) -> None:
+        """Start the target of a place."""
+        place.target = self.run(
+            'standins.target',
+            port=place.calls,
+            control_port=place.control,
+            node_target_port=place.for_target,
+            service='docs',
+            slots=SLOTS,
+            cold_calls=0,
+        )
+
+    def meet(self) -> None:
+        """Wait until each node knows each target."""
+        wait_until(lambda: all(map(self._knows_all, self.places)))
+
+    def _knows_all(self, place: Place) -> bool:
+        members = place.status()['members']
+        known = [one for one in members if one['service'] == 'docs']
+        return len(known) == len(self.places)
+
+
+@fixture
+def fleet() -> Iterator[SmallFleet]:
+    """Two nodes with their targets, that know each other."""
+    ports = Ports.from_random()
+    small = SmallFleet(ports, ports.take())
+    try:
+        small.run(
+            'standins.platform',
+            port=small.platform_port,
+            settings=json.dumps(settings()),
+        )
+        small.add('ghent-a')
+        small.add('ghent-b')
+        small.meet()
+        yield small
+    finally:
+        for process in small.processes:
+            process.kill()
+
+
+def settings() -> dict[str, Any]:
+    """Return the settings that the fleet starts with, as they are stored."""
+    zones = {name: {'region': 'flanders'} for name in ('ghent-a', 'ghent-b')}
+    tree = {
+        'cluster': 'stofbril',
+        'defaults': {'slots_per_upstream': SLOTS, 'deadline_ms': 5000},
+        'zones': zones,
+        'services': {'docs': {}},
+    }
+    return {'tree': tree, 'changes': []}
+
+
+def fetch(
+    port: int, path: str, method: str = 'GET', body: Any = None
+) -> dict[str, Any]:
+    """Call a JSON port and return what it says."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=START_S)
+    try:
+        sent = None if body is None else json.dumps(body)
+        connection.request(method, path, sent)
+        said: dict[str, Any] = json.loads(connection.getresponse().read())
+    finally:
+        connection.close()
+    return said
+
+
+def talk(port: int, octets: bytes, timeout_s: float = 3.0) -> bytes:
+    """Send bytes and return all that comes until the other end closes."""
+    came = bytearray()
+    with socket.create_connection((HOST, port), timeout=timeout_s) as sock:
+        sock.sendall(octets)
+        try:
+            while chunk := sock.recv(65536):
+                came += chunk
+        except TimeoutError:
+            return bytes(came)
+    return bytes(came)
+
+
+def wait_until(holds: Callable[[], Any], timeout_s: float = START_S) -> Any:
+    """Wait until something holds, and return it.
+
+    Raises:
+        AssertionError: If it does not in time.
+    """
+    last_by = time.monotonic() + timeout_s
+    while time.monotonic() < last_by:
+        try:
+            held = holds()
+        except (OSError, http.client.HTTPException, ValueError):
+            held = None
+        if held:
+            return held
+        time.sleep(STEP_S)
+    raise AssertionError('it did not hold in time')
+
+
+def _flag(name: str) -> str:
+    dashed = name.replace('_', '-')
+    return f'--{dashed}'
+
+
+def _is_quiet() -> bool:
+    return not os.environ.get('DAISYLINE_TEST_LOUD')
--- /dev/null
+++ b/tests/transport/test_path.py
@@ -0,0 +1,149 @@
+"""The whole path, over real processes: callers, two nodes, two targets."""
+
+import signal
+import threading
+import time
+
+from tests.fixtures import SmallFleet, fetch, talk, wait_until
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def _get(path: str, call: str, extra: str = '') -> bytes:
+    return (
+        f'GET {path} HTTP/1.1\r\nHost: docs\r\nX-Call-Id: {call}\r\n{extra}\r\n'
+    ).encode()
+
+
+def test_the_path_reaches_the_target_byte_for_byte(fleet: SmallFleet) -> None:
+    port = fleet.places[0].callers
+    path = '/a%2Fb/../c//d*?x=%20&y'
+    came = talk(port, _get(path, 'one', 'Connection: close\r\n'))
+    assert came.startswith(b'HTTP/1.1 200')
+    assert path.encode() in came
+
+
+def test_requests_sent_back_to_back_are_answered_in_order(
+    fleet: SmallFleet,
+) -> None:
+    port = fleet.places[0].callers
+    calls = [f'call-{number}' for number in range(8)]
+    sent = b''.join(_get('/x', call) for call in calls[:-1])
+    came = talk(port, sent + _get('/x', calls[-1], 'Connection: close\r\n'))
+    places = [came.index(f'X-Call-Id: {call}\r'.encode()) for call in calls]
+    assert places == sorted(places)
+    assert came.count(b'HTTP/1.1 200') == len(calls)
+
+
+def test_ambiguous_framing_is_refused_and_reaches_no_target(
+    fleet: SmallFleet,
+) -> None:
+    port = fleet.places[0].callers
+    framings = (
+        'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+        'Content-Length: abc\r\n\r\nabc',
+        'Content-Length: -1\r\n\r\nabc',
+        'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n',
+    )
+    for framing in framings:
+        head = 'POST /smuggled HTTP/1.1\r\nHost: docs\r\n'
+        came = talk(port, (head + framing).encode())
+        assert came.startswith(b'HTTP/1.1 400'), framing
+        assert b'Daisyline-Outcome: not-run' in came
+        assert came.count(b'HTTP/1.1') == 1, framing
+    ran = [call for place in fleet.places for call in place.ran()]
+    assert not [call for call in ran if call['path'] == '/smuggled']
+
+
+def test_head_expect_chunks_and_hop_by_hop_headers(fleet: SmallFleet) -> None:
+    port = fleet.places[0].callers
+    close = 'Connection: close\r\n'
+    came = talk(port, f'HEAD /x HTTP/1.1\r\nHost: docs\r\n{close}\r\n'.encode())
+    assert came.startswith(b'HTTP/1.1 200')
+    assert came.endswith(b'\r\n\r\n')
+    chunked = (
+        'POST /x HTTP/1.1\r\nHost: docs\r\nTransfer-Encoding: chunked\r\n'
+        f'Expect: 100-continue\r\n{close}\r\n3\r\nabc\r\n0\r\n\r\n'
+    )
+    came = talk(port, chunked.encode())
+    assert b'HTTP/1.1 200' in came
+
+
+def test_a_body_over_the_limit_is_refused_as_not_run(fleet: SmallFleet) -> None:
+    port = fleet.places[0].callers
+    head = 'POST /x HTTP/1.1\r\nHost: docs\r\nContent-Length: 99999999\r\n\r\n'
+    came = talk(port, head.encode())
+    assert came.startswith(b'HTTP/1.1 413')
+    assert b'Daisyline-Outcome: not-run' in came
+
+
+def test_an_order_whose_node_is_killed_is_unknown_and_not_run_again(
+    fleet: SmallFleet,
+) -> None:
+    entry, other = fleet.places
+    other.faults(slow_factor=400)
+    entry.faults(slow_factor=400)
+    sent = (
+        b'POST /order HTTP/1.1\r\nHost: docs\r\nX-Call-Id: order\r\n'
+        b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+    )
+    came: list[bytes] = []
+    threads = [
+        threading.Thread(
+            target=lambda: came.append(talk(entry.callers, sent, 8))
+        )
+        for _ in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_until(lambda: other.ran())
+    ran = len(other.ran())
+    assert other.node is not None
+    other.node.kill()
+    for thread in threads:
+        thread.join()
+    unknown = [one for one in came if b'Daisyline-Outcome: unknown' in one]
+    assert len(unknown) >= ran
+    assert len(other.ran()) == ran
+
+
+def test_a_node_told_to_stop_cuts_no_call(fleet: SmallFleet) -> None:
+    entry, other = fleet.places
+    entry.faults(slow_factor=60)
+    other.faults(slow_factor=60)
+    came: list[bytes] = []
+    threads = [
+        threading.Thread(
+            target=lambda port=place.callers: came.append(
+                talk(port, _get('/x', 'slow', 'Connection: close\r\n'), 9)
+            )
+        )
+        for place in fleet.places
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.2)
+    assert other.node is not None
+    assert other.node.stop() == 0
+    for thread in threads:
+        thread.join()
+    assert [one.split(b' ')[1] for one in came] == [b'200', b'200']
+
+
+def test_a_frozen_node_does_no_harm_and_takes_part_again(
+    fleet: SmallFleet,
+) -> None:
+    entry, other = fleet.places
+    assert other.node is not None
+    other.node.signal(signal.SIGSTOP)
+    answers = [
+        talk(
+            entry.callers, _get('/x', f'f{number}', 'Connection: close\r\n'), 8
+        )
+        for number in range(6)
+    ]
+    other.node.signal(signal.SIGCONT)
+    assert all(one.startswith(b'HTTP/1.1 200') for one in answers)
+    wait_until(lambda: fetch(entry.operators, '/status')['members'][1:])
