--- a/daisyline/coordination/comparison.py
+++ b/daisyline/coordination/comparison.py
@@ -18,6 +18,7 @@
 from daisyline.coordination.gossip_records import (
     FactRecord,
     MemberRecord,
+    Notice,
     Stamp,
 )
 from daisyline.coordination.outbox import messages_to
@@ -47,15 +48,16 @@
     """Send a peer what is newer here, and ask for what is newer there."""
     gossip.weigh(node, message.weight, now)
     records = _newer_than(message, gossip)
+    removals: list[Notice] = []
     wanted: list[str] = []
     for stamp in message.stamps:
         if _is_wanted(stamp, gossip, node, now):
             wanted.append(stamp.name)
         else:
-            records.extend(_removals(stamp.name, gossip))
+            removals.extend(_removals(stamp.name, gossip))
     effects = gossip.merge(node, Rumours((), message.facts), now)
     facts = _facts_lacking(message, gossip, now)
-    effects.extend(messages_to(node, (*records, *facts)))
+    effects.extend(messages_to(node, (*records, *removals, *facts)))
     if wanted:
         effects.append(Send(node, RecordsWanted(wanted)))
     return effects
@@ -94,7 +96,7 @@
     return gossip.trusts(node, now)
 
 
-def _removals(name: str, gossip: Gossip) -> list[MemberRecord]:
-    """Return the record of a member if it was removed, else nothing."""
+def _removals(name: str, gossip: Gossip) -> list[Notice]:
+    """Return the notice of a member's removal, if it was removed."""
     tombstone = gossip.members.tombstones.get(name)
-    return [tombstone.record] if tombstone else []
+    return [Notice.from_record(tombstone.record)] if tombstone else []
--- a/daisyline/coordination/failure_detector.py
+++ b/daisyline/coordination/failure_detector.py
@@ -81,6 +81,8 @@
             return []
         if name not in self._members.live or name == self._members.me.name:
             return []
+        if name in self._members.suspects:
+            return []
         nonce = new_nonce(self._rng)
         self._probes[nonce] = Probe(name, now + ANSWER_TIMEOUT_S)
         return [Send(name, GossipPing(nonce, self._summary()))]
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -22,7 +22,7 @@
     MemberRecord,
     Standing,
 )
-from daisyline.coordination.outbox import messages_to
+from daisyline.coordination.outbox import messages_to, shortened
 from daisyline.coordination.seeds import Seeds
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
@@ -42,6 +42,8 @@
 
     _gossip: Gossip
     _seeds: Seeds
+    _called_at: float = 0
+    _has_left: bool = False
 
     @classmethod
     def from_config(
@@ -104,6 +106,8 @@
 
     def next_at(self) -> float:
         """Return when `tick` must be called next."""
+        if self._has_left:
+            return float('inf')
         return min(
             self._gossip.next_at(),
             self._gossip.readers.next_at(),
@@ -112,6 +116,8 @@
 
     def tick(self, now: float) -> list[Any]:
         """Do what is due."""
+        if self._has_left:
+            return []
         self._note_pause(now)
         effects = self._gossip.tick(now)
         count = len(self.members)
@@ -119,7 +125,9 @@
         contacts, writes = self._seeds.tick(self.members.values(), now)
         effects.extend(writes)
         effects.extend(self._gossip.contact(*address) for address in contacts)
-        return effects + self._report(now)
+        effects.extend(self._report(now))
+        assert self.next_at() > now, 'a tick has left something due'
+        return effects
 
     def announce(self, target: Target | None, now: float) -> list[Any]:
         """Tell the fleet of the target beside this node, if it is news."""
@@ -138,12 +146,13 @@
         return [FactChanged(fact)]
 
     def leave(self, now: float) -> list[Any]:
-        """Tell the fleet that this node stops."""
+        """Tell the fleet that this node stops; it takes no part any more."""
+        self._has_left = True
         record = MemberRecord(self.me, Standing.LEFT)
         return [
             effect
             for name in self._gossip.members.overlay.neighbours()
-            for effect in messages_to(name, (record,))
+            for effect in messages_to(name, (shortened(record),))
         ]
 
     @functools.singledispatchmethod
@@ -153,6 +162,8 @@
 
     @handle.register
     def _on_message(self, event: FromPeer, now: float) -> list[Any]:
+        if self._has_left:
+            return []
         self._note_pause(now)
         effects = receive(event.message, self._gossip, event.node, now)
         return effects + self._report(now)
@@ -170,7 +181,7 @@
         live = self.members.values()
         for address in self._seeds.replied(event, live, now):
             effects.append(gossip.contact(*address))
-        return effects
+        return effects + self._report(now)
 
     @handle.register(StreamLost)
     @handle.register(NodeUnreachable)
@@ -180,17 +191,21 @@
         return self._gossip.detector.probe(event.node, now)
 
     def _note_pause(self, now: float) -> None:
-        late = now - self.next_at()
+        """Notice that the process was paused; each pause counts once."""
+        late = now - max(self.next_at(), self._called_at)
+        self._called_at = now
         if late > PAUSE_NOTED_S:
             self._gossip.paused(late, now)
 
     def _report(self, now: float) -> list[Any]:
         """Return what changed among the members, and what follows from it."""
-        changed, removed = self._gossip.members.take_changes()
-        if not changed and not removed:
-            return []
-        effects: list[Any] = [MembersChanged(changed, removed)]
+        gossip = self._gossip
+        changed, removed = gossip.members.take_changes()
+        effects: list[Any] = []
         for name in removed:
-            effects.extend(self._gossip.forget(name, now))
-        self._gossip.readers.choose(self.members.values(), now)
+            effects.extend(gossip.forget(name, now))
+        if changed or removed:
+            gossip.readers.choose(self.members.values(), now)
+            effects.append(MembersChanged(changed, removed))
+        gossip.holders.watch(now)
         return effects
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -26,9 +26,10 @@
     Standing,
     Summary,
 )
+from daisyline.coordination.holders import HolderTally
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership import Membership, Merge
-from daisyline.coordination.outbox import Outbox, messages_to
+from daisyline.coordination.outbox import Outbox, messages_to, shortened
 from daisyline.coordination.readers import Readers
 from daisyline.coordination.spread import START_WAIT_S, SettingsSpread
 from daisyline.state.members import Member
@@ -63,6 +64,7 @@
     settings: SettingsSpread
     readers: Readers
     detector: FailureDetector
+    holders: HolderTally
     digest: Digest
     outbox: Outbox
     rng: random.Random
@@ -90,6 +92,7 @@
             settings=settings,
             readers=readers,
             detector=FailureDetector(members, rng, now, summary),
+            holders=HolderTally(members, settings, rng),
             digest=digest,
             outbox=Outbox(rng),
             rng=rng,
@@ -103,6 +106,7 @@
             self.facts.next_at(),
             self.detector.next_at(),
             self.settings.next_at(),
+            self.holders.next_at(),
             self.outbox.next_at(),
             self._nudge_at,
             self._retry_at,
@@ -188,6 +192,7 @@
         effects, suspected = self.detector.tick(now)
         self.suspect(suspected, now)
         effects.extend(self.settings.tick(self.members.live, now))
+        effects.extend(self.holders.tick(now))
         if now >= min(self._nudge_at, self.outbox.next_at()):
             effects.extend(self._tell_neighbours(now))
         if now >= self._retry_at:
@@ -238,7 +243,7 @@
                 disputed.append(self.members.tombstones[name].record)
             else:
                 self.outbox.heard_again(record, node)
-        return messages_to(node, disputed)
+        return messages_to(node, map(shortened, disputed))
 
     def _tell_neighbours(self, now: float) -> list[Any]:
         neighbours = self.members.overlay.neighbours()
--- a/daisyline/coordination/gossip_handlers.py
+++ b/daisyline/coordination/gossip_handlers.py
@@ -10,6 +10,7 @@
     Buckets,
     GossipAck,
     GossipPing,
+    Holders,
     Join,
     ProbeAnswer,
     ProbeRequest,
@@ -44,9 +45,13 @@
 def _heard(
     summary: Summary, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
+    """Act on a peer's summary; of settings only members are believed."""
     gossip.readers.hear(summary.confirmed, now)
-    effects = gossip.settings.heard(node, summary.settings_version, now)
-    return effects + gossip.compare(node, summary.root, now)
+    effects = gossip.compare(node, summary.root, now)
+    if node in gossip.members.live:
+        version = summary.settings_version
+        effects.extend(gossip.settings.heard(node, version, now))
+    return effects
 
 
 @receive.register
@@ -59,9 +64,10 @@
     if message.summary.root != gossip.digest.root:
         hashes = gossip.digest.hashes
         effects.append(Send(node, Buckets(gossip.weight(now), hashes)))
-    return effects + gossip.settings.heard(
-        node, message.summary.settings_version, now
-    )
+    if node in gossip.members.live:
+        version = message.summary.settings_version
+        effects.extend(gossip.settings.heard(node, version, now))
+    return effects
 
 
 @receive.register
@@ -136,6 +142,8 @@
 def _on_settings_notice(
     message: SettingsNotice, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
+    if node not in gossip.members.live:
+        return []
     return gossip.settings.heard(node, message.version, now)
 
 
@@ -143,6 +151,8 @@
 def _on_settings_wanted(
     message: SettingsWanted, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
+    if node not in gossip.members.live:
+        return []
     return gossip.settings.wanted(node, message.version, now)
 
 
@@ -152,3 +162,10 @@
 ) -> list[Any]:
     neighbours = gossip.members.overlay.neighbours()
     return gossip.settings.arrived(message, neighbours, now)
+
+
+@receive.register
+def _on_holders(
+    message: Holders, gossip: Gossip, node: str, now: float
+) -> list[Any]:
+    return gossip.holders.merge(node, message, now)
--- /dev/null
+++ b/daisyline/coordination/holders.py
@@ -0,0 +1,107 @@
+"""Learn which members hold the newest settings, at the cost of a bit each.
+
+Nodes exchange a bit for each live member, in the order of names, while some
+are missing. Bits of one version and one list of names are merged by `or`, so
+that all nodes know all holders after few exchanges.
+"""
+
+import random
+from typing import Any
+
+import attrs
+
+from daisyline.coordination.effects import Send
+from daisyline.coordination.gossip_messages import Holders
+from daisyline.coordination.jitter import jittered
+from daisyline.coordination.membership import Membership
+from daisyline.coordination.overlay import stable_hash
+from daisyline.coordination.spread import SettingsSpread
+
+EXCHANGE_INTERVAL_S = 0.25
+ACTIVE_S = 30.0
+_BITS_PER_BYTE = 8
+_NEVER = float('inf')
+
+
+@attrs.define
+class HolderTally:
+    """The holders of the version that this node holds."""
+
+    _members: Membership
+    _settings: SettingsSpread
+    _rng: random.Random
+    _version: int = 0
+    _generation: int = 0
+    _names: tuple[str, ...] = ()
+    _roster: int = 0
+    _bits: int = 0
+    _stale: bool = True
+    _active_until: float = 0
+    _next_at: float = _NEVER
+
+    def next_at(self) -> float:
+        """Return when `tick` must be called next."""
+        return self._next_at
+
+    def watch(self, now: float) -> None:
+        """Begin anew if the members or the settings have changed."""
+        held = (self._settings.version, self._members.overlay.generation)
+        if held == (self._version, self._generation):
+            return
+        self._stale = True
+        self._version = self._settings.version
+        self._generation = self._members.overlay.generation
+        self._active_until = now + ACTIVE_S
+        soon = now + jittered(self._rng, EXCHANGE_INTERVAL_S)
+        self._next_at = min(self._next_at, soon)
+
+    def tick(self, now: float) -> list[Any]:
+        """Exchange holders with one neighbour, if it is time."""
+        if now < self._next_at:
+            return []
+        self._next_at = _NEVER
+        self._refresh()
+        neighbours = self._members.overlay.neighbours(self._members.suspects)
+        if self._is_complete() or now >= self._active_until or not neighbours:
+            return []
+        self._next_at = now + jittered(self._rng, EXCHANGE_INTERVAL_S)
+        return [Send(self._rng.choice(neighbours), self._message())]
+
+    def merge(self, node: str, message: Holders, now: float) -> list[Any]:
+        """Merge a peer's bits, and send it those that it lacks."""
+        self._refresh()
+        same = (self._version, self._roster)
+        if (message.version, message.roster) != same:
+            return []
+        theirs = int.from_bytes(message.bits, 'little')
+        news = theirs & ~self._bits
+        self._bits |= news
+        for index, name in enumerate(self._names):
+            if news >> index & 1:
+                self._settings.note(name, self._version)
+        if self._bits & ~theirs:
+            return [Send(node, self._message())]
+        return []
+
+    def _is_complete(self) -> bool:
+        return self._bits == (1 << len(self._names)) - 1
+
+    def _message(self) -> Holders:
+        length = -(-len(self._names) // _BITS_PER_BYTE)
+        bits = self._bits.to_bytes(length, 'little')
+        return Holders(self._version, self._roster, bits)
+
+    def _refresh(self) -> None:
+        """Work the bits out anew after members or settings changed."""
+        if not self._stale:
+            return
+        self._stale = False
+        self._names = tuple(sorted(self._members.live))
+        self._roster = stable_hash('\n'.join(self._names))
+        versions = self._settings.versions
+        self._bits = sum(
+            1 << index
+            for index, name in enumerate(self._names)
+            if versions.get(name, 0) >= self._version
+            or name == self._members.me.name
+        )
--- a/daisyline/coordination/outbox.py
+++ b/daisyline/coordination/outbox.py
@@ -22,6 +22,7 @@
 _NEVER = float('inf')
 
 _Key = tuple[str, ...]
+_News = MemberRecord | FactRecord | Notice
 
 
 @attrs.define
@@ -86,7 +87,7 @@
         ]
         for name in dict.fromkeys((*neighbours, *subjects)):
             lacking = [
-                entry.news
+                shortened(entry.news)
                 for entry in entries
                 if name not in entry.known_to
                 and (name in neighbours or _key(entry.news)[1] == name)
@@ -95,13 +96,18 @@
         return effects, False
 
 
-def messages_to(
-    node: str, news: Iterable[MemberRecord | FactRecord]
-) -> list[Any]:
-    """Return news as messages of bounded length to one peer.
+def shortened(news: MemberRecord | FactRecord) -> _News:
+    """Return news as it is sent to a node that should hold the member.
 
-    Of suspects and members that left, only the stamp is sent.
+    Of suspects and members that left, the stamp is enough.
     """
+    if isinstance(news, FactRecord) or news.standing is Standing.ALIVE:
+        return news
+    return Notice.from_record(news)
+
+
+def messages_to(node: str, news: Iterable[_News]) -> list[Any]:
+    """Return news as messages of bounded length to one peer."""
     pieces = tuple(news)
     return [
         Send(node, _rumours(pieces[start : start + CHUNK_COUNT]))
@@ -109,18 +115,12 @@
     ]
 
 
-def _rumours(pieces: Iterable[MemberRecord | FactRecord]) -> Rumours:
-    records: list[MemberRecord] = []
-    facts: list[FactRecord] = []
-    notices: list[Notice] = []
-    for piece in pieces:
-        if isinstance(piece, FactRecord):
-            facts.append(piece)
-        elif piece.standing is Standing.ALIVE:
-            records.append(piece)
-        else:
-            notices.append(Notice.from_record(piece))
-    return Rumours(records, facts, notices)
+def _rumours(pieces: Sequence[_News]) -> Rumours:
+    return Rumours(
+        records=[one for one in pieces if isinstance(one, MemberRecord)],
+        facts=[one for one in pieces if isinstance(one, FactRecord)],
+        notices=[one for one in pieces if isinstance(one, Notice)],
+    )
 
 
 def _key(news: MemberRecord | FactRecord) -> _Key:
--- a/daisyline/coordination/overlay.py
+++ b/daisyline/coordination/overlay.py
@@ -41,14 +41,22 @@
 
     _me: str
     _rings: list[_Ring] = attrs.field(factory=_no_rings)
+    _generation: int = 0
+
+    @property
+    def generation(self) -> int:
+        """Return a number that grows when a member comes or goes."""
+        return self._generation
 
     def add(self, name: str) -> None:
         """Put a member on every ring; it must not be there."""
+        self._generation += 1
         for number, ring in enumerate(self._rings):
             bisect.insort(ring, _place(name, number))
 
     def remove(self, name: str) -> None:
         """Take a member off every ring; it must be there."""
+        self._generation += 1
         for number, ring in enumerate(self._rings):
             index = bisect.bisect_left(ring, _place(name, number))
             assert ring[index][1] == name
--- a/daisyline/coordination/readers.py
+++ b/daisyline/coordination/readers.py
@@ -1,5 +1,7 @@
 """Choose the nodes that read the platform, and read on one of them."""
 
+import functools
+import heapq
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -25,14 +27,19 @@
 CONFIRMED_BOUND_S = 90.0
 UNCONFIRMED_READ_S_PER_MEMBER = 0.5
 _OK = 200
+_CACHED_NAMES = 4096
 _TOKEN = 'fleet-settings-'
 
 
 def readers_of(members: Iterable[Member], region: str) -> list[str]:
     """Return the names of the members that read for a region."""
     names = [member.name for member in members if member.region == region]
-    names.sort(key=lambda name: stable_hash(f'reader/{name}'))
-    return names[:READERS_PER_REGION]
+    return heapq.nsmallest(READERS_PER_REGION, names, key=_rank)
+
+
+@functools.lru_cache(maxsize=_CACHED_NAMES)
+def _rank(name: str) -> int:
+    return stable_hash(f'reader/{name}')
 
 
 @attrs.define
@@ -75,7 +82,8 @@
         """Become a reader, or cease to be one, as the members changed."""
         chosen = self._name in readers_of(members, self._region)
         if chosen and not self._reading:
-            self._next_read_at = min(self._next_read_at, now)
+            soon = now + jittered(self._rng, RETRY_MIN_S)
+            self._next_read_at = min(self._next_read_at, soon)
             self._listed = False
         self._reading = chosen
 
--- a/daisyline/coordination/seeds.py
+++ b/daisyline/coordination/seeds.py
@@ -91,7 +91,9 @@
             return contacts, []
         if now >= self._write_at:
             self._write_at = float('inf')
-            return contacts, self._write(live, now)
+            writes = self._write(live, now)
+            if writes:
+                return contacts, writes
         if now >= self._next_review_at:
             return contacts, [PlatformList(self._new_token(now), SEEDS_KIND)]
         return contacts, []
--- a/daisyline/coordination/spread.py
+++ b/daisyline/coordination/spread.py
@@ -97,30 +97,31 @@
 
     def next_at(self) -> float:
         """Return when `tick` must be called next."""
-        waits = []
-        if not self._settled and not self._asked:
-            waits.append(self._start_until)
         if self._asked:
-            waits.append(self._asked_until)
-        return min(waits, default=float('inf'))
+            return self._asked_until
+        return float('inf') if self._settled else self._start_until
+
+    def note(self, node: str, version: int) -> None:
+        """Note that a member holds a version."""
+        known = self._versions.get(node, 0)
+        self._versions[node] = max(version, known)
 
     def heard(self, node: str, version: int, now: float) -> list[Any]:
         """Note which version a peer holds; ask for it, or offer a newer one."""
         if not self._peer_answered:
             self._peer_answered = True
             self._start_until = now + OTHER_ANSWERS_WAIT_S
-        known = self._versions.get(node, 0)
-        self._versions[node] = max(version, known)
+        self.note(node, version)
         effects: list[Any] = []
         if version < self.version:
             effects.append(Send(node, SettingsNotice(self.version)))
-        elif version > max(self.version, self._refused):
+        elif version > self._usable_version():
             effects.extend(self._ask(node, now))
         return effects + self._settle(now)
 
     def wanted(self, node: str, version: int, now: float) -> list[Any]:
         """Answer a peer that asks for newer settings."""
-        self._versions[node] = max(version, self._versions.get(node, 0))
+        self.note(node, version)
         if version >= self.version:
             return self.heard(node, version, now)
         return [Send(node, SettingsContent(self.version, self._content))]
@@ -129,7 +130,7 @@
         self, message: SettingsContent, peers: Iterable[str], now: float
     ) -> list[Any]:
         """Take settings that a peer sent."""
-        if message.version <= max(self.version, self._refused):
+        if message.version <= self._usable_version():
             return []
         try:
             value = unpack_value(message.content)
@@ -141,7 +142,7 @@
         self, version: int, value: Any, peers: Iterable[str], now: float
     ) -> list[Any]:
         """Hold settings if they are newer, and tell peers that lack them."""
-        if version <= max(self.version, self._refused):
+        if version <= self._usable_version():
             return []
         settings = settings_from(version, value)
         if isinstance(settings, list):
@@ -160,24 +161,35 @@
 
     def tick(self, live: Iterable[str], now: float) -> list[Any]:
         """Ask another peer if one hasn't answered, and settle if it is time."""
-        if not self._asked or now < self._asked_until:
-            return self._settle(now)
+        effects = self._settle(now)
+        if now < self.next_at():
+            return effects
         asked = self._asked
         self._asked = ''
-        for name in live:
-            if name != asked and self._versions.get(name, 0) > self.version:
-                return self._ask(name, now)
-        if asked in live:
-            return self._ask(asked, now)
-        return []
+        self._start_until = max(self._start_until, now + ASK_TIMEOUT_S)
+        newer = [
+            name
+            for name in live
+            if self._versions.get(name, 0) > self._usable_version()
+        ]
+        others = [name for name in newer if name != asked] or newer
+        if others:
+            effects.extend(self._ask(others[0], now))
+        return effects
 
     def forget(self, name: str, now: float) -> list[Any]:
         """Drop what is known of a member that was removed."""
         self._versions.pop(name, None)
         if self._asked == name:
-            self._asked_until = now
+            self._asked = ''
+            again = now + OTHER_ANSWERS_WAIT_S
+            self._start_until = max(self._start_until, again)
         return self._settle(now)
 
+    def _usable_version(self) -> int:
+        """Return the version that newer settings must exceed."""
+        return max(self.version, self._refused)
+
     def _ask(self, node: str, now: float) -> list[Any]:
         if self._asked and now < self._asked_until:
             return []
@@ -189,7 +201,7 @@
         """Serve what is held, unless newer settings are known to exist."""
         if not self._settled:
             newest = max(self._versions.values(), default=0)
-            behind = newest > max(self.version, self._refused)
+            behind = newest > self._usable_version()
             self._settled = now >= self._start_until and not behind
         if not self._settled or self._served.version >= self._held.version:
             return []
