--- a/daisyline/coordination/gossip_messages.py
+++ b/daisyline/coordination/gossip_messages.py
@@ -16,32 +16,38 @@
 _TEXT = attrs.validators.instance_of(str)
 
 
+def _listed(entries: Any) -> list[Any] | tuple[Any, ...]:
+    if not isinstance(entries, (list, tuple)):
+        raise TypeError('a list is expected')
+    return entries
+
+
 def _record_from(fields: Any) -> MemberRecord:
     return fields if isinstance(fields, MemberRecord) else MemberRecord(*fields)
 
 
 def _records_from(entries: Any) -> tuple[MemberRecord, ...]:
-    return tuple(_record_from(entry) for entry in entries)
+    return tuple(_record_from(entry) for entry in _listed(entries))
 
 
 def _fact_records_from(entries: Any) -> tuple[FactRecord, ...]:
     return tuple(
         entry if isinstance(entry, FactRecord) else FactRecord(*entry)
-        for entry in entries
+        for entry in _listed(entries)
     )
 
 
 def _stamps_from(entries: Any) -> tuple[Stamp, ...]:
     return tuple(
         entry if isinstance(entry, Stamp) else Stamp(*entry)
-        for entry in entries
+        for entry in _listed(entries)
     )
 
 
 def _notices_from(entries: Any) -> tuple[Notice, ...]:
     return tuple(
         entry if isinstance(entry, Notice) else Notice(*entry)
-        for entry in entries
+        for entry in _listed(entries)
     )
 
 
@@ -50,14 +56,14 @@
 
 
 def _integers_from(entries: Any) -> tuple[int, ...]:
-    numbers = tuple(entries)
+    numbers = tuple(_listed(entries))
     if not all(isinstance(number, int) for number in numbers):
         raise TypeError('a list of integers is expected')
     return numbers
 
 
 def _names_from(entries: Any) -> tuple[str, ...]:
-    names = tuple(entries)
+    names = tuple(_listed(entries))
     if not all(isinstance(name, str) for name in names):
         raise TypeError('a list of names is expected')
     return names
--- /dev/null
+++ b/tests/coordination/test_readers.py
@@ -0,0 +1,62 @@
+"""Few nodes read the platform, and never none."""
+
+from tests.coordination.pump import Pump, make_pump
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+HOUR_S = 3600
+
+
+def calls_of(pump: Pump, seconds: float) -> int:
+    before = pump.platform.calls
+    pump.run(seconds)
+    return pump.platform.calls - before
+
+
+def fleet_of(size: int) -> Pump:
+    pump = make_pump(size)
+    pump.platform.put('settings', 'tree', {'tree': {}})
+    for number in range(size):
+        pump.start(number)
+    pump.run(60)
+    return pump
+
+
+def test_calls_grow_more_slowly_than_the_fleet() -> None:
+    small = calls_of(fleet_of(6), 300)
+    large = calls_of(fleet_of(36), 300)
+    assert large < small * 2
+
+
+def test_a_reader_that_dies_is_replaced(dozen: Pump) -> None:
+    readers = [
+        name
+        for name, fleet in dozen.live().items()
+        if fleet._gossip.readers._reading
+    ]
+    assert len(readers) == 4
+    for name in readers:
+        dozen.stop(name)
+    dozen.run(10)
+    version = dozen.platform.put('settings', 'tree', {'tree': {}})
+    dozen.run_until(
+        lambda: all(
+            fleet.settings.version == version for fleet in dozen.live().values()
+        ),
+        6,
+    )
+
+
+def test_an_outage_brings_few_calls_and_ends_soon(dozen: Pump) -> None:
+    dozen.platform.up = False
+    during = calls_of(dozen, 600)
+    assert during < 2.5 * 600
+    version = dozen.platform.put('settings', 'tree', {'tree': {}})
+    dozen.platform.up = True
+    dozen.run_until(
+        lambda: all(
+            fleet.settings.version == version for fleet in dozen.live().values()
+        ),
+        10,
+    )
