--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,32 @@
+"""Run every measurement module of this folder that has a `main`."""
+
+import importlib
+import pkgutil
+import sys
+
+import bench
+
+# These have commands of their own.
+SEPARATE = frozenset(('__main__', 'load', 'capacity'))
+
+
+def main(names: list[str]) -> int:
+    """Run the measurements named, or all.
+
+    Returns:
+        The exit code: 0 if every measurement could be taken.
+    """
+    failed = 0
+    for info in pkgutil.iter_modules(bench.__path__):
+        if info.name in SEPARATE or (names and info.name not in names):
+            continue
+        module = importlib.import_module(f'bench.{info.name}')
+        if hasattr(module, 'main'):
+            sys.stdout.write(f'== bench.{info.name}\n')
+            sys.stdout.flush()
+            failed += bool(module.main())
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/standins/relay_model.py
@@ -0,0 +1,81 @@
+"""What a relay does with the bytes that pass through it."""
+
+import enum
+from typing import Any
+
+import attrs
+
+MS_PER_S = 1000
+
+
+class Fate(enum.StrEnum):
+    """What becomes of a connection's bytes."""
+
+    PASS = 'pass'
+    SWALLOW = 'swallow'
+
+
+@attrs.frozen
+class RelayFaults:
+    """How the relay treats bytes.
+
+    Attributes:
+        delay_ms: How much later bytes go on, in milliseconds, each way.
+        refuse: New connections are closed at once.
+        swallow_new: New connections are frozen from their start.
+    """
+
+    delay_ms: float = 0
+    refuse: bool = False
+    swallow_new: bool = False
+
+    def changed(self, fields: dict[str, Any]) -> 'RelayFaults':
+        """Return the faults with those that the fields name changed."""
+        known = {field.name for field in attrs.fields(RelayFaults)}
+        named = known.intersection(fields)
+        return attrs.evolve(self, **{key: fields[key] for key in named})
+
+
+@attrs.define
+class RelayModel:
+    """Decides on connections by their number.
+
+    Attributes:
+        faults: The faults in force.
+        fates: What becomes of each open connection's bytes.
+    """
+
+    faults: RelayFaults = attrs.field(factory=RelayFaults)
+    fates: dict[int, Fate] = attrs.field(factory=dict)
+    _last: int = 0
+
+    def opened(self) -> int | None:
+        """Return a new connection's number, `None` if it is refused."""
+        if self.faults.refuse:
+            return None
+        self._last += 1
+        frozen = self.faults.swallow_new
+        self.fates[self._last] = Fate.SWALLOW if frozen else Fate.PASS
+        return self._last
+
+    def closed(self, number: int) -> None:
+        """Forget a connection."""
+        self.fates.pop(number, None)
+
+    def freeze(self) -> int:
+        """Swallow the bytes of the connections now open, for good.
+
+        Returns:
+            How many connections are frozen.
+        """
+        self.fates = dict.fromkeys(self.fates, Fate.SWALLOW)
+        return len(self.fates)
+
+    def passes(self, number: int) -> bool:
+        """Return whether a connection's bytes and its end go on."""
+        return self.fates.get(number) == Fate.PASS
+
+    @property
+    def delay_s(self) -> float:
+        """Return how much later bytes go on, in seconds."""
+        return self.faults.delay_ms / MS_PER_S
--- a/standins/target_plan.py
+++ b/standins/target_plan.py
@@ -7,6 +7,11 @@
 
 MS_PER_S = 1000
 FIXED_SHARE = 0.25
+INSTANT_PATH = '/instant'
+
+
+def _instant_route() -> dict[str, float]:
+    return {INSTANT_PATH: 0}
 
 
 @attrs.frozen
@@ -31,7 +36,7 @@
     slots: int = 8
     connections: int = 200
     service_ms: float = 5
-    route_ms: dict[str, float] = attrs.field(factory=dict)
+    route_ms: dict[str, float] = attrs.field(factory=_instant_route)
     cold_calls: int = 20
     cold_factor: float = 4
     cold_bound: int = 2
--- /dev/null
+++ b/tests/standins/test_relay_model.py
@@ -0,0 +1,25 @@
+"""A relay freezes what is open and lets new connections work."""
+
+from standins.relay_model import RelayFaults, RelayModel
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def test_a_freeze_is_for_good_and_spares_new_connections() -> None:
+    model = RelayModel()
+    old = model.opened()
+    assert model.freeze() == 1
+    new = model.opened()
+    assert [model.passes(old), model.passes(new)] == [False, True]
+
+
+def test_a_refusing_relay_takes_no_connection() -> None:
+    model = RelayModel(RelayFaults(refuse=True))
+    assert model.opened() is None
+    assert not model.fates
+
+
+def test_faults_change_one_by_one() -> None:
+    faults = RelayFaults(delay_ms=5).changed({'refuse': True, 'other': 1})
+    assert faults == RelayFaults(delay_ms=5, refuse=True)
