--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -8,7 +8,7 @@
 
 from daisyline.state.failures import Finding
 from daisyline.state.limits import LIMIT_NAMES, Limits
-from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_state import RolloutPlan
 from daisyline.state.settings_history import StoredSettings
 
 DEFAULT_WEIGHT = 1
@@ -120,7 +120,7 @@
         fields = self._section('rollouts').get(service)
         if fields is None:
             return None
-        return RolloutPlan.from_fields(service, fields)
+        return RolloutPlan(service=service, **fields)
 
     def _section(self, name: str) -> Mapping[str, Any]:
         return self.tree.get(name, {})
