--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -68,7 +68,8 @@
     def tree(self) -> dict[str, Any]:
         """Return the settings tree that states the contract's limits."""
         return {
-            'zones': {zone: {} for zone in self.zones},
+            'cluster': self.name,
+            'zones': {zone: {'region': self.region} for zone in self.zones},
             'services': {
                 service.name: {
                     'slots_per_upstream': service.slots,
--- /dev/null
+++ b/tests/standins/fixtures.py
@@ -0,0 +1,84 @@
+"""Fixtures for tests of the stand-ins on sockets."""
+
+import signal
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from daisyline.transport.loop import Loop
+from standins.http import Lost, Message
+from standins.http_client import Client
+from standins.platform import Platform
+from standins.processes import HOST, Ports
+from standins.store import Store
+from standins.target import Place, TargetProcess
+from standins.target_model import TargetModel
+from standins.target_plan import TargetPlan
+from tests.support import fixture
+
+LONGEST_S = 5
+
+
+@attrs.frozen(eq=False)
+class Testbed:
+    """A loop and free ports; the loop stops by itself after a while."""
+
+    loop: Loop
+    ports: Ports
+
+    def ask(self, port: int, request: Message) -> Message | Lost:
+        """Call once and run the loop until the call has ended."""
+        endings: list[Message | Lost] = []
+
+        def ended(ending: Message | Lost) -> None:
+            endings.append(ending)
+            self.loop.stop()
+
+        Client.dial(self.loop, HOST, port).call(request, ended)
+        self.run()
+        return endings[0]
+
+    def run(self) -> None:
+        """Run the loop until something stops it."""
+        give_up = self.loop.call_later(LONGEST_S, self.loop.stop)
+        self.loop.run()
+        give_up.cancel()
+
+    def run_until(self, condition: Callable[[], bool]) -> None:
+        """Run the loop until a condition holds."""
+
+        def check() -> None:
+            if condition():
+                self.loop.stop()
+            else:
+                self.loop.call_later(0.01, check)
+
+        self.loop.call_later(0, check)
+        self.run()
+
+
+@fixture
+def testbed() -> Iterator[Testbed]:
+    handlers = [
+        (number, signal.getsignal(number))
+        for number in (signal.SIGINT, signal.SIGTERM)
+    ]
+    yield Testbed(Loop.create(), Ports.from_random())
+    for number, handler in handlers:
+        signal.signal(number, handler)
+
+
+@fixture
+def platform_port(testbed: Testbed) -> Iterator[int]:
+    port = testbed.ports.take()
+    Platform(testbed.loop, Store()).server.listen(testbed.loop, HOST, port)
+    yield port
+
+
+@fixture
+def target_place(testbed: Testbed) -> Iterator[Place]:
+    ports = [testbed.ports.take() for _ in range(3)]
+    place = Place(*ports)
+    model = TargetModel.from_plan(TargetPlan('docs', cold_calls=0), 1)
+    TargetProcess(testbed.loop, model, place).start()
+    yield place
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from daisyline.state.settings import Settings
+from daisyline.state.settings_history import StoredSettings
 from standins.deployment import ASSOCIACAO, DEPLOYMENTS, STOFBRIL
 from tests.support import function_tests
 
@@ -31,3 +32,9 @@
     associacao = Settings.from_tree(1, ASSOCIACAO.tree)
     assert stofbril.limits_for('docs', 'ghent-a').slots_per_upstream == 9
     assert associacao.limits_for('pairing', 'recife').slots_per_upstream == 6
+
+
+def test_the_product_finds_no_mistake_in_the_trees() -> None:
+    for deployment in DEPLOYMENTS:
+        stored = StoredSettings.from_value(1, deployment.settings)
+        assert isinstance(stored, StoredSettings), stored
--- /dev/null
+++ b/tests/standins/test_processes.py
@@ -0,0 +1,35 @@
+"""The launcher's children end when they are told to."""
+
+import pathlib
+
+from standins.http import Lost, Message
+from standins.http_client import Client
+from standins.processes import HOST, Processes
+from tests.standins.fixtures import Testbed
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def test_children_are_ended_in_order(testbed: Testbed) -> None:
+    processes = Processes(testbed.loop)
+    port = testbed.ports.take()
+    processes.start('platform', 'standins.platform', port=port)
+    heard: list[Message | Lost] = []
+
+    def ask() -> None:
+        client = Client.dial(testbed.loop, HOST, port)
+        client.call(Message('GET', '/calls'), heard.append)
+        if not heard or heard[-1] == Lost(sent=False):
+            testbed.loop.call_later(0.1, ask)
+
+    testbed.loop.call_later(0, ask)
+    testbed.run_until(lambda: bool(heard) and heard[-1] != Lost(sent=False))
+    codes: list[int] = []
+    processes.on_exit = lambda _name, code: codes.append(code)
+    pid = processes.pid('platform')
+    processes.stop_all(testbed.loop.stop)
+    testbed.run()
+    assert not processes.names
+    assert not codes
+    assert not pathlib.Path(f'/proc/{pid}').exists()
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -26,7 +26,7 @@
 
 
 @fixture
-def store() -> Iterator[Store]:
+def object_store() -> Iterator[Store]:
     yield Store()
 
 
@@ -34,77 +34,90 @@
     return Write('w', 'settings', 'tree', version, content, octets)
 
 
-def test_an_update_with_an_old_version_changes_nothing(store: Store) -> None:
-    assert store.handle(_write(0, 'a'), 0)[0].body == {'version': 1}
+def test_an_update_with_an_old_version_changes_nothing(
+    object_store: Store,
+) -> None:
+    assert object_store.handle(_write(0, 'a'), 0)[0].body == {'version': 1}
     for version in (0, 2):
-        reply = store.handle(_write(version, 'b'), 0)[0]
+        reply = object_store.handle(_write(version, 'b'), 0)[0]
         assert (reply.status, reply.body) == (CONFLICT, {'version': 1})
-    assert store.handle(Read('r', 'settings', 'tree'), 0)[0].body == {
+    assert object_store.handle(Read('r', 'settings', 'tree'), 0)[0].body == {
         'name': 'tree',
         'version': 1,
         'value': 'a',
     }
 
 
-def test_a_value_over_the_limit_is_turned_away(store: Store) -> None:
-    reply = store.handle(_write(0, 'a', VALUE_LIMIT_BYTES + 1), 0)[0]
+def test_a_value_over_the_limit_is_turned_away(object_store: Store) -> None:
+    reply = object_store.handle(_write(0, 'a', VALUE_LIMIT_BYTES + 1), 0)[0]
     assert reply.status == TOO_LARGE
-    assert store.revision == 0
+    assert object_store.revision == 0
 
 
-def test_a_watch_waits_for_a_change_of_its_kind(store: Store) -> None:
-    assert not store.handle(Watch('one', 'settings', 0, 1), 0)
-    assert len(store.handle(Write('w', 'seeds', 'a', 0, []), 0)) == 1
-    replies = store.handle(_write(0, 'a'), 0)
+def test_a_watch_waits_for_a_change_of_its_kind(object_store: Store) -> None:
+    assert not object_store.handle(Watch('one', 'settings', 0, 1), 0)
+    assert len(object_store.handle(Write('w', 'seeds', 'a', 0, []), 0)) == 1
+    replies = object_store.handle(_write(0, 'a'), 0)
     assert [reply.token for reply in replies] == ['w', 'one']
     assert replies[1].body['revision'] == 2
-    assert store.watching == 0
+    assert object_store.watching == 0
 
 
-def test_a_deleted_object_is_shown_to_watches_alone(store: Store) -> None:
-    store.handle(_write(0, 'a'), 0)
-    store.handle(Watch('one', 'settings', 1, 1), 0)
-    _, woken = store.handle(Delete('d', 'settings', 'tree', 1), 0)
+def test_a_deleted_object_is_shown_to_watches_alone(
+    object_store: Store,
+) -> None:
+    object_store.handle(_write(0, 'a'), 0)
+    object_store.handle(Watch('one', 'settings', 1, 1), 0)
+    _, woken = object_store.handle(Delete('d', 'settings', 'tree', 1), 0)
     assert woken.body['items'][0]['value'] is None
-    assert not store.handle(ListKind('l', 'settings'), 0)[0].body['items']
-    assert store.handle(Read('r', 'settings', 'tree'), 0)[0].status == NOT_FOUND
+    assert not object_store.handle(ListKind('l', 'settings'), 0)[0].body[
+        'items'
+    ]
+    assert (
+        object_store.handle(Read('r', 'settings', 'tree'), 0)[0].status
+        == NOT_FOUND
+    )
 
 
-def test_a_watch_that_expires_answers_without_items(store: Store) -> None:
+def test_a_watch_that_expires_answers_without_items(
+    object_store: Store,
+) -> None:
     watch = Watch('one', 'settings', 0, 1)
-    store.handle(watch, 0)
-    reply = store.handle(WatchExpired(watch), 1)[0]
+    object_store.handle(watch, 0)
+    reply = object_store.handle(WatchExpired(watch), 1)[0]
     assert reply.body == {'revision': 0, 'items': []}
-    assert not store.handle(WatchExpired(watch), 2)
+    assert not object_store.handle(WatchExpired(watch), 2)
 
 
-def test_the_end_of_a_watch_leaves_a_newer_one_alone(store: Store) -> None:
+def test_the_end_of_a_watch_leaves_a_newer_one_alone(
+    object_store: Store,
+) -> None:
     first = Watch('one', 'settings', 0, 1)
-    store.handle(first, 0)
-    store.handle(_write(0, 'a'), 0.5)
-    store.handle(Watch('one', 'settings', 1, 1), 0.6)
-    assert not store.handle(WatchExpired(first), 1)
-    assert store.watching == 1
+    object_store.handle(first, 0)
+    object_store.handle(_write(0, 'a'), 0.5)
+    object_store.handle(Watch('one', 'settings', 1, 1), 0.6)
+    assert not object_store.handle(WatchExpired(first), 1)
+    assert object_store.watching == 1
 
 
-def test_stale_reads_lag_while_updates_do_not(store: Store) -> None:
-    store.stale_s = 2
-    store.handle(_write(0, 'a'), 10)
-    store.handle(_write(1, 'b'), 11)
+def test_stale_reads_lag_while_updates_do_not(object_store: Store) -> None:
+    object_store.stale_s = 2
+    object_store.handle(_write(0, 'a'), 10)
+    object_store.handle(_write(1, 'b'), 11)
     seen = [
-        store.handle(Read('r', 'settings', 'tree'), now)[0]
+        object_store.handle(Read('r', 'settings', 'tree'), now)[0]
         for now in (11.5, 12.5, 13)
     ]
     assert [reply.status for reply in seen] == [NOT_FOUND, OK, OK]
     assert [reply.body.get('value') for reply in seen] == [None, 'a', 'b']
 
 
-def test_each_call_is_counted_by_kind_and_verb(store: Store) -> None:
-    store.handle(_write(0, 'a'), 0)
-    store.handle(_write(0, 'a'), 0)
-    store.handle(Watch('one', 'settings', 5, 1), 0)
-    store.handle(ListKind('l', 'seeds'), 0)
-    assert store.calls == {
+def test_each_call_is_counted_by_kind_and_verb(object_store: Store) -> None:
+    object_store.handle(_write(0, 'a'), 0)
+    object_store.handle(_write(0, 'a'), 0)
+    object_store.handle(Watch('one', 'settings', 5, 1), 0)
+    object_store.handle(ListKind('l', 'seeds'), 0)
+    assert object_store.calls == {
         ('settings', 'write'): 2,
         ('settings', 'watch'): 1,
         ('seeds', 'list'): 1,
