--- a/daisyline/programs/operator.py
+++ b/daisyline/programs/operator.py
@@ -20,7 +20,11 @@
 
 def main() -> None:
     """Run the command of this process and end with its exit code."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        sys.exit(run(sys.argv[1:]))
+    except KeyboardInterrupt:
+        _complain(('Stopped. See daisyline config history for what was done.',))
+        sys.exit(ExitCode.FAILED)
 
 
 def run(argv: Sequence[str]) -> int:
@@ -37,10 +41,9 @@
     except BrokenPipeError:
         # The reader of a pipe has gone; the interpreter flushes at its end.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return ExitCode.FAILED
-    except KeyboardInterrupt:
-        _complain(('Stopped. See daisyline config history for what was done.',))
-        return ExitCode.FAILED
+    except Exception as error:
+        _complain((f'a fault of daisyline itself, please report: {error!r}',))
+    return ExitCode.FAILED
 
 
 def _dispatched(argv: Sequence[str]) -> int:
--- a/daisyline/programs/operator_context.py
+++ b/daisyline/programs/operator_context.py
@@ -23,6 +23,7 @@
 from daisyline.transport import operator_client
 
 DEFAULT_WAIT_S = 10.0
+MAX_WAIT_S = 3600
 
 _NOT_FOUND = 404
 _OK = 200
@@ -58,7 +59,22 @@
     @property
     def author(self) -> str:
         """Return who asks."""
-        return self.by or getpass.getuser()
+        try:
+            return self.by or getpass.getuser()
+        except (OSError, KeyError):
+            # The system knows no name for the user of this process.
+            return 'unknown'
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long to wait until a change is in force, in seconds.
+
+        Raises:
+            UserError: If that is no bounded time.
+        """
+        if 0 <= self.wait_s <= MAX_WAIT_S:
+            return self.wait_s
+        raise usage(f'--wait: {self.wait_s} is not from 0 to {MAX_WAIT_S}')
 
     @property
     def platform_url(self) -> str:
--- a/daisyline/programs/operator_fleet.py
+++ b/daisyline/programs/operator_fleet.py
@@ -97,16 +97,11 @@
         keys = ('service', 'tenant', 'calls', *map(str, PERCENTILES))
         say_json([dict(zip(keys, row, strict=True)) for row in rows])
     else:
-        names = [_heading(percentile) for percentile in PERCENTILES]
+        names = [f'P{percentile} us' for percentile in PERCENTILES]
         say_table(('SERVICE', 'TENANT', 'CALLS', *names), rows)
     return ExitCode.DONE
 
 
-def _heading(percentile: float) -> str:
-    short = f'{percentile:g}'
-    return f'P{short} us'
-
-
 def _events_of(asked: list[str], path: str) -> list[RecordedEvent]:
     """Return the events that nodes give, the oldest first."""
     events: list[RecordedEvent] = []
--- a/daisyline/programs/operator_settings.py
+++ b/daisyline/programs/operator_settings.py
@@ -40,14 +40,17 @@
     Raises:
         UserError: If it was not made, or is not in force in time.
     """
+    # A wrong flag has to be found before anything is written.
+    patience_s = common.patience_s
+    urls = common.node_urls if common.nodes else []
     ending = _carried_out(common, intent)
     error = error_of(ending)
     if error is not None:
         raise error
     _tell(common, ending)
-    if common.nodes and common.wait_s > 0:
+    if urls and patience_s > 0:
         _wait(common, ending.version)
-    elif not common.nodes:
+    elif not urls:
         progress('Not waited until it is in force: no --nodes given.')
     return ExitCode.DONE
 
@@ -114,7 +117,7 @@
     Raises:
         UserError: If some lack it after the time to wait.
     """
-    spread = InForce.from_config(version, common.wait_s, time.monotonic())
+    spread = InForce.from_config(version, common.patience_s, time.monotonic())
     while not spread.everywhere:
         _observe(common, spread)
         pause_s = spread.pause_s(time.monotonic())
--- /dev/null
+++ b/tests/programs/test_operator.py
@@ -0,0 +1,237 @@
+"""The operators' command does what it says and says what it did."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisyline.programs import operator_config
+from daisyline.programs.operator import run
+from daisyline.state.histograms import Latencies
+from tests.coordination.settings_store import example_tree
+from tests.programs.operator_rig import Rig
+from tests.support import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def file() -> Iterator[pathlib.Path]:
+    """Give the path of a file that does not exist yet."""
+    with tempfile.TemporaryDirectory() as folder:
+        yield pathlib.Path(folder) / 'settings.json'
+
+
+def edit(rig: Rig, file: pathlib.Path, **defaults: Any) -> None:
+    """Take a copy of the settings and edit its defaults."""
+    copied = json.loads(rig.command('config', 'show')[1])
+    copied['tree']['defaults'].update(defaults)
+    file.write_text(json.dumps(copied))
+
+
+def test_a_zone_is_taken_out_and_the_command_waits_for_all_nodes(
+    rig: Rig,
+) -> None:
+    code, said, told = rig.command('zone', 'out', 'ghent-a', '--nodes', rig.url)
+    assert code == 0
+    assert 'edited zones.ghent-a.state' in said
+    assert 'In force on all 1 nodes' in told
+    assert rig.store.tree['zones']['ghent-a']['state'] == 'out'
+    code, said, _ = rig.command('zone', 'out', 'ghent-a')
+    assert (code, len(rig.store.accepted)) == (0, 2)
+    assert 'nothing was written' in said
+
+
+def test_a_node_that_lacks_the_change_is_named(
+    rig: Rig,
+) -> None:
+    rig.follows = False
+    code, _, told = rig.command(
+        'zone', 'out', 'ghent-a', '--nodes', rig.url, '--wait', '0.3'
+    )
+    assert code == 5
+    assert 'Not yet in force on node-1' in told
+
+
+def test_a_lost_answer_is_followed_up(rig: Rig) -> None:
+    rig.lost_answers = 1
+    code, said, _ = rig.command('zone', 'out', 'ghent-a')
+    assert code == 0
+    assert 'Accepted as version' in said
+    assert len(rig.store.accepted) == 2
+
+
+def test_an_edited_copy_is_applied_and_stands_in_the_history(
+    rig: Rig, file: pathlib.Path
+) -> None:
+    edit(rig, file, slots_per_upstream=9)
+    assert 'null' not in rig.command('config', 'diff', str(file))[1]
+    rig.command('zone', 'out', 'ghent-b')
+    assert rig.command('config', 'apply', str(file))[0] == 0
+    assert rig.store.tree['defaults'] == {'slots_per_upstream': 9}
+    assert rig.store.tree['zones']['ghent-b']['state'] == 'out'
+    history = rig.command('config', 'history')[1]
+    assert 'edit defaults.slots_per_upstream' in history
+    assert history.count('ann') == 2
+
+
+def test_a_clash_shows_both_sides(rig: Rig, file: pathlib.Path) -> None:
+    edit(rig, file, slots_per_upstream=9)
+    other = file.with_name('other.json')
+    edit(rig, other, slots_per_upstream=7)
+    assert rig.command('config', 'apply', str(other))[0] == 0
+    code, _, told = rig.command('config', 'apply', str(file))
+    assert code == 3
+    assert 'yours 9' in told
+    assert 'in force 7' in told
+    assert rig.store.tree['defaults'] == {'slots_per_upstream': 7}
+
+
+def test_bad_files_leave_the_settings_as_they_were(
+    rig: Rig, file: pathlib.Path
+) -> None:
+    before = rig.store.version
+    for text in ('', '[]', '{"tree": 1}', '{"version": 1, "tree": []}', '{}'):
+        file.write_text(text)
+        code, _, told = rig.command('config', 'apply', str(file))
+        assert code == 2
+        assert told.startswith('daisyline: ')
+    file.write_text(json.dumps(example_tree()))
+    assert rig.command('config', 'apply', str(file))[0] == 2
+    assert rig.command('config', 'apply', '--whole', str(file))[0] == 0
+    assert rig.store.version == before
+
+
+def test_a_rollout_is_started_shown_and_stopped(rig: Rig) -> None:
+    flags = ('--old', '1', '--new', '2', '--finish-in-s', '600', '--id', 'r1')
+    assert rig.command('rollout', 'start', 'docs', *flags)[0] == 0
+    shown = json.loads(rig.command('rollout', 'status', '--json')[1])
+    assert shown[0]['wanted'] == 'moving'
+    again = ('--old', '1', '--new', '3', '--finish-in-s', '600')
+    assert rig.command('rollout', 'start', 'docs', *again)[0] == 3
+    assert rig.command('rollout', 'stop', 'docs')[0] == 0
+    assert rig.store.tree['rollouts']['docs']['state'] == 'stopped'
+    assert rig.command('rollout', 'start', 'none', *again)[0] == 2
+
+
+def test_effective_limits_name_their_places(rig: Rig) -> None:
+    code, said, _ = rig.command(
+        'config', 'show', '--effective', 'services.docs.zones.ghent-a'
+    )
+    assert code == 0
+    assert 'built in' in said
+    assert rig.command('config', 'show', '--effective', 'dcos')[0] == 2
+
+
+def test_histograms_are_merged_over_nodes(rig: Rig) -> None:
+    held = Latencies.from_config()
+    for latency_us in (100, 200, 300):
+        held.record('docs', 'acme', latency_us)
+    encoded = held.encode()['docs', 'acme']
+    rig.answers['/histograms'] = {'services': {'docs': {'acme': encoded}}}
+    both = f'{rig.url},{rig.url}'
+    code, said, _ = rig.command('top', '--json', '--nodes', both)
+    assert code == 0
+    assert json.loads(said)[0]['calls'] == 6
+
+
+def test_events_are_explained_in_order(rig: Rig) -> None:
+    rig.answers['/explain?kind=zone&name=ghent-a'] = {
+        'events': [
+            {'at': 2, 'kind': 'zone', 'what': 'in', 'share': 0.5},
+            {'at': 1, 'kind': 'zone', 'what': 'out'},
+        ]
+    }
+    code, said, _ = rig.command(
+        'explain', 'zone', 'ghent-a', '--nodes', rig.url
+    )
+    lines = said.splitlines()
+    assert code == 0
+    assert 'out' in lines[1]
+    assert 'share=0.5' in lines[2]
+
+
+def test_a_node_that_answers_rubbish_is_reported(rig: Rig) -> None:
+    for answer in (None, [], {'services': 7}, {'services': {'a': {'b': '!'}}}):
+        rig.answers['/histograms'] = answer
+        code, _, told = rig.command('top', '--nodes', rig.url)
+        assert code == 1
+        assert 'No node answers' in told
+
+
+def test_status_shows_each_node(rig: Rig) -> None:
+    code, said, _ = rig.command('status', '--nodes', rig.url)
+    assert code == 0
+    assert 'node-1' in said
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(
+    argv=st.lists(
+        st.sampled_from(
+            (
+                'config',
+                'zone',
+                'rollout',
+                'status',
+                'top',
+                'explain',
+                'show',
+                'apply',
+                'out',
+                'start',
+                '--json',
+                '--nodes',
+                '--wait',
+                '--effective',
+                'nan',
+                '[]',
+            )
+        )
+        | st.text(max_size=3),
+        max_size=5,
+    )
+)
+def test_no_command_line_ends_in_a_traceback(argv: list[str]) -> None:
+    ignored = io.StringIO()
+    with (
+        contextlib.redirect_stdout(ignored),
+        contextlib.redirect_stderr(ignored),
+    ):
+        assert run(argv) in {0, 2}
+    assert 'fault' not in ignored.getvalue()
+
+
+def test_a_wrong_flag_is_refused_before_anything_is_written(rig: Rig) -> None:
+    for wait in ('nan', 'inf', '-1', '1e9'):
+        code, _, told = rig.command(
+            'zone', 'out', 'ghent-a', '--nodes', rig.url, f'--wait={wait}'
+        )
+        assert code == 2
+        assert '--wait' in told
+    code, _, _ = rig.command('zone', 'out', 'ghent-a', '--nodes', 'nohttp')
+    assert code == 2
+    assert rig.store.tree['zones']['ghent-a'].get('state') is None
+
+
+def test_a_fault_of_the_command_is_one_line(rig: Rig) -> None:
+    with mock.patch.object(
+        operator_config, 'read_stored', side_effect=KeyError
+    ):
+        code, _, told = rig.command('config', 'show')
+    assert code == 1
+    assert told.count('\n') == 1
+
+
+def test_a_platform_that_is_down_is_told_apart(rig: Rig) -> None:
+    rig.down = True
+    code, _, told = rig.command('config', 'show')
+    assert code == 4
+    assert 'platform' in told
