--- a/tests/programs/operator_rig.py
+++ b/tests/programs/operator_rig.py
@@ -128,6 +128,9 @@
             target=serving.serve_forever, kwargs={'poll_interval': 0.01}
         )
         thread.start()
-        yield made
-        serving.shutdown()
-        thread.join()
+        # A failing test must not leave the server behind.
+        try:
+            yield made
+        finally:
+            serving.shutdown()
+            thread.join()
