Keep callers' names from steering a terminal, and test the page's commands

Events and tenants carry text from callers; control characters in a table are shown as question marks.

--- a/daisyline/programs/operator.py
+++ b/daisyline/programs/operator.py
@@ -48,7 +48,9 @@
 
 def _dispatched(argv: Sequence[str]) -> int:
     try:
-        code = _app()(list(argv), exit_on_error=False, print_error=False)
+        code = command_line()(
+            list(argv), exit_on_error=False, print_error=False
+        )
     except cyclopts.CycloptsError as error:
         raise UserError(
             (str(error), 'See daisyline --help.'), ExitCode.USAGE
@@ -56,7 +58,8 @@
     return code if isinstance(code, int) else ExitCode.DONE
 
 
-def _app() -> cyclopts.App:
+def command_line() -> cyclopts.App:
+    """Return the commands with their flags."""
     app = cyclopts.App(
         name='daisyline',
         help=_HELP,
--- a/daisyline/programs/operator_output.py
+++ b/daisyline/programs/operator_output.py
@@ -1,6 +1,7 @@
 """Print tables for people and JSON for programs."""
 
 import json
+import re
 import sys
 from collections.abc import Iterable, Sequence
 from typing import Any
@@ -10,6 +11,8 @@
 YELLOW = '33'
 
 _GAP = '  '
+_COLOUR = re.compile(r'(\x1b\[(?:3[1-3]|0)m)')
+_UNPRINTABLE = re.compile('[\x00-\x1f\x7f-\x9f\u2028-\u202e]')
 
 
 def say(text: str) -> None:
@@ -29,7 +32,7 @@
 
 def say_table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
     """Print rows in columns as wide as their widest entry."""
-    lines = [list(head), *([str(cell) for cell in row] for row in rows)]
+    lines = [list(head), *([_shown(cell) for cell in row] for row in rows)]
     columns = list(zip(*lines, strict=True))
     widths = [max(map(len, column)) for column in columns]
     for line in lines:
@@ -38,6 +41,18 @@
         say(_GAP.join(padded).rstrip())
 
 
+def _shown(cell: Any) -> str:
+    """Return a cell without what could steer a terminal, but for colours.
+
+    Names of tenants and calls come from callers.
+    """
+    parts = _COLOUR.split(str(cell))
+    return ''.join(
+        part if _COLOUR.fullmatch(part) else _UNPRINTABLE.sub('?', part)
+        for part in parts
+    )
+
+
 def paint(text: str, colour: str) -> str:
     """Return a text in colour if a terminal shows it."""
     if not sys.stdout.isatty():
--- a/tests/programs/operator_rig.py
+++ b/tests/programs/operator_rig.py
@@ -76,7 +76,8 @@
         if self.down:
             return 503, None
         if not path.endswith('settings/tree'):
-            return 404, None
+            found = self.answers.get(path)
+            return 200 if found else 404, found
         reply = self.store.read(PlatformRead('', 'settings', 'tree'))
         return reply.status, {'version': reply.version, 'value': reply.content}
 
--- a/tests/programs/test_operator.py
+++ b/tests/programs/test_operator.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from daisyline.programs import operator_config
-from daisyline.programs.operator import run
+from daisyline.programs.operator import command_line, run
 from daisyline.state.histograms import Latencies
 from tests.coordination.settings_store import example_tree
 from tests.programs.operator_rig import Rig
@@ -121,6 +121,43 @@
     assert rig.command('rollout', 'start', 'none', *again)[0] == 2
 
 
+def test_a_rollout_that_has_ended_gives_way_to_the_next(rig: Rig) -> None:
+    first = ('--old', '1', '--new', '2', '--finish-in-s', '600', '--id', 'r1')
+    rig.command('rollout', 'start', 'docs', *first)
+    standing = {'id': 'r1', 'state': 'rolled-back', 'why': 'it failed'}
+    rig.answers['/v1/objects/rollouts/docs'] = {
+        'version': 9,
+        'value': standing,
+    }
+    shown = rig.command('rollout', 'status')[1]
+    assert 'rolled-back' in shown
+    assert 'it failed' in shown
+    again = ('--old', '1', '--new', '3', '--finish-in-s', '600')
+    assert rig.command('rollout', 'start', 'docs', *again)[0] == 0
+    assert rig.store.tree['rollouts']['docs']['new'] == '3'
+
+
+def test_names_from_callers_can_not_steer_the_terminal(rig: Rig) -> None:
+    rig.answers['/explain?kind=call&name=x'] = {
+        'events': [{'at': 1, 'kind': 'call', 'what': 'a\x1b[2Jb\nc'}]
+    }
+    said = rig.command('explain', 'call', 'x', '--nodes', rig.url)[1]
+    assert 'a?[2Jb?c' in said
+
+
+def test_each_command_on_the_operators_page_can_be_pasted() -> None:
+    page = pathlib.Path(__file__).resolve().parents[2] / 'docs/operators.md'
+    lines = page.read_text(encoding='utf-8').splitlines()
+    commands = [
+        line.split('>')[0].split()[1:]
+        for line in lines
+        if line.startswith('    daisyline ')
+    ]
+    assert len(commands) > 15
+    for argv in commands:
+        command_line().parse_args(argv, exit_on_error=False, print_error=False)
+
+
 def test_effective_limits_name_their_places(rig: Rig) -> None:
     code, said, _ = rig.command(
         'config', 'show', '--effective', 'services.docs.zones.ghent-a'
