--- a/daisyline/programs/operator.py
+++ b/daisyline/programs/operator.py
@@ -20,7 +20,11 @@
 
 def main() -> None:
     """Run the command of this process and end with its exit code."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        sys.exit(run(sys.argv[1:]))
+    except KeyboardInterrupt:
+        _complain(('Stopped. See daisyline config history for what was done.',))
+        sys.exit(ExitCode.FAILED)
 
 
 def run(argv: Sequence[str]) -> int:
@@ -37,15 +41,16 @@
     except BrokenPipeError:
         # The reader of a pipe has gone; the interpreter flushes at its end.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return ExitCode.FAILED
-    except KeyboardInterrupt:
-        _complain(('Stopped. See daisyline config history for what was done.',))
-        return ExitCode.FAILED
+    except Exception as error:
+        _complain((f'a fault of daisyline itself, please report: {error!r}',))
+    return ExitCode.FAILED
 
 
 def _dispatched(argv: Sequence[str]) -> int:
     try:
-        code = _app()(list(argv), exit_on_error=False, print_error=False)
+        code = command_line()(
+            list(argv), exit_on_error=False, print_error=False
+        )
     except cyclopts.CycloptsError as error:
         raise UserError(
             (str(error), 'See daisyline --help.'), ExitCode.USAGE
@@ -53,7 +58,8 @@
     return code if isinstance(code, int) else ExitCode.DONE
 
 
-def _app() -> cyclopts.App:
+def command_line() -> cyclopts.App:
+    """Return the commands with their flags."""
     app = cyclopts.App(
         name='daisyline',
         help=_HELP,
