--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -168,6 +168,10 @@
             view.take(report, now)
             self._service_s = report.service_us / US_PER_S
 
+    def report_of(self, node: str) -> LoadReport:
+        """Return the last load report of a node."""
+        return self._view(node).report
+
     def forget(self, node: str) -> None:
         """Drop what is known of a node that is gone."""
         self._views.pop(node, None)
