Serve a new instance after one that left

Admission outlives the instance beside it, and a final leaving phase would have refused every later instance. The phase now follows what the target says, and turning cold, as for a new instance, closes the breaker.

--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -188,11 +188,8 @@
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def set_phase(self, phase: Phase, now: float) -> Change:
-        """Follow what the target says of itself; repeats change nothing.
-
-        Leaving is final: a target that starts again is another instance.
-        """
-        if self._announced in {phase, Phase.LEAVING}:
+        """Follow what the target says of itself; repeats change nothing."""
+        if phase == self._announced:
             return Change()
         self._announced = phase
         if phase == Phase.COLD:
@@ -202,8 +199,9 @@
         return Change(started=self._fill(now), refused=self.expire(now))
 
     def turned_cold(self, now: float) -> None:
-        """Go back to one slot; running calls go on."""
+        """Go back to one slot, as for a new instance; running calls go on."""
         self._concurrency.turned_cold()
+        self._breaker = Breaker()
 
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Replace the tenants' weights; one not named has the weight 1."""
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -234,3 +234,25 @@
     assert recovers == Admitted()
     admission.finish('well', 20, service_s=0, succeeded=True)
     assert admission.offer(Ticket('next', '', 99), 20) == Admitted()
+
+
+def test_a_call_whose_wait_ran_out_is_not_started_by_a_late_timer() -> None:
+    admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
+    admission.offer(Ticket('a', '', 9), 0)
+    assert admission.offer(Ticket('b', '', 9), 0) == Queued()
+    assert not admission.finish('a', 5, service_s=5, succeeded=True)
+    assert admission.next_at() <= 5
+    refused = admission.expire(5)
+    assert refused == [('b', Failure(Reason.QUEUE_TIMEOUT))]
+
+
+def test_a_new_instance_after_a_leaving_one_is_served() -> None:
+    admission = Admission.from_limits(Limits(), 0)
+    for number in range(5):
+        admission.offer(Ticket(str(number), '', 9), 0)
+        admission.finish(str(number), 0, service_s=0, succeeded=False)
+    admission.set_phase(Phase.LEAVING, 0)
+    admission.turned_cold(0)
+    admission.set_phase(Phase.READY, 0)
+    assert admission.offer(Ticket('new', '', 9), 0) == Admitted()
+    assert admission.load.limit == 1
