--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -13,12 +13,12 @@
 from daisyline.coordination.rollout_record import Record
 from daisyline.coordination.rollout_schedule import decide, settle_s
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
+from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.rollout_state import (
-    PlanState,
-    RolloutPlan,
     RolloutStatus,
     Stage,
     Standing,
+    fact_name_of,
 )
 
 # A judge whose ticks are further apart was paused, and looks anew first.
@@ -62,7 +62,7 @@
     def from_plan(cls, plan: RolloutPlan, now: float) -> 'Progress':
         """Build the progress of a rollout that starts now."""
         standing = Standing()
-        fact = standing.to_fact(plan.fact_name)
+        fact = standing.to_fact(fact_name_of(plan))
         return cls(plan, standing, fact, now, now)
 
     @property
@@ -210,7 +210,7 @@
         )
 
     def _put(self, standing: Standing, now: float) -> PutFact:
-        fact = standing.to_fact(self.plan.fact_name)
+        fact = standing.to_fact(fact_name_of(self.plan))
         self.take_fact(fact, now)
         return PutFact(fact)
 
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -1,9 +1,9 @@
 """When a rollout's share grows, and when it is done."""
 
 from daisyline.coordination.rollout_judge import Judgement
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
     FIRST_SHARE,
-    RolloutPlan,
     Stage,
     Standing,
 )
--- a/daisyline/state/rollout_state.py
+++ b/daisyline/state/rollout_state.py
@@ -1,4 +1,4 @@
-"""Rollouts as settings plan them and as nodes know where they stand."""
+"""Where rollouts stand, and the calls that they are judged by."""
 
 import enum
 from typing import Any
@@ -6,6 +6,7 @@
 import attrs
 
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 
 FACT_KIND = 'rollout'
 FIRST_SHARE = 0.05
@@ -15,13 +16,6 @@
 _STAGE_RANK = 1_000_000_000_000
 
 
-class PlanState(enum.StrEnum):
-    """What operators want of a rollout."""
-
-    MOVING = 'moving'
-    STOPPED = 'stopped'
-
-
 class Stage(enum.StrEnum):
     """Where a rollout stands; a later stage never gives way to an earlier."""
 
@@ -35,32 +29,9 @@
         return tuple(Stage).index(self)
 
 
-@attrs.frozen
-class RolloutPlan:
-    """A rollout as operators wrote it.
-
-    Attributes:
-        service: The service whose version changes.
-        id: Names this rollout; a second try needs a new id.
-        old: The version that serves now.
-        new: The version that is to take over.
-        finish_in_s: Seconds from the start to the set time.
-        state: `STOPPED` takes the new version out for good.
-    """
-
-    service: str
-    id: str
-    old: str
-    new: str
-    finish_in_s: float
-    state: PlanState = attrs.field(
-        default=PlanState.MOVING, converter=PlanState
-    )
-
-    @property
-    def fact_name(self) -> str:
-        """Return the name of the fact that says where the rollout stands."""
-        return f'{self.service}/{self.id}'
+def fact_name_of(plan: RolloutPlan) -> str:
+    """Return the name of the fact that says where a rollout stands."""
+    return f'{plan.service}/{plan.id}'
 
 
 @attrs.frozen
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -16,12 +16,13 @@
 from daisyline.coordination.fact_events import FactChanged
 from daisyline.coordination.rollout import Rollouts
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
     FACT_KIND,
     FIRST_SHARE,
-    RolloutPlan,
     Stage,
     Standing,
+    fact_name_of,
 )
 from tests.support import fixture, function_tests
 
@@ -71,6 +72,7 @@
     while fleet.exposed < 50:
         fleet.step(faults.good)
         assert fleet.standing[1] <= FIRST_SHARE
+        assert fleet.now < fleet.plan.finish_in_s
 
 
 def test_a_slow_route_alone_is_enough(fleet) -> None:
@@ -175,10 +177,10 @@
     node = Rollouts.from_config('n', Random(1), 0)
     node.replace_plans({SERVICE: PLAN}, 0)
     for payload in ((), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9):
-        fact = Fact(FACT_KIND, PLAN.fact_name, 10**13, payload)
+        fact = Fact(FACT_KIND, fact_name_of(PLAN), 10**13, payload)
         node.handle(FactChanged(fact), 0)
     assert node.shares(SERVICE) == {'v2': FIRST_SHARE, 'v1': 1 - FIRST_SHARE}
-    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(PLAN.fact_name)
+    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(fact_name_of(PLAN))
     node.handle(FactChanged(verdict), 0)
     assert node.stopped(SERVICE, 'v2')
 
@@ -188,7 +190,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.facts = [Standing().to_fact(PLAN.fact_name)]
+        self.facts = [Standing().to_fact(fact_name_of(PLAN))]
         self.nodes = {name: self._fresh(name) for name in 'abc'}
         self.seen = dict.fromkeys('abc', (0, 0, 0))
 
@@ -196,7 +198,7 @@
     def decide(self, stage: Stage, step: int) -> None:
         share = {Stage.DONE: 1, Stage.ROLLED_BACK: 0}
         standing = Standing(stage, step, share.get(stage, 0.05 + step / 10))
-        self.facts.append(standing.to_fact(PLAN.fact_name))
+        self.facts.append(standing.to_fact(fact_name_of(PLAN)))
 
     @rule(name=st.sampled_from('abc'), index=st.integers(0, 99))
     def hear(self, name: str, index: int) -> None:
