Check a standing's fields, and let a new judge end a quiet rollout

A fact whose step was far too large kept its rank and beat a verdict, and a share that was no number was taken over. Both are turned down now; the test of malformed facts failed first. A judge that lost its counts waited for a call of the new version although its share had grown before; with no calls any more the rollout never ended. The new test failed first too.

Breaking the quarantine's rule for shared crashes on a scratch copy went unnoticed: the drawn randomness hardly varied. The property now draws seeds, and a plain test states the rule.

--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -51,7 +51,8 @@
         return _ended(Stage.ROLLED_BACK, elapsed_s, judgement.why)
     if judgement.suspicious:
         return _overtime(part, elapsed_s, judgement)
-    if not judgement.seen:
+    # A version that no call ever reached may not be there at all.
+    if not judgement.seen and not standing.step:
         return None
     if standing.step + 1 < len(SHARES):
         return _grown(standing.step + 1, part, elapsed_s, calls_at_step)
--- a/daisyline/state/rollout_state.py
+++ b/daisyline/state/rollout_state.py
@@ -14,6 +14,11 @@
 # so that a fact can be spread anew before its time is over.
 _REPEATS = 1_000_000
 _STAGE_RANK = 1_000_000_000_000
+_MAX_STEPS = _STAGE_RANK // _REPEATS
+
+_is_count = attrs.validators.and_(
+    attrs.validators.instance_of(int), attrs.validators.ge(0)
+)
 
 
 class Stage(enum.StrEnum):
@@ -48,18 +53,30 @@
     """
 
     stage: Stage = attrs.field(default=Stage.MOVING, converter=Stage)
-    step: int = 0
-    share: float = FIRST_SHARE
-    elapsed_ms: int = 0
-    why: str = 'started'
-    repeat: int = 0
+    step: int = attrs.field(
+        default=0, validator=[_is_count, attrs.validators.lt(_MAX_STEPS)]
+    )
+    share: float = attrs.field(
+        default=FIRST_SHARE,
+        validator=[
+            attrs.validators.instance_of((int, float)),
+            attrs.validators.ge(0),
+            attrs.validators.le(1),
+        ],
+    )
+    elapsed_ms: int = attrs.field(default=0, validator=_is_count)
+    why: str = attrs.field(
+        default='started', validator=attrs.validators.instance_of(str)
+    )
+    repeat: int = attrs.field(
+        default=0, validator=[_is_count, attrs.validators.lt(_REPEATS)]
+    )
 
     @property
     def rank(self) -> int:
         """Return the rank of the fact that carries this standing."""
         step = self.step if self.stage is Stage.MOVING else 0
-        repeat = min(self.repeat, _REPEATS - 1)
-        return self.stage.order * _STAGE_RANK + step * _REPEATS + repeat
+        return self.stage.order * _STAGE_RANK + step * _REPEATS + self.repeat
 
     @property
     def place(self) -> tuple[int, int]:
--- a/tests/coordination/test_evidence.py
+++ b/tests/coordination/test_evidence.py
@@ -1,5 +1,6 @@
 """Targets' nodes count what judges need, and judges count it once."""
 
+import json
 from random import Random
 
 import attrs
@@ -51,6 +52,13 @@
     assert collector.take(PLAN).seq == first.seq + 1
 
 
+def test_evidence_is_the_same_after_a_codec_that_knows_only_lists(collector):
+    collector.observe(CALL, 0)
+    sent = collector.take(PLAN)
+    fields = json.loads(json.dumps(attrs.astuple(sent)))
+    assert Evidence(*fields) == sent
+
+
 def test_a_target_is_excused_for_being_cold_only_for_a_time(collector):
     cold = attrs.evolve(CALL, cold=True)
     collector.observe(cold, 0)
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -44,6 +44,17 @@
     assert [type(event) for event in log.latest()] == [Quarantined]
 
 
+def test_a_crash_alone_settles_two_shared_ones_for_the_poison_only() -> None:
+    first, second = _node(0), _node(1)
+    _tell(second.crashed([POISON, 'list'], 't1', 1), first)
+    first.crashed([POISON, 'list'], 't0', 1)
+    assert not first.blocked(POISON, 1)
+    assert not first.blocked('list', 1)
+    first.crashed([POISON], 't0', 2)
+    assert first.blocked(POISON, 2)
+    assert not first.blocked('list', 2)
+
+
 def test_a_success_anywhere_clears_a_request_everywhere() -> None:
     first, second = _node(0), _node(1)
     _tell(first.crashed(['list', POISON], 't0', 1), second)
@@ -165,8 +176,8 @@
 
 def test_poison_is_blocked_within_three_crashes_and_nothing_else_is() -> None:
     @settings(derandomize=True, max_examples=150, deadline=None)
-    @given(st.randoms(use_true_random=False), st.booleans())
-    def check(rng: Random, is_early: bool) -> None:
-        _play(rng, first_resend_is_early=is_early)
+    @given(st.integers(0, 10**6), st.booleans())
+    def check(seed: int, is_early: bool) -> None:
+        _play(Random(seed), first_resend_is_early=is_early)
 
     check()
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -117,6 +117,14 @@
     assert fleet.standing[:2] == ('moving', FIRST_SHARE)
 
 
+def test_a_new_judge_goes_on_although_no_call_comes_any_more(fleet) -> None:
+    step_two = Standing(Stage.MOVING, 2, 0.25, 20_000)
+    fleet.put(step_two)
+    fleet.rate = 0
+    fleet.run(faults.good, 60)
+    assert fleet.standing[0] == 'done'
+
+
 def test_lost_answers_and_two_judges_leave_one_record(fleet) -> None:
     fleet.platform.loses_answers = True
     fleet.run(faults.good, 60)
@@ -176,11 +184,21 @@
 def test_a_malformed_fact_changes_nothing() -> None:
     node = Rollouts.from_config('n', Random(1), 0)
     node.replace_plans({SERVICE: PLAN}, 0)
-    for payload in ((), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9):
-        fact = Fact(FACT_KIND, fact_name_of(PLAN), 10**13, payload)
+    name = fact_name_of(PLAN)
+    odd = {
+        0: [('moving', 0, 'all', 0, '', 0)],
+        10**13: [(), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9],
+        10**15: [('moving', 10**9, 0, 0, '')],
+    }
+    facts = [
+        Fact(FACT_KIND, name, rank, payload)
+        for rank, payloads in odd.items()
+        for payload in payloads
+    ]
+    for fact in facts:
         node.handle(FactChanged(fact), 0)
     assert node.shares(SERVICE) == {'v2': FIRST_SHARE, 'v1': 1 - FIRST_SHARE}
-    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(fact_name_of(PLAN))
+    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(name)
     node.handle(FactChanged(verdict), 0)
     assert node.stopped(SERVICE, 'v2')
 
