--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -1,4 +1,4 @@
-"""Measure how well rollouts are judged: python -m bench.rollout [RUNS]."""
+"""Measure how well rollouts are judged: python -m bench.rollout."""
 
 import statistics
 import sys
@@ -15,8 +15,9 @@
 
 RUNS = 20
 GOOD_RUNS = 100
-# Calls a second of a service with six upstreams, and of one with three.
+# Calls a second of a service with six upstreams.
 RATE_OF_SIX = 200
+TARGETS = 6
 LATE_S = 60
 COLD_S = 15
 LOADED_SHARE = 0.4
@@ -184,18 +185,27 @@
     return f'| {row} |'
 
 
-def main(runs: int = RUNS, good_runs: int = GOOD_RUNS) -> None:
-    """Print a table: 200 calls a second, 6 targets, 120 s to finish."""
+def main(
+    runs: int = RUNS,
+    good_runs: int = GOOD_RUNS,
+    rate: int = RATE_OF_SIX,
+    targets: int = TARGETS,
+) -> None:
+    """Print a table of rollouts that have 120 s to finish.
+
+    Args:
+        runs: Runs of each bad version.
+        good_runs: Runs of each version that is to finish.
+        rate: Calls a second.
+        targets: Targets, half of them of the new version.
+    """
     write = sys.stdout.write
     write('| case | outcome | s median | s max | calls median | max |\n')
     write('| --- | --- | --- | --- | --- | --- |\n')
     started = time.perf_counter()
     for case in cases():
         count = runs if case.is_bad else good_runs
-        ended = [
-            run_once(case, seed, RATE_OF_SIX, targets=6)
-            for seed in range(count)
-        ]
+        ended = [run_once(case, seed, rate, targets) for seed in range(count)]
         write(f'{report(case, ended)}\n')
         sys.stdout.flush()
     took_s = time.perf_counter() - started
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -13,8 +13,9 @@
 
 from bench import rollout as faults
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
-from daisyline.coordination.fact_events import FactChanged
+from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
+from daisyline.coordination.rollout_schedule import settle_s
 from daisyline.state.facts import Fact
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
@@ -203,6 +204,26 @@
     assert node.stopped(SERVICE, 'v2')
 
 
+def _puts(node: Rollouts, now: float) -> list[PutFact]:
+    return [put for put in node.tick(now) if isinstance(put, PutFact)]
+
+
+def test_a_new_or_paused_judge_looks_before_it_moves_anything() -> None:
+    node = Rollouts.from_config('n', Random(1), 0)
+    node.replace_plans({SERVICE: PLAN}, 0)
+    late = Standing(Stage.MOVING, 2, 0.25, 55_000).to_fact(fact_name_of(PLAN))
+    node.handle(FactChanged(late), 0)
+    settle = settle_s(PLAN)
+    assert not _puts(node, 0)
+    assert not _puts(node, settle - 0.1)
+    assert len(_puts(node, settle + 0.5)) == 1
+    # It is paused for long, while the next steps fall due.
+    resumed = 100
+    assert not _puts(node, resumed)
+    assert not _puts(node, resumed + settle - 0.1)
+    assert len(_puts(node, resumed + settle + 0.5)) == 1
+
+
 class _Gossip(RuleBasedStateMachine):
     """Facts reach nodes late, doubled and out of order; nodes restart."""
 
