--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -15,7 +15,12 @@
 )
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
-from daisyline.state.rollout_state import RolloutPlan, Sample, Standing
+from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_state import (
+    Sample,
+    Standing,
+    fact_name_of,
+)
 
 SERVICE = 'catalogue'
 TICK_S = 0.1
@@ -138,7 +143,7 @@
 
     def put(self, standing: Standing) -> None:
         """Spread a standing, as a judge elsewhere would."""
-        self._spread(standing.to_fact(self.plan.fact_name))
+        self._spread(standing.to_fact(fact_name_of(self.plan)))
 
     def _call(self, fault: Fault) -> None:
         entry = self.nodes[self.old_nodes[-1]]
