--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -9,9 +9,7 @@
 import attrs
 
 from bench.rollout_fleet import Call, Fault, Fleet
-from daisyline.state.rollout_state import (
-    Sample,
-)
+from daisyline.state.rollout_state import Sample
 
 RUNS = 20
 GOOD_RUNS = 100
--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -16,11 +16,7 @@
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
 from daisyline.state.rollout_plan import RolloutPlan
-from daisyline.state.rollout_state import (
-    Sample,
-    Standing,
-    fact_name_of,
-)
+from daisyline.state.rollout_state import Sample, Standing, fact_name_of
 
 SERVICE = 'catalogue'
 TICK_S = 0.1
--- a/daisyline/coordination/evidence.py
+++ b/daisyline/coordination/evidence.py
@@ -14,9 +14,7 @@
     EvidenceRow,
 )
 from daisyline.state.rollout_plan import RolloutPlan
-from daisyline.state.rollout_state import (
-    Sample,
-)
+from daisyline.state.rollout_state import Sample
 
 # Fixed, whatever the outcomes: a block that ended at a failure would bias
 # the comparison. In a large fleet a judge hears of more targets, and the
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -17,9 +17,7 @@
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
 from daisyline.state.members import Member
-from daisyline.state.rollout_state import (
-    Sample,
-)
+from daisyline.state.rollout_state import Sample
 from daisyline.state.targets import Phase, Target
 
 # A target that has not announced itself for this long is not routed to.
--- a/daisyline/coordination/rollout_record.py
+++ b/daisyline/coordination/rollout_record.py
@@ -11,10 +11,7 @@
     PlatformWrite,
 )
 from daisyline.state.rollout_plan import RolloutPlan
-from daisyline.state.rollout_state import (
-    Standing,
-    fact_name_of,
-)
+from daisyline.state.rollout_state import Standing, fact_name_of
 
 OBJECT_KIND = 'rollouts'
 # An answer that has not come after so long counts as lost.
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -2,11 +2,7 @@
 
 from daisyline.coordination.rollout_judge import Judgement
 from daisyline.state.rollout_plan import RolloutPlan
-from daisyline.state.rollout_state import (
-    FIRST_SHARE,
-    Stage,
-    Standing,
-)
+from daisyline.state.rollout_state import FIRST_SHARE, Stage, Standing
 
 # The old version keeps the last part until the end, to be compared with; the
 # fewer calls it has, the longer a version that turns bad late goes unnoticed.
--- a/daisyline/coordination/settings_intents.py
+++ b/daisyline/coordination/settings_intents.py
@@ -7,7 +7,7 @@
 import attrs
 
 from daisyline.state.failures import Failure, Reason
-from daisyline.state.rollout_state import PlanState, RolloutPlan
+from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.settings_edits import Edit, apply_edits
 from daisyline.state.settings_history import StoredSettings
 
--- a/daisyline/programs/operator_config.py
+++ b/daisyline/programs/operator_config.py
@@ -22,7 +22,8 @@
 )
 from daisyline.programs.operator_output import say, say_json, say_table
 from daisyline.programs.operator_settings import make_change
-from daisyline.state.rollout_state import RolloutPlan, Stage
+from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_state import Stage
 from daisyline.state.settings import Settings
 from daisyline.state.settings_check import check_tree
 from daisyline.state.settings_edits import (
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -8,7 +8,7 @@
 
 from daisyline.state.failures import Finding
 from daisyline.state.limits import LIMIT_NAMES, Limits
-from daisyline.state.rollout_state import RolloutPlan
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.settings_history import StoredSettings
 
 DEFAULT_WEIGHT = 1
--- a/daisyline/state/settings_check.py
+++ b/daisyline/state/settings_check.py
@@ -9,7 +9,7 @@
 
 from daisyline.state.failures import Finding
 from daisyline.state.limits import LEAST, MOST, Limits
-from daisyline.state.rollout_state import PlanState
+from daisyline.state.rollout_plan import PlanState
 from daisyline.state.settings_rules import (
     ListOf,
     Named,
--- a/tests/coordination/test_evidence.py
+++ b/tests/coordination/test_evidence.py
@@ -15,9 +15,7 @@
 from daisyline.coordination.evidence_messages import Evidence, EvidenceRow
 from daisyline.coordination.rollout_judge import EXCUSED_CRASHES, Judge
 from daisyline.state.rollout_plan import RolloutPlan
-from daisyline.state.rollout_state import (
-    Sample,
-)
+from daisyline.state.rollout_state import Sample
 from tests.support import fixture, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_settings_change.py
+++ b/tests/coordination/test_settings_change.py
@@ -19,7 +19,7 @@
     StopRollout,
 )
 from daisyline.state.failures import Failure, Outcome, Reason
-from daisyline.state.rollout_state import RolloutPlan
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.settings import Settings
 from daisyline.state.settings_edits import (
     Edit,
--- a/tests/state/test_settings.py
+++ b/tests/state/test_settings.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from daisyline.state.limits import DEFAULT_SLOTS, Limits
-from daisyline.state.rollout_state import PlanState, RolloutPlan
+from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.settings import BUILT_IN, Settings
 from daisyline.state.settings_edits import ABSENT, value_at
 from tests.state.test_settings_edits import TREES
