--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -24,7 +24,9 @@
 
 SLOTS = st.integers(min_value=1, max_value=9)
 QUEUE = st.integers(min_value=0, max_value=8)
-SECONDS = st.floats(min_value=0, max_value=2)
+LEFT_S = st.sampled_from([0, 0.02, 0.3, 5])
+PASSED_S = st.sampled_from([0, 0.001, 0.02, 0.1, 0.6])
+ENDS = st.sampled_from((True, True, True, True, True, False, None))
 
 
 class CallLedger(RuleBasedStateMachine):
@@ -44,34 +46,21 @@
         self.waiting: dict[str, float] = {}
         self.over_from_before = 0
 
-    @rule(tenant=st.sampled_from('abc'), left_s=SECONDS, may_move=st.booleans())
-    def offer(self, tenant: str, left_s: float, may_move: bool) -> None:
-        """Offer a call."""
-        call = str(len(self.offered))
-        self.offered.append(call)
-        ticket = Ticket(call, tenant, self.now + left_s, may_move)
-        decision = self.admission.offer(ticket, self.now)
-        if isinstance(decision, Admitted):
-            assert left_s > 0
-            self._began([call])
-        elif isinstance(decision, Queued):
-            longest_s = self.contract.queue_wait_ms / 1000
-            self.waiting[call] = min(ticket.give_up_at, self.now + longest_s)
-        else:
-            self._refused([(call, decision)])
-        self._collect()
-
     @rule(
-        which=st.integers(min_value=0),
-        service_s=SECONDS,
-        succeeded=st.sampled_from([True, True, True, False, None]),
+        tenants=st.lists(st.sampled_from('abc'), min_size=1, max_size=6),
+        left_s=LEFT_S,
+        may_move=st.booleans(),
     )
-    def finish(
-        self, which: int, service_s: float, succeeded: bool | None
-    ) -> None:
-        """End a running call."""
-        if self.running:
-            call = self.running.pop(which % len(self.running))
+    def offer(self, tenants: list[str], left_s: float, may_move: bool) -> None:
+        """Offer some calls."""
+        for tenant in tenants:
+            self._offer(tenant, left_s, may_move)
+
+    @rule(ends=st.lists(ENDS, min_size=1, max_size=8), service_s=PASSED_S)
+    def finish(self, ends: list[bool | None], service_s: float) -> None:
+        """End some running calls, the oldest first."""
+        for succeeded in ends[: len(self.running)]:
+            call = self.running.pop(0)
             self.over_from_before = max(0, self.over_from_before - 1)
             self._began(
                 self.admission.finish(
@@ -90,7 +79,7 @@
             self.waiting.pop(call)
             self.ends[call] += 1
 
-    @rule(passed_s=SECONDS, timer_is_late=st.booleans())
+    @rule(passed_s=PASSED_S, timer_is_late=st.booleans())
     def wait(self, passed_s: float, timer_is_late: bool) -> None:
         """Let time pass."""
         self.now += passed_s
@@ -156,6 +145,21 @@
         assert late.reason == Reason.LEAVING
         assert self.admission.running == len(self.running)
 
+    def _offer(self, tenant: str, left_s: float, may_move: bool) -> None:
+        call = str(len(self.offered))
+        self.offered.append(call)
+        ticket = Ticket(call, tenant, self.now + left_s, may_move)
+        decision = self.admission.offer(ticket, self.now)
+        if isinstance(decision, Admitted):
+            assert left_s > 0
+            self._began([call])
+        elif isinstance(decision, Queued):
+            longest_s = self.contract.queue_wait_ms / 1000
+            self.waiting[call] = min(ticket.give_up_at, self.now + longest_s)
+        else:
+            self._refused([(call, decision)])
+        self._collect()
+
     def _collect(self) -> None:
         if self.admission.next_at() <= self.now:
             self._refused(self.admission.expire(self.now))
@@ -177,7 +181,7 @@
     run_state_machine_as_test(
         CallLedger,
         settings=settings(
-            max_examples=150,
+            max_examples=300,
             stateful_step_count=50,
             derandomize=True,
             deadline=None,
