--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -15,12 +15,14 @@
 import msgpack
 
 from daisyline.state.targets import Phase, Target
-from tests.coordination.pump import PORT, Pump, make_pump
+from tests.coordination.pump import PORT, Pump, make_pump, settings_value
 
 SIZES = (50, 100, 200, 400)
 TARGET_SIZE = 1100
 FRAME_BYTES = 6
-TREE_BYTES = 4000
+SERVICE_COUNT = 57
+MOST_SLOTS = 99
+MOST_DEADLINE_MS = 9999
 IDLE_S = 20
 LIMIT_S = 60.0
 DAY_S = 86_400
@@ -64,11 +66,17 @@
             encoded = msgpack.packb(attrs.astuple(message))
             self.sent[sender] += len(encoded) + FRAME_BYTES
 
-    def write_settings(self, letter: str) -> int:
-        """Write a tree that doesn't compress to nothing; return its version."""
-        rng = self.pump.rng
-        filler = ''.join(rng.choices('abcdefgh', k=TREE_BYTES))
-        content = {'tree': {letter: filler}, 'changes': []}
+    def write_settings(self, prefix: str) -> int:
+        """Write a tree with all services; return its version."""
+        draw = self.pump.rng.randint
+        services = {
+            f'{prefix}-{number}': {
+                'slots_per_upstream': draw(1, MOST_SLOTS),
+                'deadline_ms': draw(1, MOST_DEADLINE_MS),
+            }
+            for number in range(SERVICE_COUNT)
+        }
+        content = settings_value(services=services)
         return self.pump.platform.put('settings', 'tree', content)
 
     def sees_all(self, size: int) -> bool:
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -305,11 +305,7 @@
     """
     if call.tried:
         return Failure(Reason.OVERLOADED, detail='its target takes no more')
-    usable = [
-        one.node
-        for one in candidates
-        if one.weight > 0
-    ]
+    usable = [one.node for one in candidates if one.weight > 0]
     if not usable:
         return Failure(Reason.NO_TARGET, detail='no target is left')
     key = call.arrived.key
--- a/daisyline/coordination/spread.py
+++ b/daisyline/coordination/spread.py
@@ -17,7 +17,6 @@
     SettingsNotice,
     SettingsWanted,
 )
-from daisyline.state.failures import Finding
 from daisyline.state.settings import Settings
 
 MAX_CONTENT_BYTES = 2 * 1024 * 1024
@@ -26,14 +25,6 @@
 OTHER_ANSWERS_WAIT_S = 0.5
 
 
-def settings_from(version: int, value: Any) -> Settings | list[Finding]:
-    """Build settings from the platform object's value, or say what is wrong."""
-    tree = value.get('tree') if isinstance(value, dict) else None
-    if not isinstance(tree, dict):
-        return [Finding('tree', 'is missing or is no object')]
-    return Settings.from_tree(version, tree)
-
-
 def pack_value(value: Any) -> bytes:
     """Return a value as compressed JSON."""
     text = json.dumps(value, separators=(',', ':'), sort_keys=True)
@@ -144,7 +135,7 @@
         """Hold settings if they are newer, and tell peers that lack them."""
         if version <= self._usable_version():
             return []
-        settings = settings_from(version, value)
+        settings = Settings.from_object(version, value)
         if isinstance(settings, list):
             self._refused = version
             return [SettingsRefused(version, tuple(settings))]
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -41,6 +41,11 @@
 _Timed = tuple[float, int, Callable[[], None]]
 
 
+def settings_value(**sections: Any) -> dict[str, Any]:
+    """Return what the platform holds for a valid tree."""
+    return {'tree': {'cluster': 'test', **sections}, 'changes': []}
+
+
 @attrs.define
 class Platform:
     """Objects with versions, with the faults of a real store."""
@@ -302,7 +307,7 @@
 @fixture
 def dozen(pump: Pump) -> Iterator[Pump]:
     """Give twelve nodes that have found each other and settings."""
-    pump.platform.put('settings', 'tree', {'tree': {}, 'changes': []})
+    pump.platform.put('settings', 'tree', settings_value())
     for number in range(12):
         pump.start(number)
     pump.run(20)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -4,7 +4,7 @@
 from daisyline.coordination.fleet_events import NodeUnreachable
 from daisyline.coordination.membership import SUSPICION_S
 from daisyline.state.targets import Phase, Target
-from tests.coordination.pump import Pump
+from tests.coordination.pump import Pump, settings_value
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -88,7 +88,7 @@
 
 
 def test_settings_reach_all(dozen: Pump) -> None:
-    version = dozen.platform.put('settings', 'tree', {'tree': {}})
+    version = dozen.platform.put('settings', 'tree', settings_value())
     dozen.run_until(lambda: all_serve(dozen, version), IN_FORCE_BOUND_S)
     dozen.run(5)
     for fleet in dozen.live().values():
@@ -100,7 +100,7 @@
     dozen.platform.put('settings', 'tree', None)
     dozen.run(60)
     assert all_serve(dozen, version)
-    again = dozen.platform.put('settings', 'tree', {'tree': {}})
+    again = dozen.platform.put('settings', 'tree', settings_value())
     dozen.run_until(lambda: all_serve(dozen, again), IN_FORCE_BOUND_S)
 
 
@@ -115,7 +115,7 @@
 
 
 def test_a_node_alone_serves_what_the_platform_holds(pump: Pump) -> None:
-    version = pump.platform.put('settings', 'tree', {'tree': {}})
+    version = pump.platform.put('settings', 'tree', settings_value())
     fleet = pump.start(1)
     pump.run_until(lambda: fleet.settings.version == version, 6)
 
--- a/tests/coordination/test_fleet_machine.py
+++ b/tests/coordination/test_fleet_machine.py
@@ -15,7 +15,7 @@
 from daisyline.coordination.fleet import Fleet
 from daisyline.state.facts import Fact
 from daisyline.state.targets import Phase, Target
-from tests.coordination.pump import ZONES, Pump, make_pump
+from tests.coordination.pump import ZONES, Pump, make_pump, settings_value
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -35,7 +35,7 @@
     def begin(self, seed: int) -> None:
         """Start all nodes."""
         self.pump = make_pump(seed)
-        self._write({'tree': {}, 'changes': []})
+        self._write(settings_value())
         for number in range(SIZE):
             self.pump.start(number)
 
@@ -96,10 +96,10 @@
         self.pump.platform.lost_answers = share
         self.pump.platform.stale_reads = share
 
-    @rule(number=st.integers(0, 9))
+    @rule(number=st.integers(1000, 1009))
     def change_settings(self, number: int) -> None:
         """Write settings, as an operator who won a race."""
-        self._write({'tree': {'defaults': {}, 'n': number}, 'changes': []})
+        self._write(settings_value(defaults={'deadline_ms': number}))
 
     @rule()
     def delete_settings(self) -> None:
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -1,6 +1,6 @@
 """Few nodes read the platform, and never none."""
 
-from tests.coordination.pump import Pump, make_pump
+from tests.coordination.pump import Pump, make_pump, settings_value
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -16,7 +16,7 @@
 
 def fleet_of(size: int) -> Pump:
     pump = make_pump(size)
-    pump.platform.put('settings', 'tree', {'tree': {}})
+    pump.platform.put('settings', 'tree', settings_value())
     for number in range(size):
         pump.start(number)
     pump.run(60)
@@ -39,7 +39,7 @@
     for name in readers:
         dozen.stop(name)
     dozen.run(10)
-    version = dozen.platform.put('settings', 'tree', {'tree': {}})
+    version = dozen.platform.put('settings', 'tree', settings_value())
     dozen.run_until(
         lambda: all(
             fleet.settings.version == version for fleet in dozen.live().values()
@@ -52,7 +52,7 @@
     dozen.platform.up = False
     during = calls_of(dozen, 600)
     assert during < 2.5 * 600
-    version = dozen.platform.put('settings', 'tree', {'tree': {}})
+    version = dozen.platform.put('settings', 'tree', settings_value())
     dozen.platform.up = True
     dozen.run_until(
         lambda: all(
