Bound the reviews of seeds over the whole fleet, also in an outage

The pause now grows with the members known, also after a failure: all together look about once a second while young and once in 10 s later.

--- a/daisyline/coordination/seeds.py
+++ b/daisyline/coordination/seeds.py
@@ -88,7 +88,7 @@
             ]
             self._hinted = True
         if self._token and now >= self._token_until:
-            self._failed(now)
+            self._failed(len(live), now)
         if self._token:
             return contacts, []
         if now >= self._write_at:
@@ -106,12 +106,12 @@
         """Take the platform's answer; return addresses to contact."""
         if reply.token != self._token:
             return []
+        live = tuple(members)
         if reply.status != _OK:
-            self._failed(now)
+            self._failed(len(live), now)
             return []
         self._token = ''
         self._failures = 0
-        live = tuple(members)
         if isinstance(reply.content, (list, tuple)):
             self._next_review_at = now + self._review_pause(len(live))
             return self._take_listed(reply.content, live, now)
@@ -122,14 +122,16 @@
         """Return the time to the next review.
 
         A node that is alone or has just started looks more often, as others
-        may have started together with it.
+        may have started together with it. The pause grows with the fleet, so
+        that all nodes together look no more often in a larger one.
         """
         if live_count == 1:
             return jittered(self._rng, RETRY_MAX_S)
-        pause = max(live_count * REVIEW_S_PER_MEMBER, REVIEW_MIN_S)
+        growth = 2 ** min(self._review_count, MOST_DOUBLINGS)
         self._review_count += 1
-        young = AGAIN_S * 2 ** min(self._review_count, MOST_DOUBLINGS)
-        return jittered(self._rng, min(pause, young))
+        share = min(REVIEW_S_PER_MEMBER, growth)
+        least = min(REVIEW_MIN_S, AGAIN_S * growth)
+        return jittered(self._rng, max(live_count * share, least))
 
     def _take_listed(
         self, listed: Iterable[Any], live: tuple[Member, ...], now: float
@@ -192,9 +194,12 @@
         self._token_until = now + REPLY_WAIT_S
         return self._token
 
-    def _failed(self, now: float) -> None:
+    def _failed(self, live_count: int, now: float) -> None:
         """Look again later; an outcome that is unknown is looked up."""
         self._token = ''
         self._failures += 1
+        if live_count > 1:
+            self._next_review_at = now + self._review_pause(live_count)
+            return
         wait = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 8))
         self._next_review_at = now + jittered(self._rng, wait)
