--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -9,22 +9,29 @@
 import statistics
 import sys
 import time
+import tracemalloc
 from typing import Any
 
 import attrs
 import msgpack
 
+from daisyline.coordination.fleet_events import FromPeer
+from daisyline.coordination.gossip_messages import Rumours
+from daisyline.coordination.gossip_records import MemberRecord
 from daisyline.state.targets import Phase, Target
-from tests.coordination.pump import PORT, Pump, make_pump
+from tests.coordination.pump import PORT, Pump, make_pump, settings_value
 
 SIZES = (50, 100, 200, 400)
 TARGET_SIZE = 1100
 FRAME_BYTES = 6
-TREE_BYTES = 4000
+SERVICE_COUNT = 57
+MOST_SLOTS = 99
+MOST_DEADLINE_MS = 9999
 IDLE_S = 20
 LIMIT_S = 60.0
 DAY_S = 86_400
 NAME_WIDTH = 18
+KIB = 1024
 CHANGES_A_DAY = 2300
 RESTARTS_A_DAY = 81
 FAILURES_A_DAY = 2
@@ -64,11 +71,17 @@
             encoded = msgpack.packb(attrs.astuple(message))
             self.sent[sender] += len(encoded) + FRAME_BYTES
 
-    def write_settings(self, letter: str) -> int:
-        """Write a tree that doesn't compress to nothing; return its version."""
-        rng = self.pump.rng
-        filler = ''.join(rng.choices('abcdefgh', k=TREE_BYTES))
-        content = {'tree': {letter: filler}, 'changes': []}
+    def write_settings(self, prefix: str) -> int:
+        """Write a tree with all services; return its version."""
+        draw = self.pump.rng.randint
+        services = {
+            f'{prefix}-{number}': {
+                'slots_per_upstream': draw(1, MOST_SLOTS),
+                'deadline_ms': draw(1, MOST_DEADLINE_MS),
+            }
+            for number in range(SERVICE_COUNT)
+        }
+        content = settings_value(services=services)
         return self.pump.platform.put('settings', 'tree', content)
 
     def sees_all(self, size: int) -> bool:
@@ -221,9 +234,24 @@
     return list(pump.live().values())
 
 
-def fitted(sizes: list[int], series: list[float], at: int) -> float:
-    """Return the value of a straight line through points at a size."""
-    slope, intercept = statistics.linear_regression(sizes, series)
+def memory_kib(size: int) -> float:
+    """Return the memory of one node's view of a fleet, in KiB."""
+    tracemalloc.start()
+    pump = make_pump(0)
+    fleet = pump.start(0)
+    for number in range(1, size):
+        member = attrs.evolve(fleet.me, name=f'n{number}')
+        news = FromPeer('n1', Rumours((MemberRecord(member),)))
+        pump.deliver('n0', news)
+    assert len(fleet.members) == size
+    kib = tracemalloc.get_traced_memory()[0] / KIB
+    tracemalloc.stop()
+    return kib
+
+
+def fitted(series: list[float], at: int) -> float:
+    """Return the value of a straight line through the measured sizes at one."""
+    slope, intercept = statistics.linear_regression(SIZES, series)
     return intercept + slope * at
 
 
@@ -235,12 +263,13 @@
         sys.stdout.write(f'{size} nodes done\n')
         sys.stdout.flush()
     names = [field.name for field in attrs.fields(Figures)][1:]
-    sizes = [figures.size for figures in measured]
     for name in (*names, 'day_bytes_s'):
         series = [getattr(figures, name) for figures in measured]
-        at_target = fitted(sizes, series, TARGET_SIZE)
+        at_target = fitted(series, TARGET_SIZE)
         cells = [format(cell, '11.3f') for cell in (*series, at_target)]
         sys.stdout.write(' '.join((name.ljust(NAME_WIDTH), *cells, '\n')))
+    kib = format(memory_kib(TARGET_SIZE), '.0f')
+    sys.stdout.write(f'memory of a view of {TARGET_SIZE}: {kib} KiB\n')
     return 0
 
 
--- a/daisyline/coordination/seeds.py
+++ b/daisyline/coordination/seeds.py
@@ -21,13 +21,14 @@
 ANSWER_WAIT_S = 2.0
 REPLY_WAIT_S = 10.0
 RETRY_MIN_S = 1.0
-RETRY_MAX_S = 15.0
+RETRY_MAX_S = 8.0
 FIRST_WRITE_S = 0.1
 ALONE_MIN_S = 0.5
 MOST_DOUBLINGS = 8
 REVIEW_S_PER_MEMBER = 10.0
 REVIEW_MIN_S = 60.0
 AGAIN_S = 5.0
+MOST_DOUBLINGS = 20
 _OK = 200
 _TOKEN = 'fleet-seeds-'
 
@@ -67,6 +68,7 @@
     _token: str = ''
     _token_until: float = float('inf')
     _failures: int = 0
+    _review_count: int = 0
     _hinted: bool = False
     _looks_alone: int = 0
 
@@ -90,7 +92,7 @@
             ]
             self._hinted = True
         if self._token and now >= self._token_until:
-            self._failed(now)
+            self._failed(len(live), now)
         if self._token:
             return contacts, []
         if now >= self._write_at:
@@ -108,12 +110,12 @@
         """Take the platform's answer; return addresses to contact."""
         if reply.token != self._token:
             return []
+        live = tuple(members)
         if reply.status != _OK:
-            self._failed(now)
+            self._failed(len(live), now)
             return []
         self._token = ''
         self._failures = 0
-        live = tuple(members)
         if isinstance(reply.content, (list, tuple)):
             self._next_review_at = now + self._review_pause(len(live))
             return self._take_listed(reply.content, live, now)
@@ -123,17 +125,22 @@
         return []
 
     def _review_pause(self, live_count: int) -> float:
-        """Return the time to the next review; a node alone looks often.
+        """Return the time to the next review.
 
-        Each look in vain doubles the pause, as a fleet of one is possible.
+        A node that is alone or has just started looks more often, as others
+        may have started together with it. The pause grows with the fleet, so
+        that all nodes together look no more often in a larger one.
         """
         if live_count == 1:
             self._looks_alone = min(self._looks_alone + 1, MOST_DOUBLINGS)
             wait = ALONE_MIN_S * 2**self._looks_alone
             return jittered(self._rng, min(RETRY_MAX_S, wait))
         self._looks_alone = 0
-        pause = max(live_count * REVIEW_S_PER_MEMBER, REVIEW_MIN_S)
-        return jittered(self._rng, pause)
+        growth = 2 ** min(self._review_count, MOST_DOUBLINGS)
+        self._review_count += 1
+        share = min(REVIEW_S_PER_MEMBER, growth)
+        least = min(REVIEW_MIN_S, AGAIN_S * growth)
+        return jittered(self._rng, max(live_count * share, least))
 
     def _take_listed(
         self, listed: Iterable[Any], live: tuple[Member, ...], now: float
@@ -200,10 +207,13 @@
         self._token_until = now + REPLY_WAIT_S
         return self._token
 
-    def _failed(self, now: float) -> None:
+    def _failed(self, live_count: int, now: float) -> None:
         """Look again later; an outcome that is unknown is looked up."""
         self._token = ''
         self._failures += 1
+        if live_count > 1:
+            self._next_review_at = now + self._review_pause(live_count)
+            return
         wait = min(
             RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, MOST_DOUBLINGS)
         )
