--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -34,7 +34,7 @@
 
 
 @fixture
-def fleet():
+def rollout_fleet():
     yield Fleet.from_config(3, RATE, finish_in_s=60)
 
 
@@ -42,14 +42,20 @@
     return {node.status()[0].state for node in fleet.nodes.values()}
 
 
-def test_a_good_version_has_all_calls_by_the_set_time(fleet) -> None:
+def test_a_good_version_has_all_calls_by_the_set_time(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.run(faults.good, 60)
     assert fleet.standing[:2] == ('done', 1)
     assert fleet.now <= fleet.plan.finish_in_s
     assert fleet.nodes['node-0'].shares(SERVICE) == {'v1': 0, 'v2': 1}
 
 
-def test_a_failing_version_is_stopped_everywhere_without_platform(fleet):
+def test_a_failing_version_is_stopped_everywhere_without_platform(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.platform.is_down = True
     fleet.run(faults.fails(1), 5)
     assert fleet.exposed <= 40
@@ -69,14 +75,21 @@
     assert fleet.platform.stored[SERVICE][1]['share'] == 0
 
 
-def test_the_share_stays_small_until_enough_was_judged(fleet) -> None:
+def test_the_share_stays_small_until_enough_was_judged(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     while fleet.exposed < 50:
         fleet.step(faults.good)
         assert fleet.standing[1] <= FIRST_SHARE
         assert fleet.now < fleet.plan.finish_in_s
 
 
-def test_a_slow_route_alone_is_enough(fleet) -> None:
+def test_a_slow_route_alone_is_enough(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
+
     def one_route(call: faults.Call) -> bool:
         return call.route == '/price'
 
@@ -85,7 +98,11 @@
     assert fleet.standing[2].startswith('/price: ')
 
 
-def test_a_version_that_turns_bad_late_is_stopped_soon(fleet) -> None:
+def test_a_version_that_turns_bad_late_is_stopped_soon(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
+
     def late(call: faults.Call) -> bool:
         return call.now >= 50
 
@@ -112,13 +129,19 @@
     assert 'calls compared' in fleet.standing[2]
 
 
-def test_a_version_that_never_answered_is_not_done(fleet) -> None:
+def test_a_version_that_never_answered_is_not_done(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.rate = 0
     fleet.run(faults.good, 100)
     assert fleet.standing[:2] == ('moving', FIRST_SHARE)
 
 
-def test_a_new_judge_goes_on_although_no_call_comes_any_more(fleet) -> None:
+def test_a_new_judge_goes_on_although_no_call_comes_any_more(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     step_two = Standing(Stage.MOVING, 2, 0.25, 20_000)
     fleet.put(step_two)
     fleet.rate = 0
@@ -126,7 +149,10 @@
     assert fleet.standing[0] == 'done'
 
 
-def test_lost_answers_and_two_judges_leave_one_record(fleet) -> None:
+def test_lost_answers_and_two_judges_leave_one_record(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.platform.loses_answers = True
     fleet.run(faults.good, 60)
     for _ in range(int(40 / TICK_S)):
@@ -137,7 +163,10 @@
     assert fleet.platform.writes <= 7
 
 
-def test_restarted_and_paused_judges_come_to_one_outcome(fleet) -> None:
+def test_restarted_and_paused_judges_come_to_one_outcome(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     names = list(fleet.nodes)
     for _ in range(int(20 / TICK_S)):
         fleet.step(faults.good)
@@ -160,7 +189,10 @@
     assert _states(fleet) == {'rolled-back'}
 
 
-def test_operators_who_stop_a_rollout_end_it_for_good(fleet) -> None:
+def test_operators_who_stop_a_rollout_end_it_for_good(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     node = fleet.nodes['node-0']
     stopped = RolloutPlan(SERVICE, 'r1', 'v1', 'v2', 60, 'stopped')
     puts = node.replace_plans({SERVICE: stopped}, 1)
