Hold the cost of a connection exactly, and end children if a test fails

Cause: with the cost of a new connection left out of the model, every test still passed, as the check was looser than a drawn service time. A test of the launcher that failed would have left its child behind.

--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -1,20 +1,29 @@
 """The launcher's children end when they are told to."""
 
 import pathlib
+from collections.abc import Iterator
 
 from standins.http import Lost, Message
 from standins.http_client import Client
 from standins.processes import HOST, Processes
 from tests.standins.fixtures import Testbed
-from tests.support import function_tests
+from tests.support import fixture, function_tests
 
 load_tests = function_tests(__name__)
 
 
-def test_children_are_ended_in_order(testbed: Testbed) -> None:
+@fixture
+def children(testbed: Testbed) -> Iterator[Processes]:
     processes = Processes(testbed.loop)
+    yield processes
+    processes.kill_all()
+
+
+def test_children_are_ended_in_order(
+    testbed: Testbed, children: Processes
+) -> None:
     port = testbed.ports.take()
-    processes.start('platform', 'standins.platform', port=port)
+    children.start('platform', 'standins.platform', port=port)
     heard: list[Message | Lost] = []
 
     def ask() -> None:
@@ -26,10 +35,10 @@
     testbed.loop.call_later(0, ask)
     testbed.run_until(lambda: bool(heard) and heard[-1] != Lost(sent=False))
     codes: list[int] = []
-    processes.on_exit = lambda _name, code: codes.append(code)
-    pid = processes.pid('platform')
-    processes.stop_all(testbed.loop.stop)
+    children.on_exit = lambda _name, code: codes.append(code)
+    pid = children.pid('platform')
+    children.stop_all(testbed.loop.stop)
     testbed.run()
-    assert not processes.names
+    assert not children.names
     assert not codes
     assert not pathlib.Path(f'/proc/{pid}').exists()
--- a/tests/standins/test_target_model.py
+++ b/tests/standins/test_target_model.py
@@ -65,10 +65,12 @@
 def test_new_connections_and_probes_delay_calls(
     target_model: TargetModel,
 ) -> None:
+    idle = TargetModel.from_plan(target_model.plan, 1)
     target_model.handle(msg.Opened(1), 10)
     target_model.handle(msg.Probed('p'), 10)
-    wait = _arrive(target_model, 'a')[0]
-    assert wait.seconds > CONNECT_S + PROBE_S
+    busy_s = _arrive(target_model, 'a')[0].seconds
+    idle_s = _arrive(idle, 'a')[0].seconds
+    assert round(busy_s - idle_s, 6) == CONNECT_S + PROBE_S
     assert target_model.records.probes == 1
 
 
