--- a/tests/standins/fixtures.py
+++ b/tests/standins/fixtures.py
@@ -63,9 +63,11 @@
         (number, signal.getsignal(number))
         for number in (signal.SIGINT, signal.SIGTERM)
     ]
-    yield Testbed(Loop.create(), Ports.from_random())
-    for number, handler in handlers:
-        signal.signal(number, handler)
+    try:
+        yield Testbed(Loop.create(), Ports.from_random())
+    finally:
+        for number, handler in handlers:
+            signal.signal(number, handler)
 
 
 @fixture
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -15,8 +15,10 @@
 @fixture
 def children(testbed: Testbed) -> Iterator[Processes]:
     processes = Processes(testbed.loop)
-    yield processes
-    processes.kill_all()
+    try:
+        yield processes
+    finally:
+        processes.kill_all()
 
 
 def test_children_are_ended_in_order(
