--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -20,13 +20,14 @@
 from daisyline.coordination.fact_events import FactChanged
 from daisyline.coordination.rollout_progress import Progress
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
     FACT_KIND,
-    RolloutPlan,
     RolloutStatus,
     Sample,
     Stage,
     Standing,
+    fact_name_of,
 )
 
 # Facts of rollouts whose settings have not come yet, or were removed.
@@ -156,7 +157,7 @@
         while len(self._facts) > MAX_FACTS:
             self._facts.pop(next(iter(self._facts)))
         for progress in self._progress.values():
-            if progress.plan.fact_name == fact.name:
+            if fact_name_of(progress.plan) == fact.name:
                 self._advance(progress, now)
 
     def take_reply(self, reply: PlatformReply, now: float) -> list[Any]:
@@ -212,7 +213,7 @@
 
     def _advance(self, progress: Progress, now: float) -> None:
         """Move a rollout on to where its fact says that it stands."""
-        fact = self._facts.get(progress.plan.fact_name)
+        fact = self._facts.get(fact_name_of(progress.plan))
         if fact is not None and progress.take_fact(fact, now):
             self._report(progress, now)
 
