--- a/tests/support.py
+++ b/tests/support.py
@@ -17,6 +17,8 @@
 
 def fixture(function: Callable[..., Iterator[Any]]) -> Callable[..., Any]:
     """Register a generator function as the fixture of its name."""
+    if function.__name__ in _fixtures():
+        raise ValueError(f'two fixtures are named {function.__name__}')
     _fixtures()[function.__name__] = contextlib.contextmanager(function)
     return function
 
