--- a/daisyline/state/settings_history.py
+++ b/daisyline/state/settings_history.py
@@ -106,10 +106,9 @@
 
     def to_value(self) -> dict[str, Any]:
         """Return the object's value."""
-        recent = self.changes[-MAX_CHANGES:]
         return {
             _TREE: self.tree,
-            _CHANGES: [change.to_fields() for change in recent],
+            _CHANGES: [change.to_fields() for change in self.changes],
         }
 
     def with_change(self, change: Change) -> 'StoredSettings':
