--- a/daisyline/coordination/rollout_record.py
+++ b/daisyline/coordination/rollout_record.py
@@ -10,7 +10,8 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.state.rollout_state import RolloutPlan, Standing
+from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_state import Standing, fact_name_of
 
 OBJECT_KIND = 'rollouts'
 # An answer that has not come after so long counts as lost.
@@ -144,7 +145,7 @@
     def _next_token(self, verb: str, now: float) -> str:
         self._requests += 1
         self._due = now + REPLY_TIMEOUT_S
-        name = self._plan.fact_name
+        name = fact_name_of(self._plan)
         return f'rollout:{name}:{self._requests}:{verb}'
 
     def _backoff_s(self) -> float:
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -1,12 +1,8 @@
 """When a rollout's share grows, and when it is done."""
 
 from daisyline.coordination.rollout_judge import Judgement
-from daisyline.state.rollout_state import (
-    FIRST_SHARE,
-    RolloutPlan,
-    Stage,
-    Standing,
-)
+from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_state import FIRST_SHARE, Stage, Standing
 
 # The old version keeps the last part until the end, to be compared with; the
 # fewer calls it has, the longer a version that turns bad late goes unnoticed.
@@ -51,7 +47,8 @@
         return _ended(Stage.ROLLED_BACK, elapsed_s, judgement.why)
     if judgement.suspicious:
         return _overtime(part, elapsed_s, judgement)
-    if not judgement.seen:
+    # A version that no call ever reached may not be there at all.
+    if not judgement.seen and not standing.step:
         return None
     if standing.step + 1 < len(SHARES):
         return _grown(standing.step + 1, part, elapsed_s, calls_at_step)
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -13,15 +13,17 @@
 
 from bench import rollout as faults
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
-from daisyline.coordination.fact_events import FactChanged
+from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
+from daisyline.coordination.rollout_schedule import settle_s
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
     FACT_KIND,
     FIRST_SHARE,
-    RolloutPlan,
     Stage,
     Standing,
+    fact_name_of,
 )
 from tests.support import fixture, function_tests
 
@@ -71,6 +73,7 @@
     while fleet.exposed < 50:
         fleet.step(faults.good)
         assert fleet.standing[1] <= FIRST_SHARE
+        assert fleet.now < fleet.plan.finish_in_s
 
 
 def test_a_slow_route_alone_is_enough(fleet) -> None:
@@ -115,6 +118,14 @@
     assert fleet.standing[:2] == ('moving', FIRST_SHARE)
 
 
+def test_a_new_judge_goes_on_although_no_call_comes_any_more(fleet) -> None:
+    step_two = Standing(Stage.MOVING, 2, 0.25, 20_000)
+    fleet.put(step_two)
+    fleet.rate = 0
+    fleet.run(faults.good, 60)
+    assert fleet.standing[0] == 'done'
+
+
 def test_lost_answers_and_two_judges_leave_one_record(fleet) -> None:
     fleet.platform.loses_answers = True
     fleet.run(faults.good, 60)
@@ -174,21 +185,51 @@
 def test_a_malformed_fact_changes_nothing() -> None:
     node = Rollouts.from_config('n', Random(1), 0)
     node.replace_plans({SERVICE: PLAN}, 0)
-    for payload in ((), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9):
-        fact = Fact(FACT_KIND, PLAN.fact_name, 10**13, payload)
+    name = fact_name_of(PLAN)
+    odd = {
+        0: [('moving', 0, 'all', 0, '', 0)],
+        10**13: [(), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9],
+        10**15: [('moving', 10**9, 0, 0, '')],
+    }
+    facts = [
+        Fact(FACT_KIND, name, rank, payload)
+        for rank, payloads in odd.items()
+        for payload in payloads
+    ]
+    for fact in facts:
         node.handle(FactChanged(fact), 0)
     assert node.shares(SERVICE) == {'v2': FIRST_SHARE, 'v1': 1 - FIRST_SHARE}
-    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(PLAN.fact_name)
+    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(name)
     node.handle(FactChanged(verdict), 0)
     assert node.stopped(SERVICE, 'v2')
 
 
+def _puts(node: Rollouts, now: float) -> list[PutFact]:
+    return [put for put in node.tick(now) if isinstance(put, PutFact)]
+
+
+def test_a_new_or_paused_judge_looks_before_it_moves_anything() -> None:
+    node = Rollouts.from_config('n', Random(1), 0)
+    node.replace_plans({SERVICE: PLAN}, 0)
+    late = Standing(Stage.MOVING, 2, 0.25, 55_000).to_fact(fact_name_of(PLAN))
+    node.handle(FactChanged(late), 0)
+    settle = settle_s(PLAN)
+    assert not _puts(node, 0)
+    assert not _puts(node, settle - 0.1)
+    assert len(_puts(node, settle + 0.5)) == 1
+    # It is paused for long, while the next steps fall due.
+    resumed = 100
+    assert not _puts(node, resumed)
+    assert not _puts(node, resumed + settle - 0.1)
+    assert len(_puts(node, resumed + settle + 0.5)) == 1
+
+
 class _Gossip(RuleBasedStateMachine):
     """Facts reach nodes late, doubled and out of order; nodes restart."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.facts = [Standing().to_fact(PLAN.fact_name)]
+        self.facts = [Standing().to_fact(fact_name_of(PLAN))]
         self.nodes = {name: self._fresh(name) for name in 'abc'}
         self.seen = dict.fromkeys('abc', (0, 0, 0))
 
@@ -196,7 +237,7 @@
     def decide(self, stage: Stage, step: int) -> None:
         share = {Stage.DONE: 1, Stage.ROLLED_BACK: 0}
         standing = Standing(stage, step, share.get(stage, 0.05 + step / 10))
-        self.facts.append(standing.to_fact(PLAN.fact_name))
+        self.facts.append(standing.to_fact(fact_name_of(PLAN)))
 
     @rule(name=st.sampled_from('abc'), index=st.integers(0, 99))
     def hear(self, name: str, index: int) -> None:
