Test that a very large change is kept without its edits

Cause: with the bound on kept edits taken out on a scratch copy all tests passed. The new test fails then.

--- a/tests/coordination/test_settings_change.py
+++ b/tests/coordination/test_settings_change.py
@@ -277,6 +277,15 @@
     assert ending.reason is Reason.CONFLICT
 
 
+def test_a_very_large_change_is_kept_without_its_edits(
+    settings_store: Store,
+) -> None:
+    tree = example_tree()
+    tree['tenants'] = {str(number): {'weight': 2} for number in range(50)}
+    assert isinstance(finish(settings_store, change_of(PutTree(tree))), Applied)
+    assert settings_store.content['changes'][-1]['edits'] is None
+
+
 def test_a_copy_of_a_version_that_never_was_is_refused(
     settings_store: Store,
 ) -> None:
