Count broken limits in the demo

Neither the model's bound nor the demo's check was eased. The number of times tells one slip from a target that never recovers.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,5 +1,6 @@
 """Run both deployments for some seconds and judge what callers saw."""
 
+import collections
 import functools
 import sys
 from collections.abc import Iterator
@@ -181,8 +182,11 @@
 @_violations_of.register
 def _(ending: Message, name: str) -> list[str]:
     violations = (ending.json() or {}).get('violations', [])
-    limits = sorted({entry['limit'] for entry in violations})
-    return [f'{name}: limit {limit} was broken' for limit in limits]
+    limits = collections.Counter(entry['limit'] for entry in violations)
+    return [
+        f'{name}: limit {limit} was broken {count} times'
+        for limit, count in sorted(limits.items())
+    ]
 
 
 def main() -> int:
