Hold cold targets at one slot, mark retries over layers, and keep the loop awake

Also wired: the retry mark goes up and down through calls that targets make, so that layers don't multiply; shares of versions as weights; tenants' weights; rollout plans follow the settings; failures of targets reach the breaker.

--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -192,8 +192,7 @@
         if phase == self._announced:
             return Change()
         self._announced = phase
-        if phase == Phase.COLD:
-            self.turned_cold(now)
+        self._concurrency.hold(phase == Phase.COLD)
         if phase == Phase.LEAVING:
             self._refuse_all(Reason.LEAVING)
         return Change(started=self._fill(now), refused=self.expire(now))
--- a/daisyline/coordination/concurrency.py
+++ b/daisyline/coordination/concurrency.py
@@ -42,6 +42,7 @@
 
     _slots: int
     _limit: float = 1
+    _held: bool = False
     _service_s: float = 0
     _baseline_s: float = 0
     _usual_fastest_s: float = 0
@@ -58,6 +59,8 @@
     @property
     def limit(self) -> int:
         """Return the calls that may run at once now."""
+        if self._held:
+            return 1
         return max(1, min(self._slots, int(self._limit)))
 
     @property
@@ -77,6 +80,12 @@
         if was_full or self._limit > self._slots:
             self._limit = self._slots
 
+    def hold(self, held: bool) -> None:
+        """Keep one slot for as long as the target says that it is cold."""
+        self._held = held
+        if held:
+            self.turned_cold()
+
     def turned_cold(self) -> None:
         """Go back to one slot."""
         self._limit = 1
@@ -103,6 +112,8 @@
         return self.limit < limit_before
 
     def _grow(self, service_s: float) -> None:
+        if self._held:
+            return
         is_slow = self._knows_baseline() and (
             service_s > STEADY_RATIO * self._baseline_s
         )
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -11,6 +11,7 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
+from daisyline.coordination import inward
 from daisyline.coordination.effects import Send
 from daisyline.coordination.messages import Cancel, Run
 from daisyline.coordination.policies import ExpectedWait, Policy
@@ -19,6 +20,7 @@
     Retry,
     RetryBudget,
     decide_retry,
+    mark_down,
 )
 from daisyline.coordination.routing import Candidate, Router
 from daisyline.coordination.target_table import Shares, TargetTable, by_share
@@ -48,6 +50,7 @@
         outcome: `UNKNOWN` once any attempt may have run.
         begun: Whether the caller has the head of the answer.
         asking: Whether its node was asked what became of it.
+        may_move: Whether it could still be offered to another target.
     """
 
     arrived: ev.Arrived
@@ -59,6 +62,7 @@
     outcome: Outcome = Outcome.NOT_RUN
     begun: bool = False
     asking: bool = False
+    may_move: bool = False
 
 
 @attrs.define
@@ -92,13 +96,18 @@
 
     def use_settings(self, settings: Settings, now: float) -> None:
         """Follow a change of settings."""
+        for service in tuple(self._budgets):
+            old = self._settings.limits_for(service, '').retry_percent
+            if settings.limits_for(service, '').retry_percent != old:
+                self._budgets.pop(service)
         self._settings = settings
-        self._budgets.clear()
         self.table.use_settings(settings, now)
 
     def begin(self, arrived: ev.Arrived, now: float) -> Effects:
         """Take a call on and send it to a target."""
-        call = EntryCall(arrived, now, retried=arrived.retried)
+        budget = self.budget(arrived.service)
+        mark = mark_down(arrived.retried, budget, now)
+        call = EntryCall(arrived, now, retried=mark)
         assert arrived.call not in self._calls
         self._calls[arrived.call] = call
         if arrived.parent:
@@ -106,19 +115,23 @@
         heapq.heappush(
             self._gives_up, (arrived.deadline + _GRACE_S, arrived.call)
         )
-        self._budget(arrived.service).earned(now)
+        budget.earned(now)
         return self.place(call, now)
 
     def place(self, call: EntryCall, now: float) -> Effects:
         """Send a call to a target that it has not been sent to yet."""
         arrived = call.arrived
-        candidates = self.table.candidates(arrived.service, now)
+        known = self.table.candidates(arrived.service, now)
+        candidates = by_share(known, self.shares(arrived.service))
         node = self._pick(call, candidates, now)
         if isinstance(node, Failure):
             return self.refuse(call, node, now)
         call.node = node
         call.tried |= {node}
         call.asking = False
+        call.may_move = not arrived.key and self.router(
+            arrived.service
+        ).may_move(candidates, call.tried)
         self.router(arrived.service).sent(node, now)
         self.events.add(
             log.Picked(
@@ -149,14 +162,15 @@
             retried=call.retried,
             left_s=call.arrived.deadline - now,
         )
-        budget = self._budget(call.arrived.service)
+        budget = self.budget(call.arrived.service)
         decision = decide_retry(attempt, failure, budget, now)
         if isinstance(decision, Failure):
             return self.refuse(call, failure, now)
         self.events.add(_retried(call, decision, failure, now))
+        spent = decision.retried and not call.retried
         call.attempt = decision.number
         call.retried = decision.retried
-        return self.place(call, now)
+        return [*mark_parent(call, spent), *self.place(call, now)]
 
     def refuse(self, call: EntryCall, failure: Failure, now: float) -> Effects:
         """Tell the caller why there is no answer; true over all attempts."""
@@ -241,6 +255,13 @@
         limits = self._settings.limits_for(call.arrived.service, '')
         return call.arrived.method.decode() in limits.repeatable_methods
 
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        if service not in self._budgets:
+            limits = self._settings.limits_for(service, '')
+            self._budgets[service] = RetryBudget.from_limits(limits, 0)
+        return self._budgets[service]
+
     def _give_up(self, call: EntryCall, now: float) -> Effects:
         call.outcome = Outcome.UNKNOWN
         self.report(call, None, refused=False, now=now)
@@ -253,10 +274,9 @@
     ) -> str | Failure:
         if call.arrived.key:
             return _pick_by_key(call, candidates)
-        shares = self.shares(call.arrived.service)
-        eligible = by_share(candidates, shares, self._rng.random())
-        router = self.router(call.arrived.service)
-        return router.pick(eligible, now, call.tried)
+        return self.router(call.arrived.service).pick(
+            candidates, now, call.tried
+        )
 
     def _run(self, call: EntryCall, now: float) -> Run:
         arrived = call.arrived
@@ -269,6 +289,7 @@
             repeatable=self.repeatable(call),
             key=arrived.key,
             retried=call.retried,
+            may_move=call.may_move,
             settings_version=self._settings.version,
             method=arrived.method,
             path=arrived.path,
@@ -276,11 +297,11 @@
             body=arrived.body,
         )
 
-    def _budget(self, service: str) -> RetryBudget:
-        if service not in self._budgets:
-            limits = self._settings.limits_for(service, '')
-            self._budgets[service] = RetryBudget.from_limits(limits, 0)
-        return self._budgets[service]
+
+def mark_parent(call: EntryCall, spent: bool) -> Effects:
+    """Mark the call above, so that no layer retries once more."""
+    parent = call.arrived.parent
+    return [inward.RetrySpent(parent)] if spent and parent else []
 
 
 def _retried(
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -5,9 +5,16 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
+from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry import Effects, Entry, EntryCall
+from daisyline.coordination.entry import (
+    Effects,
+    Entry,
+    EntryCall,
+    mark_parent,
+)
+from daisyline.coordination.retries import settle
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.targets import LoadReport
 
@@ -108,6 +115,7 @@
 ) -> Effects:
     assert not call.begun, 'an answer has one head'
     entry.report(call, _load(message), refused=False, now=now)
+    spent = _came_up(entry, call, message.retried, now)
     call.begun = True
     entry.events.add(
         log.Answered(
@@ -124,7 +132,8 @@
         message.body,
         message.last,
     )
-    return [answer, *(_served(entry, call, now) if message.last else ())]
+    ended = _served(entry, call, now) if message.last else []
+    return [answer, *spent, *ended]
 
 
 @_take.register
@@ -141,9 +150,9 @@
     message: msg.Refused, entry: Entry, call: EntryCall, now: float
 ) -> Effects:
     entry.report(call, _load(message), refused=True, now=now)
-    call.retried = call.retried or message.retried
+    spent = _came_up(entry, call, message.retried, now)
     failure = Failure(Reason(message.reason), Outcome(message.outcome))
-    return entry.fail(call, failure, now)
+    return [*spent, *entry.fail(call, failure, now)]
 
 
 @_take.register
@@ -160,7 +169,15 @@
     entry.forget(call)
     arrived = call.arrived
     took_s = now - call.arrived_at
-    return [ev.Served(arrived.service, arrived.tenant, took_s)]
+    return [inward.Served(arrived.service, arrived.tenant, took_s)]
+
+
+def _came_up(entry: Entry, call: EntryCall, mark: bool, now: float) -> Effects:
+    """Follow the retry mark that an answer or a refusal brought up."""
+    spent = mark and not call.retried
+    settle(call.retried, mark, entry.budget(call.arrived.service), now)
+    call.retried = call.retried or mark
+    return mark_parent(call, spent)
 
 
 def _load(message: msg.Answer | msg.Refused) -> LoadReport:
--- a/daisyline/coordination/jobs.py
+++ b/daisyline/coordination/jobs.py
@@ -21,6 +21,7 @@
         attached: Whether anybody still waits for the answer.
         answered: Whether the head went out.
         moved_at: When the answer last made progress.
+        retry_spent: Whether a retry was spent on a call made for this one.
         aborted: Whether the target was told to stop.
         unacknowledged: Bytes of the answer that the caller has not taken.
         held: Whether reading from the target is stopped.
@@ -35,6 +36,7 @@
     attached: bool = True
     answered: bool = False
     moved_at: float = 0
+    retry_spent: bool = False
     aborted: bool = False
     unacknowledged: int = 0
     held: bool = False
--- a/daisyline/coordination/messages.py
+++ b/daisyline/coordination/messages.py
@@ -49,6 +49,7 @@
         repeatable: Whether the call may be run more than once.
         key: The caller's idempotency key, or empty.
         retried: Whether this call, or one above it, is a retry.
+        may_move: Whether the sender can still offer it to another target.
         settings_version: The newest settings that the sender holds.
         method: The request's method.
         path: The request's target, byte for byte.
@@ -64,6 +65,7 @@
     repeatable: bool
     key: str
     retried: bool
+    may_move: bool
     settings_version: int
     method: bytes
     path: bytes
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
+from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.entry import Entry
 from daisyline.coordination.fleet import Fleet
@@ -58,8 +58,8 @@
             entry=Entry.from_config(me.name, rng, events),
             owner=Owner.from_config(me.name, me.zone, events),
             fleet=Fleet.from_config(me, cluster, peers, rng, now),
-            rollouts=Rollouts.from_config(me.name, rng, now),
-            quarantine=Quarantine.from_config(me.name, rng),
+            rollouts=Rollouts.from_config(me.name, rng, now, events),
+            quarantine=Quarantine.from_config(me.name, rng, events),
             events=events,
             latencies=Latencies.from_config(),
         )
@@ -85,7 +85,7 @@
         if target == self.owner.target:
             return []
         return [
-            ev.TargetChanged(target),
+            inward.TargetChanged(target),
             *self.owner.use_target(target, now),
             *self.fleet.announce(target, now),
         ]
@@ -98,7 +98,7 @@
                 return Failure(Reason.VERSION_STOPPED, detail=target.version)
         return None if self.quarantine.is_empty else self._quarantined(run, now)
 
-    def observed(self, event: ev.Observed, now: float) -> Effects:
+    def observed(self, event: inward.Observed, now: float) -> Effects:
         """Learn from a call that has ended at the target."""
         target = self.owner.target
         effects: Effects = []
@@ -137,7 +137,7 @@
             if job.started_at is not None
         ]
 
-    def _sample(self, event: ev.Observed, target: Target) -> Sample:
+    def _sample(self, event: inward.Observed, target: Target) -> Sample:
         return Sample(
             service=target.service,
             version=target.version,
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -6,7 +6,12 @@
 from typing import Any
 
 from daisyline.coordination import call_events as ev
-from daisyline.coordination import entry_events, fleet_events, owner_events
+from daisyline.coordination import (
+    entry_events,
+    fleet_events,
+    inward,
+    owner_events,
+)
 from daisyline.coordination import events as log
 from daisyline.coordination import messages as msg
 from daisyline.coordination.effects import PlatformReply, Send
@@ -165,7 +170,21 @@
     settings = effect.settings
     core.events.add(log.SettingsChanged(at=now, version=settings.version))
     core.entry.use_settings(settings, now)
-    return core.owner.use_settings(settings, now)
+    plans = map(settings.rollout_of, settings.services)
+    return [
+        *core.owner.use_settings(settings, now),
+        *core.rollouts.replace_plans(
+            {plan.service: plan for plan in plans if plan is not None}, now
+        ),
+    ]
+
+
+@_apply.register
+def _(effect: inward.RetrySpent, core: NodeCore, now: float) -> Effects:
+    job = core.owner.jobs.get(effect.parent)
+    if job is not None:
+        job.retry_spent = True
+    return []
 
 
 @_apply.register
@@ -174,12 +193,12 @@
 
 
 @_apply.register
-def _(effect: ev.Observed, core: NodeCore, now: float) -> Effects:
+def _(effect: inward.Observed, core: NodeCore, now: float) -> Effects:
     return core.observed(effect, now)
 
 
 @_apply.register
-def _(effect: ev.Served, core: NodeCore, now: float) -> Effects:
+def _(effect: inward.Served, core: NodeCore, now: float) -> Effects:
     took_us = int(effect.took_s * _US_PER_S)
     core.latencies.record(effect.service, effect.tenant, took_us)
     return []
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -9,6 +9,7 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
+from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.admission import Admission, Admitted
 from daisyline.coordination.answer_records import (
@@ -24,6 +25,7 @@
 from daisyline.state.targets import LoadReport, Target
 
 MS_PER_S = 1000
+_SERVER_ERROR = 500
 # A call under way at its target has at least this long, in seconds.
 _MIN_BUDGET_S = 0.001
 # An answer that stands still for longer is given up, in seconds.
@@ -72,6 +74,7 @@
         if self._admission is None or self._target is None:
             return []
         limits = settings.limits_for(self._target.service, self._zone)
+        self._admission.set_weights(settings.tenant_weights)
         change = self._admission.set_limits(limits, now)
         return self.follow(change.started, change.refused, now)
 
@@ -84,6 +87,7 @@
         if self._admission is None:
             limits = self._settings.limits_for(target.service, self._zone)
             self._admission = Admission.from_limits(limits, now)
+            self._admission.set_weights(self._settings.tenant_weights)
         elif known is not None and known.instance != target.instance:
             self._admission.turned_cold(now)
         change = self._admission.set_phase(target.phase, now)
@@ -97,7 +101,7 @@
         assert self._admission is not None
         deadline = now + run.budget_ms / MS_PER_S
         self.jobs[run.call] = Job(run, peer, deadline)
-        ticket = Ticket(run.call, run.tenant, deadline)
+        ticket = Ticket(run.call, run.tenant, deadline, run.may_move)
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
             self.jobs.pop(run.call)
@@ -135,12 +139,12 @@
         assert job.started_at is not None and self._admission is not None
         assert self.jobs.pop(call) is job
         service_s = now - job.started_at
-        succeeded = bool(status) and not crashed
+        succeeded = None if job.aborted else 0 < status < _SERVER_ERROR
         started = self._admission.finish(
             call, now, service_s=service_s, succeeded=succeeded
         )
         return [
-            ev.Observed(job.run, status, service_s, crashed),
+            inward.Observed(job.run, status, service_s, crashed),
             ev.ParentEnded(call),
             *(self._start(name, now) for name in started),
         ]
@@ -174,7 +178,13 @@
         return self.refused('', run.call, failure, now).message
 
     def refused(
-        self, peer: str, call: str, failure: Failure, now: float
+        self,
+        peer: str,
+        call: str,
+        failure: Failure,
+        now: float,
+        *,
+        retried: bool = False,
     ) -> ev.Reply:
         """Return the refusal of a call, with the target's load."""
         load = self.load
@@ -196,6 +206,7 @@
             waiting=load.waiting,
             limit=load.limit,
             service_us=load.service_us,
+            retried=retried,
         )
         return ev.Reply(peer, message)
 
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -67,6 +67,7 @@
         waiting=load.waiting,
         limit=load.limit,
         service_us=load.service_us,
+        retried=job.retry_spent,
     )
     job.keep_head(answer)
     job.moved_at = now
@@ -96,7 +97,9 @@
     outcome = Outcome.UNKNOWN if event.sent else Outcome.NOT_RUN
     failure = Failure(Reason.TARGET_LOST, outcome, event.detail)
     effects: Effects = []
-    refusal = owner.refused(job.peer, event.call, failure, now)
+    refusal = owner.refused(
+        job.peer, event.call, failure, now, retried=job.retry_spent
+    )
     if event.sent:
         owner.keep(job, refusal.message, now)
     if job.attached:
--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/target_table.py
@@ -1,6 +1,7 @@
 """The targets that an entry node may pick, with their weights."""
 
-from collections.abc import Iterable, Mapping
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -105,39 +106,25 @@
 
 
 def by_share(
-    candidates: tuple[Candidate, ...], shares: Shares, drawn: float
-) -> tuple[Candidate, ...]:
-    """Return the candidates of the version that a call is drawn for.
+    candidates: Sequence[Candidate], shares: Shares
+) -> Sequence[Candidate]:
+    """Return the candidates with their versions' shares as weights.
 
     Args:
         candidates: The targets of the service.
-        shares: Each version's share of calls; None if none is moving.
-        drawn: A random number from 0 to 1.
-
-    Returns:
-        Targets of one version; if it has none that takes calls, those of the
-        other versions whose share is not 0.
+        shares: Each version's share of calls; None if none is moving. A
+            version that isn't named gets no calls.
     """
     if shares is None:
         return candidates
-    usable = [
-        one for one in candidates if one.weight > 0 and _share(one, shares) > 0
+    totals: dict[str, float] = defaultdict(float)
+    for candidate in candidates:
+        totals[candidate.version] += candidate.weight
+    return [
+        attrs.evolve(
+            one,
+            weight=shares[one.version] * one.weight / totals[one.version],
+        )
+        for one in candidates
+        if one.weight > 0 and shares.get(one.version, 0) > 0
     ]
-    version = _draw(shares, drawn)
-    chosen = tuple(one for one in usable if one.version == version)
-    return chosen or tuple(usable)
-
-
-def _share(candidate: Candidate, shares: Mapping[str, float]) -> float:
-    return shares.get(candidate.version, 0)
-
-
-def _draw(shares: Mapping[str, float], drawn: float) -> str:
-    """Return the version whose part of the line from 0 to 1 is drawn."""
-    reached = float(0)
-    chosen = ''
-    for version, share in sorted(shares.items()):
-        if share > 0 and drawn >= reached:
-            chosen = version
-        reached += share
-    return chosen
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -106,10 +106,20 @@
         """Return whether operators have taken a zone out."""
         return self._section(_ZONES).get(zone, {}).get('state') == 'out'
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the names of the services in the tree."""
+        return tuple(self._section(_SERVICES))
+
     def has_service(self, service: str) -> bool:
         """Return whether the tree names a service."""
         return service in self._section(_SERVICES)
 
+    @property
+    def tenant_weights(self) -> Mapping[str, int]:
+        """Return the weights of the tenants that the tree names."""
+        return {name: self.weight_of(name) for name in self._section('tenants')}
+
     def weight_of(self, tenant: str) -> int:
         """Return a tenant's share of a queue, relative to the others."""
         entry = self._section('tenants').get(tenant, {})
--- a/daisyline/transport/deadlines.py
+++ b/daisyline/transport/deadlines.py
@@ -54,11 +54,17 @@
 
     @handler('generate_events')
     def _on_generate_events(self, event: Any) -> None:
-        """Run what is due; let the poller wait until the next is."""
-        self._run_due(time.monotonic())
-        if self._heap:
-            left_s = self._heap[0][0] - time.monotonic()
-            event.reduce_time_left(max(left_s, 0))
+        """Run what is due; let the poller wait until the next is.
+
+        Also if one of the functions fails: the others must not wait for
+        ever behind it.
+        """
+        try:
+            self._run_due(time.monotonic())
+        finally:
+            if self._heap:
+                left_s = self._heap[0][0] - time.monotonic()
+                event.reduce_time_left(max(left_s, 0))
 
     def _run_due(self, now: float) -> None:
         while self._heap and (
--- a/daisyline/transport/effects.py
+++ b/daisyline/transport/effects.py
@@ -6,6 +6,7 @@
 import attrs
 
 from daisyline.coordination import call_events as ev
+from daisyline.coordination import inward
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -101,7 +102,7 @@
 
 
 @perform.register
-def _(effect: ev.TargetChanged, outlets: Outlets) -> None:
+def _(effect: inward.TargetChanged, outlets: Outlets) -> None:
     outlets.pool.use_target(effect.target)
 
 
--- a/daisyline/transport/poller.py
+++ b/daisyline/transport/poller.py
@@ -69,6 +69,10 @@
         event.stop()
         self.flush_deferred()
         self._notice_pause(0)
+        # What ran before this handler may have fired events or stopped the
+        # loop; neither must wait for a socket.
+        if len(self.root) or not self.root.running:
+            event.reduce_time_left(0)
         wait_s = event.time_left
         started = time.monotonic()
         ready = self._poller.poll(wait_s if wait_s >= 0 else None)
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -119,7 +119,7 @@
             caller,
             request,
             request.context,
-            retried=job.run.retried,
+            retried=job.run.retried or job.retry_spent,
             deadline=job.deadline,
         )
 
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -133,8 +133,13 @@
             return
         if writable and self._pending:
             self._flush()
-        if readable and self.alive and self._reading:
+        if not readable or not self.alive:
+            return
+        if self._reading:
             self._receive()
+        else:
+            # Not asked for, so it is broken; epoll would say so for ever.
+            self.abort()
 
     def _finish_opening(self) -> None:
         failed = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -260,3 +260,19 @@
     admission.set_phase(Phase.READY, 0)
     assert admission.offer(Ticket('new', '', 9), 0) == Admitted()
     assert admission.load.limit == 1
+
+
+def test_a_target_that_says_it_is_cold_gets_one_slot_until_it_does_not() -> (
+    None
+):
+    admission = Admission.from_limits(Limits(slots_per_upstream=9), 0)
+    admission.set_phase(Phase.COLD, 0)
+    for number in range(50):
+        admission.offer(Ticket(f'c{number}', 't', 1e9), number)
+        admission.finish(f'c{number}', number, service_s=0.01, succeeded=True)
+    assert admission.load.limit == 1
+    admission.set_phase(Phase.READY, 50)
+    for number in range(50, 100):
+        admission.offer(Ticket(f'c{number}', 't', 1e9), number)
+        admission.finish(f'c{number}', number, service_s=0.01, succeeded=True)
+    assert admission.load.limit == 9
