--- a/tests/coordination/test_failure_detector.py
+++ b/tests/coordination/test_failure_detector.py
@@ -25,3 +25,14 @@
         dozen.run(1)
     dozen.run(10)
     assert {len(fleet.members) for fleet in dozen.live().values()} == {12}
+
+
+def test_a_pause_puts_a_removal_off_only_once(dozen: Pump) -> None:
+    fleet = dozen.live()['n3']
+    dozen.stop('n5')
+    dozen.run_until(lambda: 'n5' in fleet.suspects, 8)
+    dozen.freeze('n3')
+    dozen.run(60)
+    dozen.thaw('n3')
+    dozen.run(10)
+    assert 'n5' not in fleet.members
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -60,3 +60,13 @@
         ),
         10,
     )
+
+
+def test_calls_in_an_outage_grow_more_slowly_than_the_fleet() -> None:
+    made = []
+    for size in (12, 36):
+        pump = fleet_of(size)
+        pump.platform.up = False
+        pump.run(200)
+        made.append(calls_of(pump, 60))
+    assert made[1] < made[0] * 2
