--- a/daisyline/coordination/rollout_judge.py
+++ b/daisyline/coordination/rollout_judge.py
@@ -19,7 +19,7 @@
     product_of,
 )
 from daisyline.coordination.rollout_routes import RouteCounts
-from daisyline.state.rollout_state import RolloutPlan
+from daisyline.state.rollout_plan import RolloutPlan
 
 ALPHA = 0.001
 # Evidence from here on holds the share back, far short of a verdict.
--- a/daisyline/protocol/metrics.py
+++ b/daisyline/protocol/metrics.py
@@ -21,8 +21,6 @@
 CONTENT_TYPE = CONTENT_TYPE_LATEST
 _US_PER_S = 1_000_000
 _PERCENT = 100
-# Decimal places of a quantile, as 0.999.
-_PLACES = 3
 _LABELS = ('service', 'tenant')
 
 
@@ -51,7 +49,7 @@
         for key, percentiles in self._latencies.percentiles().items():
             labels = dict(zip(_LABELS, key, strict=True))
             for percentile, latency_us in percentiles.items():
-                quantile = str(round(percentile / _PERCENT, _PLACES))
+                quantile = format(percentile / _PERCENT, 'g')
                 metric.add_sample(
                     metric.name,
                     labels | {'quantile': quantile},
--- a/daisyline/state/rollout_state.py
+++ b/daisyline/state/rollout_state.py
@@ -1,4 +1,4 @@
-"""Rollouts as settings plan them and as nodes know where they stand."""
+"""Where rollouts stand, and the calls that they are judged by."""
 
 import enum
 from typing import Any
@@ -6,6 +6,7 @@
 import attrs
 
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 
 FACT_KIND = 'rollout'
 FIRST_SHARE = 0.05
@@ -13,13 +14,11 @@
 # so that a fact can be spread anew before its time is over.
 _REPEATS = 1_000_000
 _STAGE_RANK = 1_000_000_000_000
+_MAX_STEPS = _STAGE_RANK // _REPEATS
 
-
-class PlanState(enum.StrEnum):
-    """What operators want of a rollout."""
-
-    MOVING = 'moving'
-    STOPPED = 'stopped'
+_is_count = attrs.validators.and_(
+    attrs.validators.instance_of(int), attrs.validators.ge(0)
+)
 
 
 class Stage(enum.StrEnum):
@@ -35,32 +34,9 @@
         return tuple(Stage).index(self)
 
 
-@attrs.frozen
-class RolloutPlan:
-    """A rollout as operators wrote it.
-
-    Attributes:
-        service: The service whose version changes.
-        id: Names this rollout; a second try needs a new id.
-        old: The version that serves now.
-        new: The version that is to take over.
-        finish_in_s: Seconds from the start to the set time.
-        state: `STOPPED` takes the new version out for good.
-    """
-
-    service: str
-    id: str
-    old: str
-    new: str
-    finish_in_s: float
-    state: PlanState = attrs.field(
-        default=PlanState.MOVING, converter=PlanState
-    )
-
-    @property
-    def fact_name(self) -> str:
-        """Return the name of the fact that says where the rollout stands."""
-        return f'{self.service}/{self.id}'
+def fact_name_of(plan: RolloutPlan) -> str:
+    """Return the name of the fact that says where a rollout stands."""
+    return f'{plan.service}/{plan.id}'
 
 
 @attrs.frozen
@@ -77,18 +53,30 @@
     """
 
     stage: Stage = attrs.field(default=Stage.MOVING, converter=Stage)
-    step: int = 0
-    share: float = FIRST_SHARE
-    elapsed_ms: int = 0
-    why: str = 'started'
-    repeat: int = 0
+    step: int = attrs.field(
+        default=0, validator=[_is_count, attrs.validators.lt(_MAX_STEPS)]
+    )
+    share: float = attrs.field(
+        default=FIRST_SHARE,
+        validator=[
+            attrs.validators.instance_of((int, float)),
+            attrs.validators.ge(0),
+            attrs.validators.le(1),
+        ],
+    )
+    elapsed_ms: int = attrs.field(default=0, validator=_is_count)
+    why: str = attrs.field(
+        default='started', validator=attrs.validators.instance_of(str)
+    )
+    repeat: int = attrs.field(
+        default=0, validator=[_is_count, attrs.validators.lt(_REPEATS)]
+    )
 
     @property
     def rank(self) -> int:
         """Return the rank of the fact that carries this standing."""
         step = self.step if self.stage is Stage.MOVING else 0
-        repeat = min(self.repeat, _REPEATS - 1)
-        return self.stage.order * _STAGE_RANK + step * _REPEATS + repeat
+        return self.stage.order * _STAGE_RANK + step * _REPEATS + self.repeat
 
     @property
     def place(self) -> tuple[int, int]:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -24,7 +24,9 @@
 
 SLOTS = st.integers(min_value=1, max_value=9)
 QUEUE = st.integers(min_value=0, max_value=8)
-SECONDS = st.floats(min_value=0, max_value=2)
+LEFT_S = st.sampled_from([0, 0.02, 0.3, 5])
+PASSED_S = st.sampled_from([0, 0.001, 0.02, 0.1, 0.6])
+ENDS = st.sampled_from((True, True, True, True, True, False, None))
 
 
 class CallLedger(RuleBasedStateMachine):
@@ -44,34 +46,21 @@
         self.waiting: dict[str, float] = {}
         self.over_from_before = 0
 
-    @rule(tenant=st.sampled_from('abc'), left_s=SECONDS, may_move=st.booleans())
-    def offer(self, tenant: str, left_s: float, may_move: bool) -> None:
-        """Offer a call."""
-        call = str(len(self.offered))
-        self.offered.append(call)
-        ticket = Ticket(call, tenant, self.now + left_s, may_move)
-        decision = self.admission.offer(ticket, self.now)
-        if isinstance(decision, Admitted):
-            assert left_s > 0
-            self._began([call])
-        elif isinstance(decision, Queued):
-            longest_s = self.contract.queue_wait_ms / 1000
-            self.waiting[call] = min(ticket.give_up_at, self.now + longest_s)
-        else:
-            self._refused([(call, decision)])
-        self._collect()
-
     @rule(
-        which=st.integers(min_value=0),
-        service_s=SECONDS,
-        succeeded=st.sampled_from([True, True, True, False, None]),
+        tenants=st.lists(st.sampled_from('abc'), min_size=1, max_size=6),
+        left_s=LEFT_S,
+        may_move=st.booleans(),
     )
-    def finish(
-        self, which: int, service_s: float, succeeded: bool | None
-    ) -> None:
-        """End a running call."""
-        if self.running:
-            call = self.running.pop(which % len(self.running))
+    def offer(self, tenants: list[str], left_s: float, may_move: bool) -> None:
+        """Offer some calls."""
+        for tenant in tenants:
+            self._offer(tenant, left_s, may_move)
+
+    @rule(ends=st.lists(ENDS, min_size=1, max_size=8), service_s=PASSED_S)
+    def finish(self, ends: list[bool | None], service_s: float) -> None:
+        """End some running calls, the oldest first."""
+        for succeeded in ends[: len(self.running)]:
+            call = self.running.pop(0)
             self.over_from_before = max(0, self.over_from_before - 1)
             self._began(
                 self.admission.finish(
@@ -90,10 +79,12 @@
             self.waiting.pop(call)
             self.ends[call] += 1
 
-    @rule(passed_s=SECONDS)
-    def wait(self, passed_s: float) -> None:
+    @rule(passed_s=PASSED_S, timer_is_late=st.booleans())
+    def wait(self, passed_s: float, timer_is_late: bool) -> None:
         """Let time pass."""
         self.now += passed_s
+        if timer_is_late:
+            return
         self._refused(self.admission.expire(self.now))
         assert self.admission.next_at() > self.now
         assert all(at > self.now for at in self.waiting.values())
@@ -154,6 +145,21 @@
         assert late.reason == Reason.LEAVING
         assert self.admission.running == len(self.running)
 
+    def _offer(self, tenant: str, left_s: float, may_move: bool) -> None:
+        call = str(len(self.offered))
+        self.offered.append(call)
+        ticket = Ticket(call, tenant, self.now + left_s, may_move)
+        decision = self.admission.offer(ticket, self.now)
+        if isinstance(decision, Admitted):
+            assert left_s > 0
+            self._began([call])
+        elif isinstance(decision, Queued):
+            longest_s = self.contract.queue_wait_ms / 1000
+            self.waiting[call] = min(ticket.give_up_at, self.now + longest_s)
+        else:
+            self._refused([(call, decision)])
+        self._collect()
+
     def _collect(self) -> None:
         if self.admission.next_at() <= self.now:
             self._refused(self.admission.expire(self.now))
@@ -175,7 +181,7 @@
     run_state_machine_as_test(
         CallLedger,
         settings=settings(
-            max_examples=150,
+            max_examples=300,
             stateful_step_count=50,
             derandomize=True,
             deadline=None,
@@ -232,3 +238,25 @@
     assert recovers == Admitted()
     admission.finish('well', 20, service_s=0, succeeded=True)
     assert admission.offer(Ticket('next', '', 99), 20) == Admitted()
+
+
+def test_a_call_whose_wait_ran_out_is_not_started_by_a_late_timer() -> None:
+    admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
+    admission.offer(Ticket('a', '', 9), 0)
+    assert admission.offer(Ticket('b', '', 9), 0) == Queued()
+    assert not admission.finish('a', 5, service_s=5, succeeded=True)
+    assert admission.next_at() <= 5
+    refused = admission.expire(5)
+    assert refused == [('b', Failure(Reason.QUEUE_TIMEOUT))]
+
+
+def test_a_new_instance_after_a_leaving_one_is_served() -> None:
+    admission = Admission.from_limits(Limits(), 0)
+    for number in range(5):
+        admission.offer(Ticket(str(number), '', 9), 0)
+        admission.finish(str(number), 0, service_s=0, succeeded=False)
+    admission.set_phase(Phase.LEAVING, 0)
+    admission.turned_cold(0)
+    admission.set_phase(Phase.READY, 0)
+    assert admission.offer(Ticket('new', '', 9), 0) == Admitted()
+    assert admission.load.limit == 1
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -13,15 +13,17 @@
 
 from bench import rollout as faults
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
-from daisyline.coordination.fact_events import FactChanged
+from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
+from daisyline.coordination.rollout_schedule import settle_s
 from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
     FACT_KIND,
     FIRST_SHARE,
-    RolloutPlan,
     Stage,
     Standing,
+    fact_name_of,
 )
 from tests.support import fixture, function_tests
 
@@ -32,7 +34,7 @@
 
 
 @fixture
-def fleet():
+def rollout_fleet():
     yield Fleet.from_config(3, RATE, finish_in_s=60)
 
 
@@ -40,14 +42,20 @@
     return {node.status()[0].state for node in fleet.nodes.values()}
 
 
-def test_a_good_version_has_all_calls_by_the_set_time(fleet) -> None:
+def test_a_good_version_has_all_calls_by_the_set_time(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.run(faults.good, 60)
     assert fleet.standing[:2] == ('done', 1)
     assert fleet.now <= fleet.plan.finish_in_s
     assert fleet.nodes['node-0'].shares(SERVICE) == {'v1': 0, 'v2': 1}
 
 
-def test_a_failing_version_is_stopped_everywhere_without_platform(fleet):
+def test_a_failing_version_is_stopped_everywhere_without_platform(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.platform.is_down = True
     fleet.run(faults.fails(1), 5)
     assert fleet.exposed <= 40
@@ -67,13 +75,21 @@
     assert fleet.platform.stored[SERVICE][1]['share'] == 0
 
 
-def test_the_share_stays_small_until_enough_was_judged(fleet) -> None:
+def test_the_share_stays_small_until_enough_was_judged(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     while fleet.exposed < 50:
         fleet.step(faults.good)
         assert fleet.standing[1] <= FIRST_SHARE
+        assert fleet.now < fleet.plan.finish_in_s
 
 
-def test_a_slow_route_alone_is_enough(fleet) -> None:
+def test_a_slow_route_alone_is_enough(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
+
     def one_route(call: faults.Call) -> bool:
         return call.route == '/price'
 
@@ -82,7 +98,11 @@
     assert fleet.standing[2].startswith('/price: ')
 
 
-def test_a_version_that_turns_bad_late_is_stopped_soon(fleet) -> None:
+def test_a_version_that_turns_bad_late_is_stopped_soon(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
+
     def late(call: faults.Call) -> bool:
         return call.now >= 50
 
@@ -109,13 +129,30 @@
     assert 'calls compared' in fleet.standing[2]
 
 
-def test_a_version_that_never_answered_is_not_done(fleet) -> None:
+def test_a_version_that_never_answered_is_not_done(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.rate = 0
     fleet.run(faults.good, 100)
     assert fleet.standing[:2] == ('moving', FIRST_SHARE)
 
 
-def test_lost_answers_and_two_judges_leave_one_record(fleet) -> None:
+def test_a_new_judge_goes_on_although_no_call_comes_any_more(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
+    step_two = Standing(Stage.MOVING, 2, 0.25, 20_000)
+    fleet.put(step_two)
+    fleet.rate = 0
+    fleet.run(faults.good, 60)
+    assert fleet.standing[0] == 'done'
+
+
+def test_lost_answers_and_two_judges_leave_one_record(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     fleet.platform.loses_answers = True
     fleet.run(faults.good, 60)
     for _ in range(int(40 / TICK_S)):
@@ -126,7 +163,10 @@
     assert fleet.platform.writes <= 7
 
 
-def test_restarted_and_paused_judges_come_to_one_outcome(fleet) -> None:
+def test_restarted_and_paused_judges_come_to_one_outcome(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     names = list(fleet.nodes)
     for _ in range(int(20 / TICK_S)):
         fleet.step(faults.good)
@@ -149,7 +189,10 @@
     assert _states(fleet) == {'rolled-back'}
 
 
-def test_operators_who_stop_a_rollout_end_it_for_good(fleet) -> None:
+def test_operators_who_stop_a_rollout_end_it_for_good(
+    rollout_fleet: Fleet,
+) -> None:
+    fleet = rollout_fleet
     node = fleet.nodes['node-0']
     stopped = RolloutPlan(SERVICE, 'r1', 'v1', 'v2', 60, 'stopped')
     puts = node.replace_plans({SERVICE: stopped}, 1)
@@ -174,21 +217,51 @@
 def test_a_malformed_fact_changes_nothing() -> None:
     node = Rollouts.from_config('n', Random(1), 0)
     node.replace_plans({SERVICE: PLAN}, 0)
-    for payload in ((), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9):
-        fact = Fact(FACT_KIND, PLAN.fact_name, 10**13, payload)
+    name = fact_name_of(PLAN)
+    odd = {
+        0: [('moving', 0, 'all', 0, '', 0)],
+        10**13: [(), ('done',), ('odd', 1, 1, 1, ''), (1,) * 9],
+        10**15: [('moving', 10**9, 0, 0, '')],
+    }
+    facts = [
+        Fact(FACT_KIND, name, rank, payload)
+        for rank, payloads in odd.items()
+        for payload in payloads
+    ]
+    for fact in facts:
         node.handle(FactChanged(fact), 0)
     assert node.shares(SERVICE) == {'v2': FIRST_SHARE, 'v1': 1 - FIRST_SHARE}
-    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(PLAN.fact_name)
+    verdict = Standing(Stage.ROLLED_BACK, 0, 0).to_fact(name)
     node.handle(FactChanged(verdict), 0)
     assert node.stopped(SERVICE, 'v2')
 
 
+def _puts(node: Rollouts, now: float) -> list[PutFact]:
+    return [put for put in node.tick(now) if isinstance(put, PutFact)]
+
+
+def test_a_new_or_paused_judge_looks_before_it_moves_anything() -> None:
+    node = Rollouts.from_config('n', Random(1), 0)
+    node.replace_plans({SERVICE: PLAN}, 0)
+    late = Standing(Stage.MOVING, 2, 0.25, 55_000).to_fact(fact_name_of(PLAN))
+    node.handle(FactChanged(late), 0)
+    settle = settle_s(PLAN)
+    assert not _puts(node, 0)
+    assert not _puts(node, settle - 0.1)
+    assert len(_puts(node, settle + 0.5)) == 1
+    # It is paused for long, while the next steps fall due.
+    resumed = 100
+    assert not _puts(node, resumed)
+    assert not _puts(node, resumed + settle - 0.1)
+    assert len(_puts(node, resumed + settle + 0.5)) == 1
+
+
 class _Gossip(RuleBasedStateMachine):
     """Facts reach nodes late, doubled and out of order; nodes restart."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.facts = [Standing().to_fact(PLAN.fact_name)]
+        self.facts = [Standing().to_fact(fact_name_of(PLAN))]
         self.nodes = {name: self._fresh(name) for name in 'abc'}
         self.seen = dict.fromkeys('abc', (0, 0, 0))
 
@@ -196,7 +269,7 @@
     def decide(self, stage: Stage, step: int) -> None:
         share = {Stage.DONE: 1, Stage.ROLLED_BACK: 0}
         standing = Standing(stage, step, share.get(stage, 0.05 + step / 10))
-        self.facts.append(standing.to_fact(PLAN.fact_name))
+        self.facts.append(standing.to_fact(fact_name_of(PLAN)))
 
     @rule(name=st.sampled_from('abc'), index=st.integers(0, 99))
     def hear(self, name: str, index: int) -> None:
