--- a/daisyline/protocol/announcements.py
+++ b/daisyline/protocol/announcements.py
@@ -17,7 +17,7 @@
     """Return the target that announces itself, or every mistake in it."""
     try:
         said = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return [Finding('body', 'it is not JSON')]
     if not isinstance(said, dict):
         return [Finding('body', 'it is not a JSON object')]
@@ -46,14 +46,17 @@
 
 
 def _is_text(said: Any) -> bool:
-    return isinstance(said, str) and 0 < len(said) <= _MAX_TEXT
+    """Return whether it is short, and fit for logs and for other nodes."""
+    if not isinstance(said, str):
+        return False
+    return 0 < len(said) <= _MAX_TEXT and said.isprintable()
 
 
 def _host_problem(said: Any) -> str:
     try:
-        ipaddress.ip_address(said)
+        ipaddress.IPv4Address(str(said))
     except ValueError:
-        return 'an IP number is needed'
+        return 'an IPv4 number as text is needed'
     return ''
 
 
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -14,6 +14,8 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8_388_608
+# The decoder makes room for as many elements as an array claims to have.
+_MAX_ELEMENTS = 16_384
 
 _CALL_MESSAGES: tuple[type, ...] = (
     messages.Hello,
@@ -92,7 +94,11 @@
     def __init__(self) -> None:
         """Start at the beginning of a stream."""
         self._unpacker = msgpack.Unpacker(
-            use_list=False, raw=False, max_buffer_size=MAX_FRAME_BYTES
+            use_list=False,
+            raw=False,
+            max_buffer_size=MAX_FRAME_BYTES,
+            max_array_len=_MAX_ELEMENTS,
+            max_map_len=_MAX_ELEMENTS,
         )
 
     def feed(self, octets: bytes) -> list[Any]:
@@ -112,13 +118,31 @@
 def _message(frame: Any) -> Any:
     if not isinstance(frame, tuple) or not frame:
         raise ValueError('a frame is an array with a tag')
-    kind = _kinds().get(frame[0]) if isinstance(frame[0], int) else None
+    # A bool or a float can equal a number, but is no tag.
+    kind = _kinds().get(frame[0]) if _is_number(frame[0]) else None
     if kind is None:
         raise ValueError('unknown tag')
     types = _shapes()[kind].types
-    if types and tuple(map(type, frame[1:])) != types:
+    if types and _kinds_of(frame[1:]) != types:
         raise ValueError(f'wrong fields for {kind.__name__}')
-    return kind(*frame[1:])
+    message = kind(*frame[1:])
+    _check_headers(getattr(message, 'headers', ()))
+    return message
+
+
+def _is_number(tag: Any) -> bool:
+    return isinstance(tag, int) and not isinstance(tag, bool)
+
+
+def _check_headers(headers: tuple[Any, ...]) -> None:
+    """Check that all are pairs of a name and a content in bytes."""
+    for pair in headers:
+        if not isinstance(pair, tuple) or _kinds_of(pair) != (bytes, bytes):
+            raise ValueError('headers are pairs of bytes')
+
+
+def _kinds_of(fields: tuple[Any, ...]) -> tuple[type, ...]:
+    return tuple(map(type, fields))
 
 
 @functools.cache
--- /dev/null
+++ b/daisyline/protocol/http_client.py
@@ -0,0 +1,108 @@
+"""The client's side of HTTP/1.1, as targets speak it, over h11."""
+
+import functools
+
+import h11
+
+from daisyline.coordination.messages import Headers
+from daisyline.protocol.http_messages import (
+    MAX_HEAD_BYTES,
+    Broken,
+    End,
+    Head,
+    Part,
+    Request,
+    answer_headers,
+)
+
+# Stands before the first event, which is skipped like all of its kind.
+_SKIPPED = h11.InformationalResponse(status_code=100, headers=[])
+
+
+class ClientCodec:
+    """The client's side of one connection: one call at a time."""
+
+    def __init__(self) -> None:
+        """Start before the first call."""
+        self._connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    def request(self, request: Request, extra: Headers = ()) -> bytes:
+        """Return the bytes of a whole request.
+
+        Args:
+            request: What is sent; its `Host` header goes out as it came.
+            extra: Headers of our own, added at the end.
+        """
+        if self._connection.our_state is h11.DONE:
+            self._connection.start_next_cycle()
+        headers = [*request.headers, *extra]
+        if not request.header(b'host'):
+            headers.insert(0, (b'Host', b'target'))
+        if request.body or request.method in {b'POST', b'PUT', b'PATCH'}:
+            length = str(len(request.body)).encode()
+            headers.append((b'Content-Length', length))
+        event = h11.Request(
+            method=request.method, target=request.path, headers=headers
+        )
+        sent = [self._connection.send(event) or b'']
+        if request.body:
+            sent.append(
+                self._connection.send(h11.Data(data=request.body)) or b''
+            )
+        sent.append(self._connection.send(h11.EndOfMessage()) or b'')
+        return b''.join(sent)
+
+    def feed(self, octets: bytes) -> None:
+        """Take bytes; empty bytes mean that the target sends no more."""
+        if self._connection.their_state is not h11.ERROR:
+            self._connection.receive_data(octets)
+
+    def next_event(self) -> Head | Part | End | Broken | None:
+        """Return the next event, or None if more bytes are needed."""
+        event: object = _SKIPPED
+        while isinstance(event, h11.InformationalResponse):
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                return Broken(str(error))
+        return _answer_event(event, self)
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the connection may carry another call."""
+        trailing, closed = self._connection.trailing_data
+        return (
+            self._connection.our_state is h11.DONE
+            and self._connection.their_state is h11.DONE
+            and not trailing
+            and not closed
+        )
+
+
+@functools.singledispatch
+def _answer_event(
+    event: object, codec: ClientCodec
+) -> Head | Part | End | Broken | None:
+    """Translate one event of h11; it has none if more bytes are needed."""
+
+
+@_answer_event.register
+def _(event: h11.Response, codec: ClientCodec) -> Head:
+    return Head(event.status_code, answer_headers(event.headers.raw_items()))
+
+
+@_answer_event.register
+def _(event: h11.Data, codec: ClientCodec) -> Part:
+    return Part(bytes(event.data))
+
+
+@_answer_event.register
+def _(event: h11.EndOfMessage, codec: ClientCodec) -> End:
+    return End(codec.reusable)
+
+
+@_answer_event.register
+def _(event: h11.ConnectionClosed, codec: ClientCodec) -> Broken:
+    return Broken('the connection closed')
--- a/daisyline/protocol/platform.py
+++ b/daisyline/protocol/platform.py
@@ -13,10 +13,11 @@
     PlatformWatch,
     PlatformWrite,
 )
-from daisyline.protocol.http import Request
+from daisyline.protocol.http_messages import Request
 
 PlatformCall = PlatformRead | PlatformList | PlatformWatch | PlatformWrite
 NO_ANSWER = 0
+_UNREADABLE = object()
 
 
 @functools.singledispatch
@@ -54,26 +55,43 @@
 
 def reply_of(effect: PlatformCall, status: int, body: bytes) -> PlatformReply:
     """Return the event for an answer; status 0 means that none came."""
+    lost = PlatformReply(effect.token, NO_ANSWER)
     try:
         said = json.loads(body) if body else {}
-    except ValueError:
-        return PlatformReply(effect.token, NO_ANSWER)
+    except (ValueError, RecursionError):
+        return lost
     if not isinstance(said, dict):
-        return PlatformReply(effect.token, NO_ANSWER)
+        return lost
     version = said.get('version', said.get('revision', 0))
-    if not isinstance(version, int):
-        return PlatformReply(effect.token, NO_ANSWER)
     content = _content(said) if status == HTTPStatus.OK else None
+    if not _is_version(version) or content is _UNREADABLE:
+        return lost
     return PlatformReply(effect.token, status, version, content)
 
 
 def _content(said: dict[str, Any]) -> Any:
+    """Return an object's value or a list's items, if all are of their form."""
     if 'items' not in said:
         return said.get('value')
-    return [
-        (item['name'], item['version'], item.get('value'))
-        for item in said['items']
-    ]
+    listed = said['items']
+    if isinstance(listed, list) and all(map(_is_item, listed)):
+        return [
+            (item['name'], item['version'], item.get('value'))
+            for item in listed
+        ]
+    return _UNREADABLE
+
+
+def _is_item(item: Any) -> bool:
+    if not isinstance(item, dict):
+        return False
+    return isinstance(item.get('name'), str) and _is_version(
+        item.get('version')
+    )
+
+
+def _is_version(said: Any) -> bool:
+    return isinstance(said, int) and not isinstance(said, bool)
 
 
 def _object(kind: str, name: str) -> str:
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -11,12 +11,12 @@
     RefuseCaller,
 )
 from daisyline.coordination.messages import Headers
-from daisyline.protocol.http import (
+from daisyline.protocol.http_messages import (
     Continue,
     Malformed,
     Request,
-    ServerCodec,
 )
+from daisyline.protocol.http_server import ServerCodec
 from daisyline.protocol.refusals import body_of, headers_of, status_of
 from daisyline.state.failures import Failure
 from daisyline.transport.loop import Loop
--- a/daisyline/transport/platform_client.py
+++ b/daisyline/transport/platform_client.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from daisyline.coordination.effects import PlatformWatch
-from daisyline.protocol.http import Broken, ClientCodec, End, Head, Part
+from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_messages import Broken, End, Head, Part
 from daisyline.protocol.platform import (
     NO_ANSWER,
     PlatformCall,
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -15,7 +15,7 @@
 )
 from daisyline.coordination.node_core import TARGET_LEASE_S, NodeCore
 from daisyline.protocol.announcements import read_announcement
-from daisyline.protocol.http import Request
+from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.targets import Target
 from daisyline.transport.callers import CallerConnection
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -9,9 +9,9 @@
     TargetHead,
     TargetPart,
 )
-from daisyline.protocol.http import (
+from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_messages import (
     Broken,
-    ClientCodec,
     End,
     Head,
     Part,
