Bound answers of the platform; show three faults of connections

Platform client, each with a test that failed first (4 of 6): an answer without end was kept without bound, one ended by closing counted as none, a cut one gave the version it named, and no descriptor left raised in the middle of effects.

--- a/daisyline/transport/platform_client.py
+++ b/daisyline/transport/platform_client.py
@@ -16,6 +16,8 @@
 from daisyline.transport.sockets import Connection
 
 _ANSWER_S = 3.0
+# A list of objects is longer than one of them, which has 1 MiB at most.
+_MAX_ANSWER_BYTES = 16_777_216
 _MS_PER_S = 1000
 
 
@@ -30,7 +32,7 @@
         self._effect = effect
         self._codec = ClientCodec()
         self._status = NO_ANSWER
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self.on_reply: Callable[[Any], None] = bool
         connection.handler = self
         wait_s = _ANSWER_S
@@ -54,15 +56,16 @@
             if isinstance(event, Head):
                 self._status = event.status
             else:
-                self._body.append(event.body)
+                self._body += event.body
             event = self._codec.next_event()
         if isinstance(event, End):
             self._reply(self._status)
-        elif isinstance(event, Broken):
+        elif isinstance(event, Broken) or len(self._body) > _MAX_ANSWER_BYTES:
             self._connection.abort()
 
     def ended(self) -> None:
-        """Note that no answer follows."""
+        """Let the codec judge whether an answer ended by closing is whole."""
+        self.received(b'')
         self._connection.abort()
 
     def drained(self) -> None:
@@ -76,7 +79,8 @@
     def _reply(self, status: int) -> None:
         on_reply = self.on_reply
         self.on_reply = bool
-        body = b''.join(self._body)
+        # What came of an answer that isn't whole says nothing.
+        body = b'' if status == NO_ANSWER else bytes(self._body)
         self._connection.abort()
         on_reply(reply_of(self._effect, status, body))
 
@@ -100,7 +104,13 @@
         """Make a call; a `PlatformReply` follows in any case."""
         self.calls += 1
         host, port = self._address
-        connection = Connection.dial(self._loop, host, port)
+        try:
+            connection = Connection.dial(self._loop, host, port)
+        except OSError:
+            # The process has no descriptor left.
+            lost = reply_of(effect, NO_ANSWER, b'')
+            self._loop.defer(lambda: self._on_event(lost))
+            return
         exchange = _PlatformExchange(self._loop, connection, effect)
         exchange.on_reply = self._on_event
         exchange.send(f'{host}:{port}')
--- /dev/null
+++ b/tests/transport/test_idle_processor.py
@@ -0,0 +1,91 @@
+"""The loop rests whatever state its connections are in."""
+
+import contextlib
+import time
+from typing import Any
+
+from daisyline.transport.sockets import Connection, Listener
+from tests.support import function_tests
+from tests.transport.rig import HOST, Turning
+
+load_tests = function_tests(__name__)
+
+WATCHED_S = 0.3
+MOST_CPU_S = 0.15
+
+
+class _Paused:
+    """Takes a connection and reads nothing from it."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.was_closed = False
+        self.was_opened = False
+        connection.handler = self
+
+    def opened(self) -> None:
+        """Note that a dialled connection is made."""
+        self.was_opened = True
+
+    def received(self, octets: bytes) -> None:
+        """Do nothing."""
+
+    def ended(self) -> None:
+        """Do nothing; the connection stays half open."""
+
+    def drained(self) -> None:
+        """Do nothing."""
+
+    def closed(self) -> None:
+        """Note that the connection is gone."""
+        self.was_closed = True
+
+
+def _accepted(turning: Turning) -> tuple[Connection, Any]:
+    connections: list[Connection] = []
+    listener = Listener.open(turning.loop, HOST, 0, connections.append)
+    far = turning.connect(listener.port)
+    turning.until(lambda: connections)
+    listener.close()
+    return connections[0], far
+
+
+def _cpu_s(turning: Turning) -> float:
+    """Return the processor time that the loop takes for a moment."""
+    turning.loop.call_later(WATCHED_S, bool)
+    before = time.process_time()
+    last_by = time.monotonic() + WATCHED_S
+    while time.monotonic() < last_by:
+        turning.loop._running = True
+        turning.loop.tick()
+        turning.loop._running = False
+    return time.process_time() - before
+
+
+def test_a_paused_connection_whose_peer_resets_does_not_spin(
+    turning: Turning,
+) -> None:
+    connection, far = _accepted(turning)
+    _Paused(connection)
+    connection.pause()
+    far.reset()
+    assert _cpu_s(turning) < MOST_CPU_S
+
+
+def test_a_connection_ended_on_both_sides_does_not_spin(
+    turning: Turning,
+) -> None:
+    connection, far = _accepted(turning)
+    _Paused(connection)
+    connection.end()
+    far.sock.close()
+    assert _cpu_s(turning) < MOST_CPU_S
+
+
+def test_a_connection_that_fails_at_once_was_never_made(
+    turning: Turning,
+) -> None:
+    with contextlib.suppress(OSError):
+        connection = Connection.dial(turning.loop, '255.255.255.255', 9)
+        handler = _Paused(connection)
+        turning.until(lambda: handler.was_closed or handler.was_opened)
+        assert not handler.was_opened
--- /dev/null
+++ b/tests/transport/test_platform_client.py
@@ -0,0 +1,84 @@
+"""Each call on the platform ends in one reply, whatever comes of it."""
+
+from unittest import mock
+
+from daisyline.coordination.effects import (
+    PlatformRead,
+    PlatformReply,
+    PlatformWatch,
+)
+from daisyline.protocol.platform import NO_ANSWER
+from daisyline.transport.platform_client import PlatformClient
+from tests.support import function_tests
+from tests.transport.rig import HOST, Turning
+
+load_tests = function_tests(__name__)
+
+MODULE = 'daisyline.transport.platform_client'
+READ = PlatformRead('t', 'settings', 'tree')
+LOST = PlatformReply('t', NO_ANSWER)
+VALUE = b'{"version": 7, "value": 1}'
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
+
+
+def _reply_to(turning: Turning, answer: bytes, closes: bool) -> PlatformReply:
+    listener = turning.listen()
+    address = (HOST, listener.getsockname()[1])
+    PlatformClient(turning.loop, address, turning.seen.append).call(READ)
+    far = turning.accept(listener)
+    far.until(b'\r\n\r\n')
+    far.send(answer)
+    if closes:
+        far.sock.close()
+    turning.until(lambda: turning.seen)
+    turning.turn_for(0.05)
+    assert len(turning.seen) == 1
+    reply: PlatformReply = turning.seen.pop()
+    return reply
+
+
+def test_whole_answers_are_read_in_each_framing(turning: Turning) -> None:
+    whole = PlatformReply('t', 200, 7, 1)
+    framed = HEAD % (len(VALUE), VALUE)
+    assert _reply_to(turning, framed, closes=False) == whole
+    old = b'HTTP/1.0 200 OK\r\n\r\n%s' % VALUE
+    assert _reply_to(turning, old, closes=True) == whole
+
+
+def test_an_answer_that_is_not_whole_counts_as_none(turning: Turning) -> None:
+    cut = HEAD % (len(VALUE) + 1, VALUE)
+    assert _reply_to(turning, cut, closes=True) == LOST
+    assert _reply_to(turning, b'', closes=True) == LOST
+    assert _reply_to(turning, b'nonsense\r\n\r\n', closes=False) == LOST
+
+
+def test_an_answer_without_end_is_given_up(turning: Turning) -> None:
+    with mock.patch(f'{MODULE}._MAX_ANSWER_BYTES', 100_000):
+        endless = b'HTTP/1.1 200 OK\r\n\r\n%s' % bytes(300_000)
+        assert _reply_to(turning, endless, closes=False) == LOST
+
+
+def test_a_silent_platform_is_given_up(turning: Turning) -> None:
+    with mock.patch(f'{MODULE}._ANSWER_S', 0.2):
+        assert _reply_to(turning, b'', closes=False) == LOST
+
+
+def test_a_platform_that_is_not_reached_gives_a_reply(turning: Turning) -> None:
+    watch = PlatformWatch('t', 'settings', 1, 100)
+    with mock.patch(f'{MODULE}._ANSWER_S', 0.2):
+        for port in (turning.closed_port(), turning.full()):
+            client = PlatformClient(
+                turning.loop, (HOST, port), turning.seen.append
+            )
+            client.call(watch)
+            turning.until(turning.seen.copy)
+            assert turning.seen.pop() == LOST
+
+
+def test_a_process_without_descriptors_gives_a_reply(turning: Turning) -> None:
+    with mock.patch(f'{MODULE}.Connection.dial', side_effect=OSError):
+        client = PlatformClient(turning.loop, (HOST, 1), turning.seen.append)
+        client.call(READ)
+        assert not turning.seen
+    turning.until(turning.seen.copy)
+    assert turning.seen == [LOST]
