--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import functools
 import json
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -105,38 +106,45 @@
 
     def start_node(self, place: Place) -> None:
         """Start the node of a place."""
-        self._processes.start(
-            place.node_name,
-            NODE_MODULE,
-            name=place.node_name,
-            zone=place.instance.zone,
-            region=self.deployment.region,
-            cluster=self.deployment.name,
-            host=HOST,
-            callers_port=place.callers_port,
-            peers_port=place.peers_port,
-            target_port=place.node_target_port,
-            operators_port=place.operators_port,
-            platform=f'http://{HOST}:{self.platform_port}',
-        )
+        flags = self.node_flags(place)
+        self._processes.start(place.node_name, NODE_MODULE, **flags)
 
     def start_target(self, place: Place, version: str = 'v1') -> None:
         """Start the target of a place."""
-        service = place.instance.service
+        flags = self.target_flags(place)
         self._processes.start(
-            place.target_name,
-            TARGET_MODULE,
-            port=place.calls_port,
-            control_port=place.control_port,
-            node_target_port=place.node_target_port,
-            seed=place.seed,
-            service=service.name,
-            version=version,
-            slots=service.slots,
-            connections=service.connections,
-            service_ms=service.service_ms,
+            place.target_name, TARGET_MODULE, version=version, **flags
         )
 
+    def node_flags(self, place: Place) -> dict[str, Any]:
+        """Return the flags of a place's node."""
+        return {
+            'name': place.node_name,
+            'zone': place.instance.zone,
+            'region': self.deployment.region,
+            'cluster': self.deployment.name,
+            'host': HOST,
+            'callers_port': place.callers_port,
+            'peers_port': place.peers_port,
+            'target_port': place.node_target_port,
+            'operators_port': place.operators_port,
+            'platform': f'http://{HOST}:{self.platform_port}',
+        }
+
+    def target_flags(self, place: Place) -> dict[str, Any]:
+        """Return the flags of a place's target, without its version."""
+        service = place.instance.service
+        return {
+            'port': place.calls_port,
+            'control_port': place.control_port,
+            'node_target_port': place.node_target_port,
+            'seed': place.seed,
+            'service': service.name,
+            'slots': service.slots,
+            'connections': service.connections,
+            'service_ms': service.service_ms,
+        }
+
     def _start_place(self, place: Place, on_ready: Callable[[], None]) -> None:
         self.start_node(place)
         self.start_target(place)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Child processes of the launcher, started, watched and ended."""
 
 import os
+import pathlib
 import random
 import signal
 import socket
@@ -57,10 +58,19 @@
             before it was told to.
     """
 
-    def __init__(self, loop: Loop) -> None:
-        """Start without children."""
+    def __init__(
+        self, loop: Loop, log_folder: pathlib.Path | None = None
+    ) -> None:
+        """Start without children.
+
+        Args:
+            loop: The launcher's loop.
+            log_folder: Where each child's stderr goes, to `NAME.log`; without
+                one it is the launcher's own.
+        """
         self.on_exit: Callable[[str, int], None] = _ignore_exit
         self._loop = loop
+        self._log_folder = log_folder
         self._children: dict[str, subprocess.Popen[bytes]] = {}
         self._ending: set[str] = set()
         self._on_all_ended: Callable[[], None] | None = None
@@ -81,13 +91,17 @@
                 command.extend((f'--{dashed}', str(setting)))
         # A session of its own keeps a Ctrl-C for the launcher to pass on.
         self._ending.discard(name)
+        log = self._log_of(name)
         self._children[name] = subprocess.Popen(
             command,
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
+            stderr=log,
             env={'DAISYLINE_LOG_LEVEL': 'ERROR', **os.environ},
             start_new_session=True,
         )
+        if log is not None:
+            os.close(log)
 
     def pid(self, name: str) -> int:
         """Return a child's process id."""
@@ -113,6 +127,14 @@
         for name in self.names:
             self.signal(name, signal.SIGKILL)
 
+    def _log_of(self, name: str) -> int | None:
+        """Return the descriptor of a child's log, which `start` closes."""
+        if self._log_folder is None:
+            return None
+        path = self._log_folder / f'{name}.log'
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        return os.open(path, flags)
+
     def _check(self) -> None:
         """Reap children that have ended."""
         for name, child in list(self._children.items()):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -82,9 +82,13 @@
 
     def listen(self, port: int, control_port: int) -> None:
         """Accept connections, and faults on the control port."""
-        Listener.open(self._loop, HOST, port, self._accept)
+        self.accept_on(port)
         Server(self._control).listen(self._loop, HOST, control_port)
 
+    def accept_on(self, port: int) -> None:
+        """Accept connections alone."""
+        Listener.open(self._loop, HOST, port, self._accept)
+
     def passes(self, number: int) -> bool:
         """Return whether a connection is not frozen."""
         return self._model.passes(number)
--- /dev/null
+++ b/standins/soak_records.py
@@ -0,0 +1,209 @@
+"""What a soak run saw: calls, starts at targets, faults and versions."""
+
+from typing import Any
+
+import attrs
+
+from standins.tally import Ending
+
+PLATFORM = 'the platform'
+
+
+@attrs.frozen
+class Start:
+    """A call that a target began to run.
+
+    Attributes:
+        place: The place of the target.
+        instance: The target's instance, new at each start of its process.
+        number: Counts what the instance reported, from 1.
+        call_id: The `X-Call-Id` header, or empty.
+        method: The request's method.
+        path: The request's path.
+        at: When, in monotonic seconds.
+    """
+
+    place: str
+    instance: str
+    number: int
+    call_id: str
+    method: str
+    path: str
+    at: float
+
+
+@attrs.frozen
+class Begun:
+    """An instance of a target that has begun to serve."""
+
+    place: str
+    instance: str
+    number: int
+
+
+@attrs.frozen
+class BrokenLimit:
+    """A limit that a target saw broken.
+
+    Attributes:
+        place: The place of the target.
+        instance: The target's instance.
+        number: Counts what the instance reported, from 1.
+        limit: `slots`, `connections`, `cold`, `leaving` or `twice`.
+        at: When, in monotonic seconds.
+        detail: The value that broke it.
+    """
+
+    place: str
+    instance: str
+    number: int
+    limit: str
+    at: float
+    detail: Any
+
+
+@attrs.frozen
+class Attempt:
+    """One sending of a call by its caller.
+
+    Attributes:
+        call_id: The id in `X-Call-Id`; a re-sent call keeps it.
+        method: The request's method.
+        path: The request's path.
+        entry: The place of the node that it was sent to.
+        sent_at: When, in monotonic seconds.
+        ended_at: When it ended, in monotonic seconds.
+        ending: How it ended for its caller.
+        reason: The reason of a refusal, or what was wrong.
+    """
+
+    call_id: str
+    method: str
+    path: str
+    entry: str
+    sent_at: float
+    ended_at: float
+    ending: Ending
+    reason: str = ''
+
+
+@attrs.frozen
+class Window:
+    """A time in which an unplanned fault may touch calls.
+
+    Attributes:
+        kind: The name of the fault.
+        place: The place that it hits; `PLATFORM` touches no call.
+        begins_at: In monotonic seconds.
+        ends_at: In monotonic seconds.
+    """
+
+    kind: str
+    place: str
+    begins_at: float
+    ends_at: float
+
+
+@attrs.frozen
+class Absence:
+    """A time in which a node takes no new calls, as it was told to stop."""
+
+    place: str
+    begins_at: float
+    ends_at: float
+
+
+@attrs.frozen
+class ZoneAway:
+    """A time in which a zone was out.
+
+    Attributes:
+        zone: The availability zone.
+        accepted_at: When the platform's acceptance was known.
+        back_at: When the change back was begun.
+    """
+
+    zone: str
+    accepted_at: float
+    back_at: float
+
+
+@attrs.frozen
+class Leaving:
+    """A target that was told to leave."""
+
+    place: str
+    instance: str
+    told_at: float
+
+
+@attrs.frozen
+class Held:
+    """The settings that one process of a node held at a moment."""
+
+    node: str
+    process: int
+    version: int
+    at: float
+
+
+@attrs.frozen
+class NodeFault:
+    """A line of a node's stderr that tells of a fault of its program."""
+
+    node: str
+    line: str
+
+
+@attrs.frozen
+class Memory:
+    """The most resident memory that a node's process had, in bytes."""
+
+    node: str
+    octets: int
+
+
+@attrs.define
+class Journal:
+    """All that a run saw.
+
+    Attributes:
+        zones: The zone of each place.
+        attempts: The calls' sendings, as they ended.
+        begun: The instances of targets that reported.
+        starts: The starts that targets reported.
+        broken: The limits that targets saw broken.
+        windows: Unplanned faults.
+        absences: Planned stops of nodes.
+        zones_away: Times in which zones were out.
+        leaving: Planned stops of targets.
+        held: Versions of settings that nodes held, as read.
+        node_faults: Faults in nodes' stderr.
+        memory: Memory of nodes' processes.
+        newest_version: The last version of the settings at the end.
+        faults_ended_at: When the last fault was over, in monotonic seconds.
+        ended_at: When the callers stopped sending.
+        pending: Calls that never ended for their caller.
+    """
+
+    zones: dict[str, str] = attrs.field(factory=dict)
+    attempts: list[Attempt] = attrs.field(factory=list)
+    begun: list[Begun] = attrs.field(factory=list)
+    starts: list[Start] = attrs.field(factory=list)
+    broken: list[BrokenLimit] = attrs.field(factory=list)
+    windows: list[Window] = attrs.field(factory=list)
+    absences: list[Absence] = attrs.field(factory=list)
+    zones_away: list[ZoneAway] = attrs.field(factory=list)
+    leaving: list[Leaving] = attrs.field(factory=list)
+    held: list[Held] = attrs.field(factory=list)
+    node_faults: list[NodeFault] = attrs.field(factory=list)
+    memory: list[Memory] = attrs.field(factory=list)
+    newest_version: int = 0
+    faults_ended_at: float = 0
+    ended_at: float = 0
+    pending: int = 0
+
+    @property
+    def reports(self) -> list[Begun | Start | BrokenLimit]:
+        """Return all that targets reported."""
+        return [*self.begun, *self.starts, *self.broken]
--- a/standins/target.py
+++ b/standins/target.py
@@ -17,6 +17,7 @@
 from standins.http_server import Exchange, Server
 from standins.target_model import OK, TargetModel
 from standins.target_plan import TargetFaults, TargetPlan
+from standins.target_report import Reporter
 
 HOST = '127.0.0.1'
 ANNOUNCE_S = 1.0
@@ -34,12 +35,17 @@
         control_port: The TCP port for faults and records.
         node_target_port: The TCP port of the node for its target.
         seed: Sets the service times.
+        announced_port: The port that the node is told to call, if it is not
+            the target's own.
+        report_port: The UDP port that every start is reported to, if any.
     """
 
     port: int
     control_port: int
     node_target_port: int
     seed: int = 1
+    announced_port: int | None = None
+    report_port: int | None = None
 
 
 class TargetProcess:
@@ -51,6 +57,9 @@
         self._model = model
         self._place = place
         self._instance = uuid.uuid4().hex
+        self._reporter = Reporter.from_config(
+            place.port, self._instance, place.report_port
+        )
         self._node = ClientPool(loop, HOST, place.node_target_port)
         self._announcing = True
         self._active_at = loop.now()
@@ -60,6 +69,7 @@
     def start(self) -> None:
         """Listen and announce."""
         self._loop.on_signal = self._drain
+        self._reporter.begun()
         calls = Server(self._serve, self._opened, self._closed)
         calls.listen(self._loop, HOST, self._place.port)
         control = Server(self._control)
@@ -90,7 +100,8 @@
 
     @carry_out.register
     def _call_on(self, effect: msg.CallOn) -> None:
-        headers = {'Host': self._model.plan.service}
+        plan = self._model.plan
+        headers = {'Host': plan.chain_service or plan.service}
         parent = self._parents.get(effect.token)
         if parent:
             headers['Daisyline-Call'] = parent
@@ -109,7 +120,9 @@
         self._loop.call_later(LINGER_S, self._stop_if_idle)
 
     def _tell(self, message: Any) -> None:
-        for effect in self._model.handle(message, self._loop.now()):
+        effects = self._model.handle(message, self._loop.now())
+        self._reporter.broken(self._model.records.violations)
+        for effect in effects:
             self.carry_out(effect)
 
     def _serve(self, exchange: Exchange) -> None:
@@ -122,15 +135,15 @@
         headers = request.headers
         self._parents[exchange] = headers.get('daisyline-call', '')
         budget = headers.get('daisyline-deadline-ms', '')
-        self._tell(
-            msg.Arrived(
-                token=exchange,
-                call_id=headers.get('x-call-id', ''),
-                method=request.method,
-                path=request.path,
-                budget_ms=int(budget) if budget.isdigit() else None,
-            )
+        arrived = msg.Arrived(
+            token=exchange,
+            call_id=headers.get('x-call-id', ''),
+            method=request.method,
+            path=request.path,
+            budget_ms=int(budget) if budget.isdigit() else None,
         )
+        self._reporter.started(arrived, self._loop.now())
+        self._tell(arrived)
 
     def _opened(self, exchange: Exchange) -> None:
         self._tell(msg.Opened(exchange))
@@ -179,7 +192,7 @@
             'version': self._model.plan.version,
             'instance': self._instance,
             'host': HOST,
-            'port': self._place.port,
+            'port': self._place.announced_port or self._place.port,
             'phase': self._model.phase,
         }
         self._node.call(Message.post_json('/announce', content), _ignore)
--- a/standins/target_plan.py
+++ b/standins/target_plan.py
@@ -29,6 +29,7 @@
         cold_factor: How many times slower they are.
         cold_bound: Calls at once that it bears while it is cold.
         load_lag_s: How far the load endpoint lags, in seconds.
+        chain_service: The service that chained calls go to; empty for its own.
     """
 
     service: str
@@ -41,6 +42,7 @@
     cold_factor: float = 4
     cold_bound: int = 2
     load_lag_s: float = 1
+    chain_service: str = ''
 
     def service_s(self, path: str, source: random.Random) -> float:
         """Draw the service time of one call without faults, in seconds."""
