Count a crash of a target once, not once for each call it cut

Each call whose connection closed reported the crash with the calls still in flight, so a crash that cut three calls counted three times, and for the last of them as a crash alone.

The calls that were known to the node at the first report count with it for 1 s. Counting by the target's instance was ruled out, as the node learns of a new instance up to a second after it has begun.

The test failed first: crashes 3 and alone 1 in place of 1 and 0.

--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -22,6 +22,8 @@
 
 # A target that has not announced itself for this long is not routed to.
 TARGET_LEASE_S = 3.0
+# The connections of a target that crashed are all found closed within this.
+_ONE_CRASH_S = 1.0
 _US_PER_S = 1_000_000
 _SERVER_ERROR = 500
 
@@ -41,6 +43,8 @@
     events: log.EventLog
     latencies: Latencies
     lease_ends: float = math.inf
+    _cut: set[str] = attrs.field(factory=set)
+    _cut_at: float = -math.inf
 
     @classmethod
     def from_config(
@@ -103,8 +107,7 @@
         target = self.owner.target
         effects: Effects = []
         if event.crashed:
-            in_flight = [_fingerprint(event.run), *self._in_flight()]
-            effects += self.quarantine.crashed(in_flight, self.name, now)
+            effects += self._crashed(event.run, now)
         elif event.status and not self.quarantine.is_empty:
             request = _fingerprint(event.run)
             effects += self.quarantine.succeeded(request, now)
@@ -112,6 +115,15 @@
             self.rollouts.observe(self._sample(event, target), now)
         return effects
 
+    def _crashed(self, run: msg.Run, now: float) -> Effects:
+        """Count a crash once: each of the calls that it cut tells of it."""
+        if run.call in self._cut and now < self._cut_at + _ONE_CRASH_S:
+            return []
+        self._cut = set(self.owner.jobs)
+        self._cut_at = now
+        in_flight = [_fingerprint(run), *self._in_flight()]
+        return self.quarantine.crashed(in_flight, self.name, now)
+
     def _quarantined(self, run: msg.Run, now: float) -> Failure | None:
         """Return why a suspect must not run, or not beside others."""
         request = _fingerprint(run)
--- /dev/null
+++ b/tests/coordination/test_node_core.py
@@ -0,0 +1,77 @@
+"""What the joined decisions of a node make of what its target does."""
+
+import random
+from typing import Any
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import messages as msg
+from daisyline.coordination import node_events
+from daisyline.coordination.node_core import NodeCore
+from daisyline.coordination.quarantine import fingerprint
+from daisyline.state.members import Member
+from daisyline.state.settings import Settings
+from daisyline.state.targets import Phase, Target
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+WARM_CALLS = 50
+
+
+def _core() -> NodeCore:
+    me = Member('n1', '127.0.0.1', 7400, 'ghent-a', 'flanders', 1)
+    core = NodeCore.from_config(me, 'test', (), random.Random(1), 0)
+    core.owner.use_settings(Settings.from_tree(1, {'services': {}}), 0)
+    target = Target('docs', 'v1', 'i1', '127.0.0.1', 9000, Phase.READY)
+    node_events.handle(ev.TargetAnnounced(target), core, 0)
+    for number in range(WARM_CALLS):
+        call = f'warm-{number}'
+        _offer(core, call, b'/warm')
+        _hear(core, ev.TargetHead(call, 200, (), b'', last=True))
+    return core
+
+
+def _offer(core: NodeCore, call: str, path: bytes) -> list[Any]:
+    run = msg.Run(
+        call=call,
+        attempt=1,
+        service='docs',
+        tenant='default',
+        budget_ms=3000,
+        repeatable=True,
+        key='',
+        retried=False,
+        settings_version=0,
+        method=b'GET',
+        path=path,
+        headers=(),
+        body=b'',
+    )
+    return _hear(core, ev.FromNode('entry', run))
+
+
+def _hear(core: NodeCore, event: Any) -> list[Any]:
+    return node_events.handle(event, core, 1)
+
+
+def test_a_crash_counts_once_for_all_the_calls_that_it_cuts() -> None:
+    core = _core()
+    paths = (b'/poison', b'/list', b'/stock')
+    for path in paths:
+        started = _offer(core, path.decode(), path)
+        assert [type(effect) for effect in started] == [ev.StartTarget]
+    for path in paths:
+        _hear(core, ev.TargetFailed(path.decode(), True, True, 'closed'))
+    for path in paths:
+        suspect = core.quarantine._suspects[fingerprint(b'GET', path, b'')]
+        assert (suspect.crashes, suspect.alone) == (1, 0)
+
+
+def test_a_later_crash_of_the_same_call_counts_again() -> None:
+    core = _core()
+    for moment in (1.0, 3.0):
+        _offer(core, 'c', b'/poison')
+        failed = ev.TargetFailed('c', True, True, 'closed')
+        node_events.handle(failed, core, moment)
+    suspect = core.quarantine._suspects[fingerprint(b'GET', b'/poison', b'')]
+    assert (suspect.crashes, suspect.alone) == (2, 2)
