End a target's fault once the new instance reports

The window that explains lost calls ended at the start of the process, which took more than a second on a busy machine; calls lost meanwhile showed as cut without a fault.

--- a/standins/soak_injector.py
+++ b/standins/soak_injector.py
@@ -90,11 +90,8 @@
 
     def note_leaving(self, place: str) -> None:
         """Note that the instance that now runs in a place is to leave."""
-        for begun in reversed(self.journal.begun):
-            if begun.place == place:
-                leaving = Leaving(place, begun.instance, self.now())
-                self.journal.leaving.append(leaving)
-                return
+        leaving = Leaving(place, self._instance(place), self.now())
+        self.journal.leaving.append(leaving)
 
     def signal(self, name: str, number: int) -> None:
         """Send a process a signal."""
@@ -114,10 +111,10 @@
         self._await_node(place, done)
 
     def start_target(self, place: Place, done: Done) -> None:
-        """Start a target again, which ends the fault."""
+        """Start a target again; the fault is over once it reports."""
+        known = self._instance(place.node_name)
         self.fleet.start_target(place)
-        self.release(place.target_name)
-        done()
+        self._await_target(place, known, done)
 
     def note_exit(self, name: str) -> bool:
         """Start a target again that ended by itself; False for others."""
@@ -145,6 +142,23 @@
             restart = functools.partial(self.start_target, place, done)
             self.later(RESTART_S, restart)
 
+    def _instance(self, place: str) -> str:
+        """Return the last instance of a place's target that reported."""
+        instances = [
+            begun.instance
+            for begun in self.journal.begun
+            if begun.place == place
+        ]
+        return instances[-1] if instances else ''
+
+    def _await_target(self, place: Place, known: str, done: Done) -> None:
+        if self._instance(place.node_name) == known:
+            again = functools.partial(self._await_target, place, known, done)
+            self.later(CHECK_S, again)
+        else:
+            self.release(place.target_name)
+            done()
+
     def _await_node(self, place: Place, done: Done) -> None:
         answered = functools.partial(self._node_answered, place, done)
         request = Message('GET', '/status', headers={'Host': HOST})
