Refuse connections to a process that is gone, also through a relay

The relay accepted for a target that was down and then reset, so each call to it looked as if the target had begun it and crashed: calls ended as unknown and popular requests were quarantined. Relays now stop listening while the process behind them is gone.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -79,6 +79,7 @@
         self._model = model
         self._to_port = to_port
         self._sides: dict[int, tuple[_Side, _Side]] = {}
+        self._listener: Listener | None = None
 
     def listen(self, port: int, control_port: int) -> None:
         """Accept connections, and faults on the control port."""
@@ -86,8 +87,13 @@
         Server(self._control).listen(self._loop, HOST, control_port)
 
     def accept_on(self, port: int) -> None:
-        """Accept connections alone."""
-        Listener.open(self._loop, HOST, port, self._accept)
+        """Accept connections; those of a closed relay may be had again."""
+        self._listener = Listener.open(self._loop, HOST, port, self._accept)
+
+    def shut(self) -> None:
+        """Accept no connection, as a process that is gone does."""
+        if self._listener is not None:
+            self._listener.close()
 
     def passes(self, number: int) -> bool:
         """Return whether a connection is not frozen."""
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -37,6 +37,7 @@
         return False
     done = injector.begin('KillNode', fault.place)
     injector.signal(place.node_name, signal.SIGKILL)
+    injector.fleet.links[fault.place].callers.shut()
     start = functools.partial(injector.start_node, place, done)
     injector.once_gone(place.node_name, fault.seconds, start)
     return True
@@ -49,6 +50,7 @@
         return False
     done = injector.begin_absence(fault.place)
     injector.signal(place.node_name, signal.SIGTERM)
+    injector.fleet.links[fault.place].callers.shut()
     start = functools.partial(injector.start_node, place, done)
     injector.once_gone(place.node_name, fault.seconds, start)
     return True
@@ -80,6 +82,7 @@
         return False
     done = injector.begin('KillTarget', fault.place)
     injector.signal(place.target_name, signal.SIGKILL)
+    injector.fleet.links[fault.place].target.shut()
     start = functools.partial(injector.start_target, place, done)
     injector.once_gone(place.target_name, fault.seconds, start)
     return True
@@ -91,7 +94,8 @@
     if not injector.hold(place.target_name):
         return False
     done = injector.begin('CrashTarget', fault.place)
-    injector.set_target_faults(fault.place, crash=True)
+    injector.fleet.set_target_faults(fault.place, crash=True)
+    injector.fleet.links[fault.place].target.shut()
     start = functools.partial(injector.start_target, place, done)
     injector.once_gone(place.target_name, fault.seconds, start)
     return True
@@ -118,14 +122,14 @@
 
 @carry_out.register
 def _slow_target(fault: plan.SlowTarget, injector: Injector) -> bool:
-    injector.set_target_faults(fault.place, slow_factor=fault.factor)
+    injector.fleet.set_target_faults(fault.place, slow_factor=fault.factor)
     _end_target_faults(fault, injector)
     return True
 
 
 @carry_out.register
 def _fail_fast(fault: plan.FailFast, injector: Injector) -> bool:
-    injector.set_target_faults(fault.place, fail_fast=fault.share)
+    injector.fleet.set_target_faults(fault.place, fail_fast=fault.share)
     _end_target_faults(fault, injector)
     return True
 
@@ -136,7 +140,7 @@
     done = injector.begin(type(fault).__name__, fault.place)
 
     def over() -> None:
-        injector.set_target_faults(fault.place)
+        injector.fleet.set_target_faults(fault.place)
         done()
 
     injector.later(fault.seconds, over)
@@ -145,7 +149,7 @@
 @carry_out.register
 def _turn_cold(fault: plan.TurnCold, injector: Injector) -> bool:
     injector.begin('TurnCold', fault.place)()
-    injector.set_target_faults(fault.place, cold=True)
+    injector.fleet.set_target_faults(fault.place, cold=True)
     return True
 
 
@@ -189,10 +193,10 @@
     ended: dict[str, Any],
 ) -> None:
     done = injector.begin(type(fault).__name__, PLATFORM)
-    injector.set_platform_faults(**begun)
+    injector.fleet.set_platform_faults(**begun)
 
     def over() -> None:
-        injector.set_platform_faults(**ended)
+        injector.fleet.set_platform_faults(**ended)
         done()
 
     injector.later(fault.seconds, over)
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -41,7 +41,20 @@
         """Start to relay."""
         self.port = ports.take()
         self._model = RelayModel()
-        Relay(loop, self._model, to_port).accept_on(self.port)
+        self._relay = Relay(loop, self._model, to_port)
+        self._shut = True
+        self.open()
+
+    def open(self) -> None:
+        """Accept connections, if that is not so already."""
+        if self._shut:
+            self._shut = False
+            self._relay.accept_on(self.port)
+
+    def shut(self) -> None:
+        """Accept none, as the process behind it is gone."""
+        self._shut = True
+        self._relay.shut()
 
     def silence(self) -> int:
         """Let the connections now open go silent for good; count them."""
@@ -110,6 +123,17 @@
             'chain_service': CHAINED,
         }
 
+    def set_target_faults(self, name: str, **fields: Any) -> None:
+        """Set the faults of a place's target."""
+        port = self.place(name).control_port
+        request = Message.post_json('/control/faults', fields)
+        self.ask(port, request, _ignore)
+
+    def set_platform_faults(self, **fields: Any) -> None:
+        """Set faults of the platform; the others stay."""
+        request = Message.post_json('/faults', fields)
+        self.ask(self.platform_port, request, _ignore)
+
     def ask(
         self,
         port: int,
@@ -128,3 +152,7 @@
 ) -> None:
     client.connection.abort()
     on_end(ending)
+
+
+def _ignore(_ending: Message | Lost) -> None:
+    """Do nothing."""
--- a/standins/soak_injector.py
+++ b/standins/soak_injector.py
@@ -3,7 +3,6 @@
 import collections
 import functools
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
@@ -107,12 +106,14 @@
 
     def start_node(self, place: Place, done: Done) -> None:
         """Start a node again; the fault is over once it answers."""
+        self.fleet.links[place.node_name].callers.shut()
         self.fleet.start_node(place)
         self._await_node(place, done)
 
     def start_target(self, place: Place, done: Done) -> None:
         """Start a target again; the fault is over once it reports."""
         known = self._instance(place.node_name)
+        self.fleet.links[place.node_name].target.shut()
         self.fleet.start_target(place)
         self._await_target(place, known, done)
 
@@ -124,17 +125,6 @@
                 return True
         return False
 
-    def set_target_faults(self, place: str, **fields: Any) -> None:
-        """Set the faults of a target."""
-        port = self.fleet.place(place).control_port
-        request = Message.post_json('/control/faults', fields)
-        self.fleet.ask(port, request, _ignore)
-
-    def set_platform_faults(self, **fields: Any) -> None:
-        """Set faults of the platform; the others stay."""
-        request = Message.post_json('/faults', fields)
-        self.fleet.ask(self.fleet.platform_port, request, _ignore)
-
     def _note_crash(self, place: Place) -> None:
         if place.target_name not in self._busy:
             self._busy.add(place.target_name)
@@ -156,6 +146,7 @@
             again = functools.partial(self._await_target, place, known, done)
             self.later(CHECK_S, again)
         else:
+            self.fleet.links[place.node_name].target.open()
             self.release(place.target_name)
             done()
 
@@ -168,6 +159,7 @@
         self, place: Place, done: Done, ending: Message | Lost
     ) -> None:
         if isinstance(ending, Message) and ending.status == OK:
+            self.fleet.links[place.node_name].callers.open()
             self.release(place.node_name)
             done()
         else:
@@ -184,7 +176,3 @@
         self.log.under_way -= 1
         absence = Absence(place, begins_at, self.now())
         self.journal.absences.append(absence)
-
-
-def _ignore(_ending: Message | Lost) -> None:
-    """Do nothing."""
--- a/standins/soak_reports.py
+++ b/standins/soak_reports.py
@@ -101,7 +101,7 @@
 @note.register
 def _start(report: Start, journal: Journal) -> None:
     journal.starts.append(report)
-    if report.path.startswith(POISON_PATH):
+    if is_poison(report):
         # The launcher sees the crash a moment later.
         window = Window('Crash', report.place, report.at, report.at + SEEN_S)
         journal.windows.append(window)
@@ -110,3 +110,8 @@
 @note.register
 def _broken(report: BrokenLimit, journal: Journal) -> None:
     journal.broken.append(report)
+
+
+def is_poison(report: Report) -> bool:
+    """Return whether a target begins a call that crashes it."""
+    return getattr(report, 'path', '').startswith(POISON_PATH)
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -15,7 +15,7 @@
 from standins.soak_fleet import SoakFleet
 from standins.soak_injector import Injector
 from standins.soak_records import Journal, NodeFault
-from standins.soak_reports import Report, Reports, note
+from standins.soak_reports import Report, Reports, is_poison, note
 from standins.soak_schedule import Poison, Scope, Timed, draw_schedule
 from standins.soak_table import lines_of
 from standins.soak_watch import Watch, faults_in
@@ -169,6 +169,8 @@
 
     def _note_report(self, report: Report) -> None:
         note(report, self.journal)
+        if is_poison(report):
+            self._fleet.links[report.place].target.shut()
 
     def _note_exit(self, name: str, code: int) -> None:
         if not self._injector.note_exit(name):
