Let a node take its own calls again after it stood still

A node that stood still refuses each peer's calls until the peer's Pong has come. It was also a peer of itself, and a Ping to itself reached no stream that would answer it, so from its first pause on it refused every call that its own entry sent to the target beside it. Repeatable calls went elsewhere; orders under a key, which are offered to one target only, were refused for good.

Pauses of the quarantine and cold starts were ruled out: two of the nine met no other call at any target. A Ping to itself is now answered at once. The test failed first.

--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -133,6 +133,9 @@
 ) -> Effects | None:
     """Take a message to this node at once; others go outward."""
     if node == core.name:
+        if isinstance(message, msg.Ping):
+            # No stream answers it, and nothing to itself is ever on its way.
+            message = msg.Pong(message.nonce, message.settings_version)
         return _route(ev.FromNode(node, message), core, now)
     return None
 
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -31,7 +31,9 @@
     return core
 
 
-def _offer(core: NodeCore, call: str, path: bytes) -> list[Any]:
+def _offer(
+    core: NodeCore, call: str, path: bytes, node: str = 'entry'
+) -> list[Any]:
     run = msg.Run(
         call=call,
         attempt=1,
@@ -47,7 +49,7 @@
         headers=(),
         body=b'',
     )
-    return _hear(core, ev.FromNode('entry', run))
+    return _hear(core, ev.FromNode(node, run))
 
 
 def _hear(core: NodeCore, event: Any) -> list[Any]:
@@ -75,3 +77,12 @@
         node_events.handle(failed, core, moment)
     suspect = core.quarantine._suspects[fingerprint(b'GET', b'/poison', b'')]
     assert (suspect.crashes, suspect.alone) == (2, 2)
+
+
+def test_a_node_that_stood_still_takes_its_own_calls_at_once() -> None:
+    core = _core()
+    for call in ('before', 'after'):
+        started = _offer(core, call, b'/list', core.name)
+        assert [type(effect) for effect in started] == [ev.StartTarget]
+        _hear(core, ev.TargetHead(call, 200, (), b'', last=True))
+        _hear(core, ev.Paused(1))
