--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -22,6 +22,9 @@
 # A crash whose node was gone within so long could not be told to the others.
 TELL_S = 1.0
 MAX_RSS_BYTES = 67_108_864
+# What a silent connection swallows is missed only after a while.
+SILENT_KINDS = frozenset(('SilentCallers', 'SilentTarget'))
+SILENT_LOSS_S = 1.0
 CONTRACT_LIMITS = frozenset(('slots', 'connections'))
 
 
@@ -282,6 +285,9 @@
     )
     if apart or window.place == PLATFORM:
         return False
+    lasted_s = attempt.ended_at - attempt.sent_at
+    if window.kind in SILENT_KINDS and lasted_s < SILENT_LOSS_S:
+        return False
     anywhere = not ran or attempt.path.startswith(CHAIN_PREFIX)
     return anywhere or window.place in {attempt.entry, *ran}
 
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -107,38 +107,44 @@
     if not injector.hold(place.target_name):
         return False
     # A planned stop explains no lost call, so no window is noted.
-    injector.log.under_way += 1
+    done = _begin_planned(injector)
     injector.note_leaving(fault.place)
     injector.signal(place.target_name, signal.SIGTERM)
-    done = functools.partial(_planned_over, injector)
     start = functools.partial(injector.start_target, place, done)
     injector.once_gone(place.target_name, fault.seconds, start)
     return True
 
 
-def _planned_over(injector: Injector) -> None:
-    injector.log.under_way -= 1
+def _begin_planned(injector: Injector) -> Done:
+    """Begin what explains no lost call; the function returned ends it."""
+    injector.log.under_way += 1
+
+    def over() -> None:
+        injector.log.under_way -= 1
+
+    return over
 
 
 @carry_out.register
 def _slow_target(fault: plan.SlowTarget, injector: Injector) -> bool:
+    done = injector.begin('SlowTarget', fault.place)
     injector.fleet.set_target_faults(fault.place, slow_factor=fault.factor)
-    _end_target_faults(fault, injector)
+    _end_target_faults(fault, injector, done)
     return True
 
 
 @carry_out.register
 def _fail_fast(fault: plan.FailFast, injector: Injector) -> bool:
+    # A failure is an answer too, so it explains no lost call.
+    done = _begin_planned(injector)
     injector.fleet.set_target_faults(fault.place, fail_fast=fault.share)
-    _end_target_faults(fault, injector)
+    _end_target_faults(fault, injector, done)
     return True
 
 
 def _end_target_faults(
-    fault: plan.SlowTarget | plan.FailFast, injector: Injector
+    fault: plan.SlowTarget | plan.FailFast, injector: Injector, done: Done
 ) -> None:
-    done = injector.begin(type(fault).__name__, fault.place)
-
     def over() -> None:
         injector.fleet.set_target_faults(fault.place)
         done()
@@ -148,7 +154,6 @@
 
 @carry_out.register
 def _turn_cold(fault: plan.TurnCold, injector: Injector) -> bool:
-    injector.begin('TurnCold', fault.place)()
     injector.fleet.set_target_faults(fault.place, cold=True)
     return True
 
