Send no suspect on whose target was lost

Holding every retry back until gossip has spread was ruled out, as it would slow all calls beside a crash; sending the facts about a suspect ahead of each retry would do the same with a further message. A request that is known to have been in flight at a crash is now not retried after a second lost target; its caller is told that the outcome is unknown.

The test fails without the condition (two sendings in place of one).

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -61,6 +61,15 @@
     asking: bool = False
 
 
+def _may_be_crash(failure: Failure) -> bool:
+    may_have_run = failure.outcome == Outcome.UNKNOWN
+    return may_have_run and failure.reason == Reason.TARGET_LOST
+
+
+def _no_suspect(_arrived: ev.Arrived) -> bool:
+    return False
+
+
 @attrs.define
 class Entry:
     """Calls from callers, from their arrival to their answer."""
@@ -76,6 +85,7 @@
     _gives_up: list[tuple[float, str]] = attrs.field(factory=list)
     table: TargetTable = attrs.field(factory=TargetTable)
     shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
+    suspects: Callable[[ev.Arrived], bool] = attrs.field(default=_no_suspect)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
 
     @classmethod
@@ -143,6 +153,9 @@
         if call.begun:
             self.forget(call)
             return [ev.CutCaller(call.arrived.call, failure)]
+        # A retry would overtake the news of the crash that it may have caused.
+        if _may_be_crash(failure) and self.suspects(call.arrived):
+            return self.refuse(call, failure, now)
         attempt = Attempt(
             number=call.attempt,
             repeatable=self.repeatable(call),
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -68,6 +68,7 @@
             latencies=Latencies.from_config(),
         )
         core.entry.shares = core.rollouts.shares
+        core.entry.suspects = core.suspects
         core.owner.screen = core.screen
         core.entry.table.use_members(core.fleet.members.values(), now)
         return core
@@ -102,6 +103,13 @@
                 return Failure(Reason.VERSION_STOPPED, detail=target.version)
         return None if self.quarantine.is_empty else self._quarantined(run, now)
 
+    def suspects(self, arrived: ev.Arrived) -> bool:
+        """Return whether a call's request was in flight at a crash."""
+        if self.quarantine.is_empty:
+            return False
+        request = fingerprint(arrived.method, arrived.path, arrived.body)
+        return self.quarantine.must_run_alone(request, arrived.deadline)
+
     def observed(self, event: ev.Observed, now: float) -> Effects:
         """Learn from a call that has ended at the target."""
         target = self.owner.target
--- a/tests/coordination/test_calls.py
+++ b/tests/coordination/test_calls.py
@@ -1,5 +1,6 @@
 """Calls between an entry and two targets' nodes, under lost streams."""
 
+import functools
 import random
 from collections import deque
 from typing import Any
@@ -21,7 +22,7 @@
 from daisyline.coordination.entry import Entry
 from daisyline.coordination.events import EventLog
 from daisyline.coordination.owner import Owner
-from daisyline.state.failures import Outcome
+from daisyline.state.failures import Outcome, Reason
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
@@ -114,19 +115,7 @@
     def arrive(self, method: bytes) -> None:
         call = f'c{len(self.world.repeatable)}'
         self.world.repeatable[call] = method == b'GET'
-        self.world.to_entry(
-            ev.Arrived(
-                call,
-                'docs',
-                't',
-                method,
-                b'/x',
-                (),
-                b'',
-                '',
-                self.world.now + 3,
-            )
-        )
+        self.world.to_entry(_arrived(call, method, self.world.now))
 
     @rule(name=st.sampled_from(NODES), newest_first=st.booleans())
     def deliver(self, name: str, newest_first: bool) -> None:
@@ -249,6 +238,28 @@
     return Member(name, '127.0.0.1', 1, 'z', 'r', 1, 0, _target(name))
 
 
+def test_a_lost_suspect_is_not_sent_on_to_crash_another_target() -> None:
+    for suspected, sendings in ((False, 2), (True, 1)):
+        world = World()
+        world.entry.suspects = functools.partial(_answer, suspected)
+        world.to_entry(_arrived('c', b'GET', world.now))
+        first = next(name for name in NODES if world.links[name][-1].there)
+        lost = msg.Refused('c', Reason.TARGET_LOST, Outcome.UNKNOWN)
+        world.to_entry(ev.FromNode(first, lost))
+        there = [len(world.links[name][-1].there) for name in NODES]
+        assert sum(there) == sendings
+        ends = [end.failure.outcome for end in world.ends.values()]
+        assert ends == ([Outcome.UNKNOWN] if suspected else [])
+
+
+def _answer(suspected: bool, _arrived: ev.Arrived) -> bool:
+    return suspected
+
+
+def _arrived(call: str, method: bytes, now: float) -> ev.Arrived:
+    return ev.Arrived(call, 'docs', 't', method, b'/x', (), b'', '', now + 3)
+
+
 def test_calls_run_at_most_once_and_refusals_are_true() -> None:
     run_state_machine_as_test(
         Calls,
