Judge a re-sent order that is told its first doubt again just once

A re-sent order under a key gets the kept refusal of its first sending. Also end all processes when a soak run is interrupted.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -127,9 +127,7 @@
     """
     starts = _starts_by_call(journal)
     for attempt in journal.attempts:
-        if attempt.ending not in {Ending.CUT, Ending.UNKNOWN}:
-            continue
-        if _is_refused_by_stop(attempt, journal):
+        if not _is_judged_loss(attempt, journal, starts[attempt.call_id]):
             continue
         ran = [start.place for start in starts[attempt.call_id]]
         if not any(
@@ -266,6 +264,16 @@
     return known_at
 
 
+def _is_judged_loss(
+    attempt: Attempt, journal: Journal, starts: list[Start]
+) -> bool:
+    if attempt.ending not in {Ending.CUT, Ending.UNKNOWN}:
+        return False
+    if _is_refused_by_stop(attempt, journal):
+        return False
+    return not _is_repeated_doubt(attempt, journal, starts)
+
+
 def _is_refused_by_stop(attempt: Attempt, journal: Journal) -> bool:
     return any(
         absence.place == attempt.entry
@@ -274,6 +282,28 @@
     )
 
 
+def _is_repeated_doubt(
+    attempt: Attempt, journal: Journal, starts: list[Start]
+) -> bool:
+    """Return whether a re-sent call was just told what its first one was.
+
+    The first sending that was in doubt is judged itself.
+    """
+    ran = any(
+        attempt.sent_at <= start.at <= attempt.ended_at for start in starts
+    )
+    return (
+        attempt.ending == Ending.UNKNOWN
+        and not ran
+        and any(
+            earlier.call_id == attempt.call_id
+            and earlier.ended_at <= attempt.sent_at
+            and earlier.ending in {Ending.UNKNOWN, Ending.CUT}
+            for earlier in journal.attempts
+        )
+    )
+
+
 def _touches(window: Window, attempt: Attempt, ran: list[str]) -> bool:
     """Return whether a fault lay on the way of a call while it was sent.
 
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -74,6 +74,7 @@
         self._schedule = draw_schedule(seed, duration_s, self._scope())
         self._duration_s = duration_s
         self._give_up = loop.call_later(READY_WITHIN_S, self._not_ready)
+        loop.on_signal = self._interrupted
 
     def start(self) -> None:
         """Start all processes; the faults follow once all serve."""
@@ -177,6 +178,11 @@
             fault = NodeFault(name, f'ended by itself with code {code}')
             self.journal.node_faults.append(fault)
 
+    def _interrupted(self, number: int) -> None:
+        fault = NodeFault('soak', f'interrupted by signal {number}')
+        self.journal.node_faults.append(fault)
+        self._processes.stop_all(self._loop.stop)
+
     def _not_ready(self) -> None:
         fault = NodeFault('fleet', f'not ready in {READY_WITHIN_S:.0f} s')
         self.journal.node_faults.append(fault)
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -185,6 +185,14 @@
         assert record.found() == ['cut']
 
 
+def test_a_doubt_told_again_is_judged_once(record: Record) -> None:
+    record.attempt('x', 5, Ending.UNKNOWN)
+    record.attempt('x', 7, Ending.UNKNOWN)
+    assert record.found() == ['cut']
+    record.start('x', 7.5)
+    assert record.found() == ['cut', 'cut']
+
+
 def test_a_silent_connection_excuses_just_what_waited(record: Record) -> None:
     record.journal.windows.append(Window('SilentTarget', 'b', 1, 30))
     record.attempt('x', 5, Ending.CUT)
