Join the operators' command with the nodes' port

It costs three bytes of msgpack in a record. Events come with a sentence and seconds since 1970, as monotonic seconds of two machines can't be put in order.

circuits.web is no longer used for the port. It ends the process three seconds after a signal, whatever calls are in progress, keeps the bytes of unfinished requests for good and bounds no size; each would need an override of private parts. The callers' port has a server that is safe from all three. A connection to it serves one request and lives 10 s at most, and 64 are open at most.

A node that is no longer known while a change is awaited counts as lacking it: a frozen node was dropped after about 4 s, and the command then said that the change was in force everywhere.

The check of the settings page calls an empty list none, as people do; it is as strict as before.

--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -71,6 +71,11 @@
         """Return this node's own record."""
         return self._gossip.members.me
 
+    @property
+    def cluster(self) -> str:
+        """Return the name of the cluster."""
+        return self._gossip.cluster
+
     @property
     def members(self) -> Mapping[str, Member]:
         """Return the live members by name, this node included."""
--- a/daisyline/coordination/settings_in_force.py
+++ b/daisyline/coordination/settings_in_force.py
@@ -1,5 +1,7 @@
 """Follow a change until it is in force on every node."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from daisyline.state.fleet_status import FleetStatus
@@ -11,6 +13,9 @@
 class InForce:
     """The nodes that lack a version of the settings, as one node sees them.
 
+    A node that was seen and then is no longer known may have stopped, or may
+    only be out of reach and run on with what it held, so it counts as before.
+
     Attributes:
         version: The version that is wanted.
         asked: Whether any node has answered.
@@ -23,6 +28,7 @@
     asked: bool = False
     total: int = 0
     lacking: tuple[str, ...] = ()
+    _held: Mapping[str, int] = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, version: int, wait_s: float, now: float) -> 'InForce':
@@ -36,10 +42,11 @@
 
     def observe(self, status: FleetStatus) -> None:
         """Take in what a node says of all nodes."""
-        held = {
-            member.name: member.settings_version for member in status.members
-        }
+        held = dict(self._held)
+        for member in status.members:
+            held[member.name] = member.settings_version
         held[status.name] = status.settings_version
+        self._held = held
         self.asked = True
         self.total = len(held)
         self.lacking = tuple(
--- a/daisyline/coordination/spread.py
+++ b/daisyline/coordination/spread.py
@@ -44,7 +44,10 @@
         raise ValueError('settings are not compressed as expected') from error
     if not unpacker.eof:
         raise ValueError('settings are too long or cut short')
-    return json.loads(text)
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError('settings are nested too deeply') from error
 
 
 @attrs.define
@@ -140,7 +143,8 @@
             self._refused = version
             return [SettingsRefused(version, tuple(settings))]
         self._held = settings
-        self._content = pack_value(value)
+        # Nodes need the tree; the history of changes is read from the platform.
+        self._content = pack_value({'tree': settings.tree})
         self._asked = ''
         notice = SettingsNotice(version)
         effects: list[Any] = [
--- a/daisyline/programs/node_settings.py
+++ b/daisyline/programs/node_settings.py
@@ -9,6 +9,7 @@
 import attrs
 import cyclopts
 
+from daisyline.programs.node_peers import PeerAddresses, peers_from
 from daisyline.state.failures import Finding
 
 ENV_PREFIX = 'DAISYLINE_'
@@ -49,6 +50,7 @@
         peers_port: The TCP port for other nodes.
         target_port: The TCP port for the target beside it, on loopback.
         operators_port: The TCP port for operators.
+        peers: Addresses of nodes that are tried before the platform.
         log_level: The least level that is logged.
         log_json: Whether log lines are JSON objects.
     """
@@ -63,6 +65,7 @@
     peers_port: int = DEFAULT_PEERS_PORT
     target_port: int = DEFAULT_TARGET_PORT
     operators_port: int = DEFAULT_OPERATORS_PORT
+    peers: PeerAddresses = ()
     log_level: str = 'INFO'
     log_json: bool = False
 
@@ -87,6 +90,7 @@
     peers_port: str | None = None
     target_port: str | None = None
     operators_port: str | None = None
+    peers: str | None = None
     log_level: str | None = None
     log_json: bool | None = None
 
@@ -212,6 +216,7 @@
     checks = {
         'host': _ip_number,
         'platform': _platform_url,
+        'peers': peers_from,
         'log_level': _level,
         'log_json': _yes_or_no,
     }
--- a/daisyline/programs/operator.py
+++ b/daisyline/programs/operator.py
@@ -88,3 +88,7 @@
 def _complain(lines: Sequence[str]) -> None:
     for line in lines:
         sys.stderr.write(f'daisyline: {line}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/daisyline/programs/operator_config.py
+++ b/daisyline/programs/operator_config.py
@@ -262,7 +262,9 @@
         raise usage(f'{file}: is not JSON: {error}') from None
     if not isinstance(content, dict) or _TREE not in content:
         return content, None
-    version = content.get(_VERSION)
+    if _VERSION not in content:
+        return content[_TREE], None
+    version = content[_VERSION]
     if isinstance(version, int) and not isinstance(version, bool):
         return content[_TREE], version
     raise usage(f'{file}: version: {shown(version)} is no whole number')
--- a/daisyline/programs/operator_settings.py
+++ b/daisyline/programs/operator_settings.py
@@ -118,13 +118,17 @@
         UserError: If some lack it after the time to wait.
     """
     spread = InForce.from_config(version, common.patience_s, time.monotonic())
+    told = ''
     while not spread.everywhere:
         _observe(common, spread)
         pause_s = spread.pause_s(time.monotonic())
         if pause_s is None:
             break
         holding = spread.total - len(spread.lacking)
-        progress(f'In force on {holding} of {spread.total} nodes.')
+        news = f'In force on {holding} of {spread.total} nodes.'
+        if news != told:
+            progress(news)
+        told = news
         time.sleep(pause_s)
     if not spread.everywhere:
         raise _not_in_force(spread)
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -1,9 +1,11 @@
 """What operators see of a node, as plain values for JSON."""
 
+import inspect
 from typing import Any
 
 import attrs
 
+from daisyline.coordination.events import Event
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
 from daisyline.state.targets import LoadReport
@@ -15,6 +17,7 @@
     versions = core.fleet.settings_versions
     return {
         'name': me.name,
+        'cluster': core.fleet.cluster,
         'zone': me.zone,
         'region': me.region,
         'settings_version': core.fleet.settings.version,
@@ -28,8 +31,18 @@
     }
 
 
-def explain(core: NodeCore, kind: str, name: str) -> dict[str, Any]:
-    """Return the decisions about a call, target, zone or rollout."""
+def explain(
+    core: NodeCore, kind: str, name: str, since_epoch_s: float
+) -> dict[str, Any]:
+    """Return the decisions about a call, target, zone or rollout.
+
+    Args:
+        core: The node's decisions.
+        kind: What the name is of.
+        name: The name.
+        since_epoch_s: What to add to monotonic seconds to get those since
+            1970, so that events of several nodes can be put in order.
+    """
     finders = {
         'call': core.events.about_call,
         'target': core.events.about_target,
@@ -38,12 +51,7 @@
     }
     find = finders.get(kind)
     found = [] if find is None else find(name)
-    return {
-        'events': [
-            {'kind': type(event).__name__, **attrs.asdict(event)}
-            for event in found
-        ]
-    }
+    return {'events': [_event(event, since_epoch_s) for event in found]}
 
 
 def histograms(core: NodeCore) -> dict[str, Any]:
@@ -71,6 +79,19 @@
     return metrics_text(core.latencies, counters, gauges)
 
 
+def _event(event: Event, since_epoch_s: float) -> dict[str, Any]:
+    fields = attrs.asdict(event)
+    if not event.call:
+        fields.pop('call')
+    what = inspect.getdoc(type(event)) or ''
+    return {
+        'kind': type(event).__name__,
+        'what': what.partition('\n')[0],
+        **fields,
+        'at': event.at + since_epoch_s,
+    }
+
+
 def _member(core: NodeCore, member: Member, version: int) -> dict[str, Any]:
     target = member.target
     load = _load(core, member)
@@ -85,9 +106,16 @@
         'running': load.running,
         'waiting': load.waiting,
         'limit': load.limit,
+        'operators': _operators_url(member),
     }
 
 
+def _operators_url(member: Member) -> str:
+    if not member.operators:
+        return ''
+    return f'http://{member.host}:{member.operators}'
+
+
 def _load(core: NodeCore, member: Member) -> LoadReport:
     """Return the last load report that this node has of a target."""
     if member.name == core.name:
--- a/daisyline/protocol/platform.py
+++ b/daisyline/protocol/platform.py
@@ -56,7 +56,7 @@
     """Return the event for an answer; status 0 means that none came."""
     try:
         said = json.loads(body) if body else {}
-    except ValueError:
+    except (ValueError, RecursionError):
         return PlatformReply(effect.token, NO_ANSWER)
     if not isinstance(said, dict):
         return PlatformReply(effect.token, NO_ANSWER)
--- a/daisyline/state/members.py
+++ b/daisyline/state/members.py
@@ -27,6 +27,7 @@
         incarnation: Wall-clock microseconds of its start; a restart is newer.
         beat: Grows when the node changes what it says of itself.
         target: The target beside it, if one has announced itself.
+        operators: The TCP port for operators; 0 if it isn't told.
     """
 
     name: str = attrs.field(validator=attrs.validators.instance_of(str))
@@ -39,6 +40,9 @@
         default=0, validator=attrs.validators.instance_of(int)
     )
     target: Target | None = attrs.field(default=None, converter=_target_from)
+    operators: int = attrs.field(
+        default=0, validator=attrs.validators.instance_of(int)
+    )
 
     @property
     def stamp(self) -> tuple[int, int]:
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -45,6 +45,7 @@
     peers_port: int
     target_port: int
     operators_port: int
+    peers: tuple[tuple[str, int], ...]
 
     @property
     def platform_address(self) -> tuple[str, int]:
@@ -93,7 +94,9 @@
         loop = Loop.create()
         me = _member(config)
         rng = random.Random(f'{me.name}-{me.incarnation}')
-        core = NodeCore.from_config(me, config.cluster, (), rng, loop.now())
+        core = NodeCore.from_config(
+            me, config.cluster, config.peers, rng, loop.now()
+        )
         inlet = _Inlet()
         identity = Identity(config.cluster, me.name, me.incarnation)
         outlets = Outlets(
@@ -210,6 +213,7 @@
         zone=config.zone,
         region=config.region,
         incarnation=time.time_ns() // _NS_PER_US,
+        operators=config.operators_port,
     )
 
 
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -1,54 +1,136 @@
 """The operators' port: what a node knows, as JSON and as metrics."""
 
+import functools
 import json
-from typing import Any
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from urllib import parse as urls
 
-from circuits.web import Controller, Server
+import attrs
 
+from daisyline.coordination.call_events import AnswerCaller, RefuseCaller
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol import operator_views
+from daisyline.protocol.http import Request
+from daisyline.state.failures import Failure, Reason
+from daisyline.transport.callers import CallerConnection
+from daisyline.transport.loop import Loop
+from daisyline.transport.sockets import Connection, Listener
 
+# A connection serves one request and is closed after so long in any case, so
+# that slow clients hold no more than a few buffers, in seconds.
+LIFE_S = 10.0
+MAX_CONNECTIONS = 64
 
-class _Views(Controller):
-    """The paths of the operators' port; they only read."""
+_JSON = b'application/json'
+_TEXT = b'text/plain; version=0.0.4'
+_METHODS = frozenset((b'GET', b'HEAD'))
 
-    channel = '/'
+Query = dict[str, str]
 
-    def __init__(self, core: NodeCore) -> None:
-        """Remember whose state is shown."""
-        super().__init__()
+
+@attrs.frozen
+class _Page:
+    """What is shown at a path."""
+
+    kind: bytes
+    body: bytes
+
+
+class OperatorsPort:
+    """Serves views of a node; it only reads.
+
+    circuits.web isn't used: it ends the process three seconds after a signal,
+    keeps the bytes of requests that were never finished, and has no limit on
+    their size. The callers' port has a server that is safe from all three.
+    """
+
+    def __init__(self, loop: Loop, core: NodeCore) -> None:
+        """Remember whose state is shown; nothing is listened on."""
+        self._loop = loop
         self._core = core
+        self._open: set[CallerConnection] = set()
+        self._views: dict[str, Callable[[Query], _Page]] = {
+            '/status': self._status,
+            '/explain': self._explain,
+            '/histograms': self._histograms,
+            '/metrics': self._metrics,
+        }
+
+    def listen(self, host: str, port: int) -> None:
+        """Accept operators.
 
-    def status(self, *_path: str, **_query: str) -> str:
-        """Show the node, its members and its rollouts."""
-        return self._json(operator_views.status(self._core))
+        Raises:
+            OSError: If the port can't be bound.
+        """
+        Listener.open(self._loop, host, port, self._accept)
 
-    def explain(self, *_path: str, kind: str = '', name: str = '') -> str:
-        """Show the decisions about a call, target, zone or rollout."""
-        return self._json(operator_views.explain(self._core, kind, name))
+    def _accept(self, connection: Connection) -> None:
+        if len(self._open) >= MAX_CONNECTIONS:
+            connection.abort()
+            return
+        client = CallerConnection(
+            self._loop, connection, 0, self._request, _ignore
+        )
+        timeout = self._loop.call_later(LIFE_S, connection.abort)
+        client.on_gone = functools.partial(self._gone, timeout.cancel)
+        self._open.add(client)
 
-    def histograms(self, *_path: str, **_query: str) -> str:
-        """Show the histograms in the form that merges exactly."""
-        return self._json(operator_views.histograms(self._core))
+    def _gone(
+        self, stop_timeout: Callable[[], None], client: CallerConnection
+    ) -> None:
+        stop_timeout()
+        self._open.discard(client)
 
-    def metrics(self, *_path: str, **_query: str) -> bytes:
-        """Show the metrics in the Prometheus text format."""
-        self.response.headers['Content-Type'] = 'text/plain; version=0.0.4'
-        return operator_views.metrics(self._core)
+    def _request(self, client: CallerConnection, request: Request) -> None:
+        client.call = 'operators'
+        client.finish()
+        path, _, query = request.path.decode('latin-1').partition('?')
+        view = self._views.get(path)
+        if view is None or request.method not in _METHODS:
+            paths = ', '.join(self._views)
+            detail = f'there are GET {paths}'
+            reason = Reason.NO_SERVICE if view is None else Reason.BAD_REQUEST
+            client.refuse(RefuseCaller('', Failure(reason, detail=detail)))
+            return
+        page = view(dict(urls.parse_qsl(query)))
+        headers = ((b'Content-Type', page.kind), (b'Connection', b'close'))
+        client.answer(
+            AnswerCaller('', HTTPStatus.OK, headers, page.body, last=True)
+        )
 
-    def _json(self, shown: Any) -> str:
-        self.response.headers['Content-Type'] = 'application/json'
-        return json.dumps(shown)
+    def _status(self, _query: Query) -> _Page:
+        return _as_json(operator_views.status(self._core))
+
+    def _explain(self, query: Query) -> _Page:
+        since_epoch_s = time.time() - self._loop.now()
+        kind, name = query.get('kind', ''), query.get('name', '')
+        return _as_json(
+            operator_views.explain(self._core, kind, name, since_epoch_s)
+        )
+
+    def _histograms(self, _query: Query) -> _Page:
+        return _as_json(operator_views.histograms(self._core))
+
+    def _metrics(self, _query: Query) -> _Page:
+        return _Page(_TEXT, operator_views.metrics(self._core))
 
 
 def listen_to_operators(
-    core: NodeCore, root: Any, host: str, port: int
+    core: NodeCore, loop: Loop, host: str, port: int
 ) -> None:
     """Serve the operators' port on the loop.
 
-    circuits.web serves it: its faults with pipelining and rewritten paths
-    don't matter to a read-only port, where they would on the callers' one.
+    Raises:
+        OSError: If the port can't be bound.
     """
-    server = Server((host, port), channel='operators', display_banner=False)
-    server.register(root)
-    _Views(core).register(server)
+    OperatorsPort(loop, core).listen(host, port)
+
+
+def _as_json(shown: object) -> _Page:
+    return _Page(_JSON, json.dumps(shown).encode())
+
+
+def _ignore(_event: object) -> None:
+    """Do nothing: no call waits for an operator."""
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -97,17 +97,17 @@
         self.processes.append(process)
         return process
 
-    def add(self, zone: str) -> Place:
-        """Start one more node with its target."""
+    def add(self, zone: str, version: str = 'v1', **flags: Any) -> Place:
+        """Start one more node, with further flags, and its target."""
         number = len(self.places)
         free = (self.ports.take() for _ in range(6))
         place = Place(f'n{number}', zone, *free)
         self.places.append(place)
-        self.start_node(place)
-        self.start_target(place)
+        self.start_node(place, **flags)
+        self.start_target(place, version)
         return place
 
-    def start_node(self, place: Place) -> None:
+    def start_node(self, place: Place, **flags: Any) -> None:
         """Start the node of a place."""
         place.node = self.run(
             'daisyline.programs.node',
@@ -121,9 +121,10 @@
             target_port=place.for_target,
             operators_port=place.operators,
             platform=f'http://{HOST}:{self.platform_port}',
+            **flags,
         )
 
-    def start_target(self, place: Place) -> None:
+    def start_target(self, place: Place, version: str = 'v1') -> None:
         """Start the target of a place."""
         place.target = self.run(
             'standins.target',
@@ -131,6 +132,7 @@
             control_port=place.control,
             node_target_port=place.for_target,
             service='docs',
+            version=version,
             slots=SLOTS,
             cold_calls=0,
         )
--- /dev/null
+++ b/tests/journeys/__init__.py
@@ -0,0 +1,1 @@
+"""Journeys of operators and callers through real processes."""
--- /dev/null
+++ b/tests/journeys/test_zones.py
@@ -0,0 +1,63 @@
+"""A zone is taken out and brought back while calls run."""
+
+import signal
+import time
+
+from tests.fixtures import SmallFleet, fetch, wait_until
+from tests.journeys.rig import Desk, Traffic, started, started_within
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+RETURN_MS = 5000
+NO_NEW_WORK_S = 3.0
+
+
+def test_a_zone_that_is_out_gets_no_new_work_and_returns_gradually(
+    desk: Desk, fleet: SmallFleet, traffic: Traffic
+) -> None:
+    desk.set_defaults(zone_return_ms=RETURN_MS)
+    assert min(started_within(fleet.places, 1)) > 0
+    ended = desk.command('zone', 'out', 'ghent-b')
+    accepted_at = time.monotonic()
+    assert ended.code == 0, ended
+    assert 'In force on all 2 nodes' in ended.err
+    time.sleep(accepted_at + NO_NEW_WORK_S - time.monotonic())
+    kept, out = started_within(fleet.places, 1)
+    assert out == 0
+    assert kept > 0
+    assert desk.command('zone', 'in', 'ghent-b').code == 0
+    first = _percent_of_last(fleet)
+    time.sleep(RETURN_MS / 1000)
+    assert first < 35 < _percent_of_last(fleet)
+    traffic.end()
+    assert not traffic.failed, traffic.failed[:3]
+    explained = desk.command('explain', 'zone', 'ghent-b', '--json')
+    assert explained.code == 0
+
+
+def _percent_of_last(fleet: SmallFleet) -> int:
+    counts = started_within(fleet.places, 1)
+    return 100 * counts[-1] // sum(counts)
+
+
+def test_a_target_that_leaves_gets_no_new_work_and_cuts_nothing(
+    fleet: SmallFleet, traffic: Traffic
+) -> None:
+    leaving = fleet.places[1]
+    assert leaving.target is not None
+    wait_until(lambda: started(leaving))
+    leaving.target.signal(signal.SIGTERM)
+    seen = fetch(leaving.control, '/control/calls')
+    while leaving.target.popen.poll() is None:
+        try:
+            seen = fetch(leaving.control, '/control/calls')
+        except OSError:
+            break
+        time.sleep(0.1)
+    assert leaving.target.popen.wait(10) == 0
+    assert not seen['violations']
+    assert seen['counts']['cancelled_calls'] == 0
+    assert started_within(fleet.places[:1], 0.5)[0] > 0
+    traffic.end()
+    assert not traffic.failed, traffic.failed[:3]
--- a/tests/programs/test_node_settings.py
+++ b/tests/programs/test_node_settings.py
@@ -30,6 +30,16 @@
     assert parsed.platform_address == ('127.0.0.1', 9000)
 
 
+def test_peers_are_addresses_with_commas_between() -> None:
+    parsed = parse_node(['--peers', '10.0.0.1:7400, [::1]:7401'], ENV)
+    assert isinstance(parsed, NodeSettings)
+    assert parsed.peers == (('10.0.0.1', 7400), ('::1', 7401))
+    for wrong in ('shop:1', '10.0.0.1', '10.0.0.1:0', '10.0.0.1:7/x', ':1'):
+        found = parse_node(['--peers', wrong], ENV)
+        assert isinstance(found, list), wrong
+        assert found[0].place == '--peers'
+
+
 def test_every_mistake_is_found_at_once() -> None:
     found = parse_node(
         ['--zoen', 'x', '--peers-port', '70000', '--host', 'here', '--name'],
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -49,6 +49,9 @@
         dashed = field.name.replace('_', '-')
         needed = field.default is attrs.NOTHING
         default = 'needed' if needed else str(field.default)
+        # A page for people calls the empty list none.
+        if field.default == ():
+            default = 'none'
         assert rows[f'--{dashed}'][0] == default
 
 
