--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -20,7 +20,7 @@
 
 # A connection serves one request and is closed after so long in any case, so
 # that slow clients hold no more than a few buffers, in seconds.
-LIFE_S = 10.0
+LIFE_S = 5.0
 MAX_CONNECTIONS = 64
 
 _JSON = b'application/json'
--- a/tests/coordination/test_spread.py
+++ b/tests/coordination/test_spread.py
@@ -1,5 +1,7 @@
 """Settings only move to larger versions, whatever arrives."""
 
+import zlib
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -84,6 +86,32 @@
     assert spread.heard('peer', 4, 1) == []
 
 
+def test_a_peer_is_sent_the_tree_without_its_history() -> None:
+    spread = settled_spread()
+    changes = [{'id': f'change-{number}'} for number in range(64)]
+    spread.adopt(3, settings_value() | {'changes': changes}, (), 1)
+    sent = spread.wanted('peer', 0, 1)[0].message
+    other = settled_spread()
+    other.arrived(sent, (), 1)
+    assert other.served == spread.served
+    assert 'changes' not in unpack_value(sent.content)
+
+
+def test_a_bad_tree_from_a_peer_is_refused_and_the_old_one_stays() -> None:
+    spread = settled_spread()
+    spread.adopt(3, settings_value(), (), 1)
+    bad = pack_value({'tree': {'cluster': 7, 'zoens': {}}})
+    refused = spread.arrived(SettingsContent(4, bad), (), 1)[0]
+    assert isinstance(refused, SettingsRefused)
+    assert [one.place for one in refused.findings] == ['cluster', 'zoens']
+    nested = zlib.compress(b'[' * 100_000)
+    assert spread.arrived(SettingsContent(5, nested), (), 1) == []
+    assert spread.served.version == 3
+    good = SettingsContent(6, pack_value(settings_value()))
+    assert spread.arrived(good, (), 1)
+    assert spread.served.version == 6
+
+
 def test_damaged_or_endless_content_changes_nothing() -> None:
     spread = settled_spread()
     packed = pack_value(settings_value())
--- /dev/null
+++ b/tests/journeys/test_operators_port.py
@@ -0,0 +1,103 @@
+"""Requests to the operators' port, good and bad, don't hurt the node."""
+
+import contextlib
+import re
+import socket
+
+from standins.processes import HOST
+from tests.fixtures import Place, SmallFleet, fetch, talk, wait_until
+from tests.journeys.rig import Desk, Traffic, started
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+CALLS = 20
+CALL = b'GET /x HTTP/1.1\r\nHost: docs\r\nConnection: close\r\n\r\n'
+BAD_REQUESTS = (
+    b'GET //[ HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /status/../x%2F HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /explain?kind=%ff&name=&&=;& HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /status HTTP/1.1\r\nHost: x\r\nContent-Length: abc\r\n\r\n',
+    b'POST /status HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nxxxxxxxxx',
+    b'DELETE /status HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /status HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n' % (b'a' * 200_000),
+    b'\x16\x03\x01\x00\x00',
+    b'\r\n\r\n\x00\xff' * 100,
+)
+
+
+def test_bad_requests_are_refused_and_the_node_serves_on(
+    fleet: SmallFleet, traffic: Traffic
+) -> None:
+    place = fleet.places[0]
+    statuses = [_status(place, sent) for sent in BAD_REQUESTS]
+    assert statuses[:7] == [404, 404, 200, 400, 413, 400, 431]
+    assert place.status()['name'] == 'n0'
+    traffic.end()
+    assert not traffic.failed, traffic.failed[:3]
+
+
+def _status(place: Place, sent: bytes) -> int:
+    came = b''
+    with contextlib.suppress(ConnectionError):
+        came = talk(place.operators, sent, 1)
+    found = re.match(rb'HTTP/1.1 (\d+)', came)
+    return int(found[1]) if found else 0
+
+
+def test_slow_clients_are_let_go_and_do_not_shut_others_out(
+    fleet: SmallFleet,
+) -> None:
+    port = fleet.places[0].operators
+    with contextlib.ExitStack() as stack:
+        slow = [
+            stack.enter_context(socket.create_connection((HOST, port), 20))
+            for _ in range(100)
+        ]
+        for one in slow:
+            with contextlib.suppress(OSError):
+                one.sendall(b'GET /status HTTP/1.1\r\nX: ')
+        assert slow[0].recv(1) == b''
+        assert fetch(port, '/status')['name'] == 'n0'
+
+
+def test_status_names_every_nodes_port_and_top_counts_every_call(
+    desk: Desk, fleet: SmallFleet
+) -> None:
+    status = fleet.places[0].status()
+    assert status['cluster'] == 'stofbril'
+    urls = {member['operators'] for member in status['members']}
+    assert urls == set(desk.node_urls.split(','))
+    for number in range(CALLS):
+        talk(fleet.places[number % 2].callers, CALL)
+    assert sum(map(started, fleet.places)) == CALLS
+    top = desk.command('top', '--every-node')
+    assert re.search(rf'docs +default +{CALLS} ', top.out), top
+    call = _call_answered_by(fleet.places[0])
+    explained = desk.command('explain', 'call', call)
+    assert 'An entry node chose a target for a call.' in explained.out
+
+
+def _call_answered_by(place: Place) -> str:
+    """Return the id of a call that was refused, as its caller sees it."""
+    refused = b'POST /x HTTP/1.1\r\nHost: docs\r\nX-Deadline-Ms: 1\r\n\r\n'
+    came = talk(place.callers, refused, 1)
+    found = re.search(rb'Daisyline-Call: (\S+)', came)
+    assert found is not None, came
+    return found[1].decode()
+
+
+def test_a_node_told_to_stop_ends_calls_that_take_longer_than_others(
+    fleet: SmallFleet,
+) -> None:
+    place = fleet.places[0]
+    for other in fleet.places:
+        other.faults(slow_factor=4000)
+    with socket.create_connection((HOST, place.callers), 20) as caller:
+        caller.sendall(
+            b'GET /x HTTP/1.1\r\nHost: docs\r\nX-Deadline-Ms: 4200\r\n\r\n'
+        )
+        assert place.node is not None
+        wait_until(lambda: sum(map(started, fleet.places)))
+        assert place.node.stop() == 0
+        assert caller.recv(100).startswith(b'HTTP/1.1 ')
