--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
