--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,94 @@
+"""Measure the slopes that docs/CAPACITY.md extrapolates: `make capacity`."""
+
+import os
+import platform
+import subprocess
+import sys
+import time
+from collections.abc import Iterable
+
+import attrs
+
+from bench import (
+    capacity_calls,
+    capacity_evidence,
+    capacity_gossip,
+    capacity_members,
+    capacity_parts,
+)
+from bench.capacity_budget import Budget, Measured
+from bench.capacity_fit import Series, series_table, short, table
+from bench.capacity_rig import Rig
+
+
+@attrs.define
+class Report:
+    """Prints as it goes, and keeps the series for the arithmetic."""
+
+    series: dict[str, Series] = attrs.field(factory=dict)
+
+    def lines(self, lines: Iterable[str]) -> None:
+        """Print lines at once."""
+        for line in lines:
+            sys.stdout.write(f'{line}\n')
+        sys.stdout.flush()
+
+    def section(self, title: str, measured: list[Series]) -> None:
+        """Print the table of some series."""
+        for one in measured:
+            self.series.setdefault(one.name, one)
+        self.lines((f'\n### {title}\n', *series_table(measured)))
+
+    def parts(self, measured: list[capacity_parts.Part]) -> None:
+        """Print the parts of a call."""
+        rows = [(one.role, one.name, short(one.call_us)) for one in measured]
+        self.lines(('\n### Parts of a call\n',))
+        self.lines(table(('node', 'part', 'us/call'), rows))
+
+
+def machine() -> str:
+    """Return what the figures were measured on, and how busy it was."""
+    load = ' '.join(f'{one:.1f}' for one in os.getloadavg())
+    commit = subprocess.run(
+        ['git', 'rev-parse', '--short', 'HEAD'],
+        capture_output=True,
+        text=True,
+        check=False,
+    ).stdout.strip()
+    return (
+        f'commit {commit or "unknown"}, {os.cpu_count()} cores, '
+        f'Python {platform.python_version()}, load average {load}'
+    )
+
+
+def main() -> int:
+    """Measure everything and print it.
+
+    Returns:
+        The exit code: 0 if every measurement could be taken.
+    """
+    began = time.monotonic()
+    report = Report()
+    report.lines((machine(),))
+    report.section('Memory of a node', capacity_members.memory())
+    report.section('Decisions', capacity_members.decisions())
+    report.parts(capacity_parts.parts())
+    report.section('Evidence and judging', capacity_evidence.slopes())
+    rollout = capacity_evidence.rollout_calls()
+    calls = capacity_calls.CallFigures()
+    done = Rig.measure(calls.steps)
+    if not done:
+        sys.stderr.write('the node processes did not serve\n')
+        return 1
+    report.section('Real processes', calls.tables())
+    report.section('Gossip and settings', capacity_gossip.measure())
+    seen = Measured(calls.idle_us_s, calls.base_mib, rollout[0])
+    budget = Budget(report.series, seen)
+    report.lines(('\n### At the target\n', *budget.lines()))
+    took_s = time.monotonic() - began
+    report.lines((f'\n{machine()}; {took_s:.0f} s, {calls.lost} calls lost',))
+    return 1 if calls.lost else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/capacity_core.py
@@ -0,0 +1,173 @@
+"""A node's decisions in this process, with as many members as wanted."""
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import messages as msg
+from daisyline.coordination import node_events
+from daisyline.coordination.gossip_messages import Rumours
+from daisyline.coordination.gossip_records import MemberRecord
+from daisyline.coordination.node_core import NodeCore
+from daisyline.state.members import Member
+from daisyline.state.settings import Settings
+from daisyline.state.targets import Target
+
+SERVICE = 'docs'
+ZONES = 7
+PORT = 7400
+MOST_SLOTS = 1_000_000
+START = 1000.0
+DEADLINE_S = 3.0
+HEADERS = (
+    (b'Host', b'docs'),
+    (b'X-Call-Id', b'docs-call-123'),
+    (b'Accept', b'application/json'),
+)
+ANSWER_HEADERS = (
+    (b'Content-Type', b'application/json'),
+    (b'X-Call-Id', b'docs-call-123'),
+    (b'Content-Length', b'64'),
+)
+BODY = bytes(64)
+US_PER_S = 1_000_000
+ROUNDS = 5
+_SETTINGS = Settings.from_tree(
+    1,
+    {
+        'defaults': {
+            'slots_per_upstream': MOST_SLOTS,
+            'deadline_ms': int(DEADLINE_S * 1000),
+        },
+        'services': {SERVICE: {}},
+    },
+)
+
+
+@attrs.define
+class CoreRig:
+    """One node's decisions and the time that is passed to them."""
+
+    core: NodeCore
+    now: float = START
+    calls: int = 0
+
+    @classmethod
+    def from_members(cls, count: int, of_service: int) -> 'CoreRig':
+        """Build a node that knows so many others.
+
+        Args:
+            count: The members, this node included.
+            of_service: How many of them are upstreams of the service.
+        """
+        rng = random.Random(1)
+        core = NodeCore.from_config(_member(0), 'test', (), rng, START)
+        core.entry.use_settings(_SETTINGS, START)
+        core.owner.use_settings(_SETTINGS, START)
+        rig = cls(core)
+        for number in range(1, count):
+            service = SERVICE if number <= of_service else f's{number % 56}'
+            rig.meet(_member(number, service))
+        return rig
+
+    def meet(self, member: Member) -> None:
+        """Let the node hear of a member."""
+        news = Rumours((MemberRecord(member),))
+        self.take(ev.FromNode('n1', news))
+
+    def take(self, event: Any) -> list[Any]:
+        """Hand an event to the decisions."""
+        return node_events.handle(event, self.core, self.now)
+
+    def tick(self) -> list[Any]:
+        """Let the decisions do what is due."""
+        return node_events.tick(self.core, self.now)
+
+    def announce(self) -> None:
+        """Let the target beside the node announce itself."""
+        self.take(ev.TargetAnnounced(_target(SERVICE, 0)))
+
+    def arrive(self) -> ev.Arrived:
+        """Return a call that has just come."""
+        self.calls += 1
+        return ev.Arrived(
+            call=f'n0-1-{self.calls}',
+            service=SERVICE,
+            tenant='default',
+            method=b'GET',
+            path=b'/instant',
+            headers=HEADERS,
+            body=b'',
+            key='',
+            deadline=self.now + DEADLINE_S,
+        )
+
+    def as_entry(self) -> None:
+        """Take one call from its arrival to its answer, as its entry."""
+        arrived = self.arrive()
+        (send,) = self.take(arrived)
+        self.take(ev.FromNode(send.node, answer(arrived.call)))
+
+    def as_target(self) -> None:
+        """Take one call from its offer to its answer, beside its target."""
+        self.calls += 1
+        call = f'n1-1-{self.calls}'
+        self.take(ev.FromNode('n1', run(call)))
+        head = ev.TargetHead(call, 200, ANSWER_HEADERS, BODY, last=True)
+        self.take(head)
+
+
+def answer(call: str) -> msg.Answer:
+    """Return the answer to a call."""
+    return msg.Answer(call, 200, ANSWER_HEADERS, BODY, True, 3, 0, 9, 5000)
+
+
+def run(call: str) -> msg.Run:
+    """Return what an entry asks a target's node."""
+    return msg.Run(
+        call=call,
+        attempt=1,
+        service=SERVICE,
+        tenant='default',
+        budget_ms=int(DEADLINE_S * 1000),
+        repeatable=True,
+        key='',
+        retried=False,
+        settings_version=1,
+        method=b'GET',
+        path=b'/instant',
+        headers=HEADERS,
+        body=b'',
+    )
+
+
+def timed_us(function: Callable[[], Any], count: int) -> float:
+    """Return the least processor time of some rounds, per call."""
+    best = float('inf')
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        for _number in range(count):
+            function()
+        best = min(best, time.process_time() - began)
+    return best * US_PER_S / count
+
+
+def _member(number: int, service: str = '') -> Member:
+    return Member(
+        name=f'n{number}',
+        host=f'10.0.{number // 250}.{number % 250}',
+        port=PORT,
+        zone=f'zone-{number % ZONES}',
+        region=f'region-{number % 2}',
+        incarnation=1,
+        beat=1,
+        target=_target(service, number) if service else None,
+    )
+
+
+def _target(service: str, number: int) -> Target:
+    return Target(service, 'v1', f'{number:032x}', '127.0.0.1', PORT)
