--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,7 @@
 import bench
 
 # These have commands of their own.
-SEPARATE = frozenset(('__main__', 'load', 'capacity'))
+SEPARATE = frozenset(('__main__', 'load', 'capacity', 'bare_relay'))
 
 
 def main(names: list[str]) -> int:
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,8 +1,5 @@
 """Measure the slopes that docs/CAPACITY.md extrapolates: `make capacity`."""
 
-import os
-import platform
-import subprocess
 import sys
 import time
 from collections.abc import Iterable
@@ -18,6 +15,7 @@
 )
 from bench.capacity_budget import Budget, Measured
 from bench.capacity_fit import Series, series_table, short, table
+from bench.capacity_machine import machine
 from bench.capacity_rig import Rig
 
 
@@ -46,19 +44,13 @@
         self.lines(table(('node', 'part', 'us/call'), rows))
 
 
-def machine() -> str:
-    """Return what the figures were measured on, and how busy it was."""
-    load = ' '.join(f'{one:.1f}' for one in os.getloadavg())
-    commit = subprocess.run(
-        ['git', 'rev-parse', '--short', 'HEAD'],
-        capture_output=True,
-        text=True,
-        check=False,
-    ).stdout.strip()
-    return (
-        f'commit {commit or "unknown"}, {os.cpu_count()} cores, '
-        f'Python {platform.python_version()}, load average {load}'
-    )
+def in_process(report: Report) -> None:
+    """Measure what needs no other process."""
+    report.section('Memory of a node', capacity_members.memory())
+    report.section('Decisions', capacity_members.decisions())
+    report.parts(capacity_parts.parts())
+    report.section('Evidence and judging', capacity_evidence.slopes())
+    report.section('Gossip and settings', capacity_gossip.measure())
 
 
 def main() -> int:
@@ -70,23 +62,18 @@
     began = time.monotonic()
     report = Report()
     report.lines((machine(),))
-    report.section('Memory of a node', capacity_members.memory())
-    report.section('Decisions', capacity_members.decisions())
-    report.parts(capacity_parts.parts())
-    report.section('Evidence and judging', capacity_evidence.slopes())
-    rollout = capacity_evidence.rollout_calls()
     calls = capacity_calls.CallFigures()
-    done = Rig.measure(calls.steps)
-    if not done:
+    if not Rig.measure(calls.steps):
         sys.stderr.write('the node processes did not serve\n')
         return 1
     report.section('Real processes', calls.tables())
-    report.section('Gossip and settings', capacity_gossip.measure())
-    seen = Measured(calls.idle_us_s, calls.base_mib, rollout[0])
+    in_process(report)
+    rollout_calls = capacity_evidence.rollout_calls()[0]
+    seen = Measured(calls.idle_us_s, calls.base_mib, rollout_calls)
     budget = Budget(report.series, seen)
+    took_s = short(time.monotonic() - began)
     report.lines(('\n### At the target\n', *budget.lines()))
-    took_s = time.monotonic() - began
-    report.lines((f'\n{machine()}; {took_s:.0f} s, {calls.lost} calls lost',))
+    report.lines((f'\n{machine()}; {took_s} s, {calls.lost} calls lost',))
     return 1 if calls.lost else 0
 
 
--- a/bench/capacity_budget.py
+++ b/bench/capacity_budget.py
@@ -92,8 +92,7 @@
             *self._calls('inner calls counted in', self.size.node_calls_s),
             *self._calls('all 11 deep on top', self.size.deepest_calls_s),
             self._control_time(),
-            self._control_bytes(),
-            self._keepalive(),
+            *self._control_bytes(),
             self._memory(),
             self._platform(),
             self._spread(),
@@ -113,8 +112,8 @@
         terms = []
         for role in ('entry', "target's node"):
             for kind in ('user', 'system'):
-                slope = self.series[f'{role}, {kind} us/s'].line.slope
-                terms.append((f'{role} {kind}', rate * slope))
+                line = self.series[f'{role}, {kind} us/s'].line
+                terms.append((f'{role} {kind}', line.at(rate)))
         title = f'calls, us/s, {short(rate)}/s a node ({counted})'
         return [Item(title, tuple(terms), CORE_US_S)]
 
@@ -128,24 +127,25 @@
         )
         return Item('control, us/s', terms, CONTROL_US_S)
 
-    def _control_bytes(self) -> Item:
+    def _control_bytes(self) -> list[Item]:
+        """Return the bytes sent, without and with keep-alive probes.
+
+        The kernel probes quiet callers' connections, whether or not that is
+        counted as control.
+        """
         messages = self._at('gossip, idle, messages/s')
         terms = (
             ('gossip', self._at("gossip at the target's rates, bytes/s")),
             ('segments', messages * 2 * SEGMENT_BYTES),
             ('evidence to a judge', self._at('judge, bytes/s')),
         )
-        return Item('control, bytes/s sent', terms, CONTROL_BYTES_S)
-
-    def _keepalive(self) -> Item:
-        """Return what probes of quiet callers' connections take.
-
-        The kernel sends them, both ways, whether or not they are counted
-        as control.
-        """
         probes = CALLER_CONNECTIONS / KEEPALIVE_S
-        terms = (('200 quiet connections', probes * SEGMENT_BYTES),)
-        return Item('keep-alive, bytes/s sent', terms, CONTROL_BYTES_S)
+        kept = ('keep-alive of 200 callers', probes * SEGMENT_BYTES)
+        title = 'control, bytes/s sent'
+        return [
+            Item(title, terms, CONTROL_BYTES_S),
+            Item(f'{title}, with keep-alive', (*terms, kept), CONTROL_BYTES_S),
+        ]
 
     def _memory(self) -> Item:
         parts = (
@@ -166,7 +166,7 @@
         return measured.line.slope * measured.target
 
     def _platform(self) -> Item:
-        starts = self._at('platform calls of a node at its start')
+        starts = self._at('platform calls of a node in its first minutes')
         terms = (
             ('waiting watches', READERS / WATCH_S),
             ('changes', READERS * self.size.changes_a_day / DAY_S),
--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -26,6 +26,10 @@
 CONNECTIONS = 200
 # Neighbours on four rings, two on each, and those opened to it in turn.
 STREAMS = 16
+Points = list[tuple[float, float]]
+Phase = tuple[Tally, list[Usage]]
+PhaseSteps = Generator[float, None, Phase]
+
 _REQUEST = b'GET / HTTP/1.1\r\nHost: nowhere\r\n\r\n'
 
 
@@ -66,7 +70,7 @@
 class CallFigures:
     """What was seen of the two nodes; names of series and their points."""
 
-    points: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
+    points: dict[str, Points] = attrs.field(factory=dict)
     lost: int = 0
     base_mib: float = 0
     idle_us_s: float = 0
@@ -82,12 +86,11 @@
     def tables(self) -> list[Series]:
         """Return all series, with the target's sizes."""
         node_calls_s = TargetSize().node_calls_s
-        rows = []
-        for role in ('entry', "target's node"):
-            rows += [
-                self.series(f'{role}, {kind}', 'calls/s', node_calls_s)
-                for kind in ('user us/s', 'system us/s')
-            ]
+        rows = [
+            self.series(f'{role}, {kind} us/s', 'calls/s', node_calls_s)
+            for role in ('entry', "target's node")
+            for kind in ('user', 'system')
+        ]
         rows.append(
             self.series('entry, us/call', 'idle connections', CONNECTIONS)
         )
@@ -103,7 +106,7 @@
         self.base_mib = before[1].rss_mib
         yield QUIET_S
         quiet = rig.usage()[1].since(before[1])
-        self.idle_us_s = (quiet.user_us + quiet.system_us) / QUIET_S
+        self.idle_us_s = quiet.run_us / QUIET_S
         yield from self._streams(rig)
         for rate in RATES:
             tally, used = yield from self._phase(rig, rate)
@@ -117,9 +120,7 @@
                 )
         yield from self._idle(rig)
 
-    def _phase(
-        self, rig: Rig, rate: float
-    ) -> Generator[float, None, tuple[Tally, list[Usage]]]:
+    def _phase(self, rig: Rig, rate: float) -> PhaseSteps:
         before = rig.usage()
         tally = yield from rig.load(rate, PHASE_S, rig.entry_address)
         after = rig.usage()
@@ -143,7 +144,7 @@
             rss_kib = rig.usage()[0].rss_mib * KIB_PER_MIB
             self.add('entry, RSS KiB', count, rss_kib)
             tally, used = yield from self._phase(rig, IDLE_RATE)
-            per_call = (used[0].user_us + used[0].system_us) / tally.sent
+            per_call = used[0].run_us / tally.sent
             self.add('entry, us/call', count, per_call)
         assert all(one.connection.alive for one in idle)
         for one in idle:
--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -1,7 +1,9 @@
 """A node's decisions in this process, with as many members as wanted."""
 
+import ipaddress
 import random
 import time
+import uuid
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +21,7 @@
 
 SERVICE = 'docs'
 ZONES = 7
+FIRST_ADDRESS = '10.0.0.1'
 PORT = 7400
 MOST_SLOTS = 1_000_000
 START = 1000.0
@@ -33,7 +36,11 @@
     (b'X-Call-Id', b'docs-call-123'),
     (b'Content-Length', b'64'),
 )
-BODY = bytes(64)
+BODY_BYTES = 64
+BODY = bytes(BODY_BYTES)
+OK = 200
+SERVICE_US = 5000
+OTHER_SERVICES = 56
 US_PER_S = 1_000_000
 ROUNDS = 5
 _SETTINGS = Settings.from_tree(
@@ -70,7 +77,7 @@
         core.owner.use_settings(_SETTINGS, START)
         rig = cls(core)
         for number in range(1, count):
-            service = SERVICE if number <= of_service else f's{number % 56}'
+            service = SERVICE if number <= of_service else _other(number)
             rig.meet(_member(number, service))
         return rig
 
@@ -109,7 +116,7 @@
     def as_entry(self) -> None:
         """Take one call from its arrival to its answer, as its entry."""
         arrived = self.arrive()
-        (send,) = self.take(arrived)
+        send = self.take(arrived)[0]
         self.take(ev.FromNode(send.node, answer(arrived.call)))
 
     def as_target(self) -> None:
@@ -117,13 +124,23 @@
         self.calls += 1
         call = f'n1-1-{self.calls}'
         self.take(ev.FromNode('n1', run(call)))
-        head = ev.TargetHead(call, 200, ANSWER_HEADERS, BODY, last=True)
+        head = ev.TargetHead(call, OK, ANSWER_HEADERS, BODY, last=True)
         self.take(head)
 
 
 def answer(call: str) -> msg.Answer:
     """Return the answer to a call."""
-    return msg.Answer(call, 200, ANSWER_HEADERS, BODY, True, 3, 0, 9, 5000)
+    return msg.Answer(
+        call,
+        OK,
+        ANSWER_HEADERS,
+        BODY,
+        last=True,
+        running=3,
+        waiting=0,
+        limit=9,
+        service_us=SERVICE_US,
+    )
 
 
 def run(call: str) -> msg.Run:
@@ -147,22 +164,30 @@
 
 def timed_us(function: Callable[[], Any], count: int) -> float:
     """Return the least processor time of some rounds, per call."""
-    best = float('inf')
-    for _ in range(ROUNDS):
-        began = time.process_time()
-        for _number in range(count):
-            function()
-        best = min(best, time.process_time() - began)
-    return best * US_PER_S / count
+    return min(_round_us(function, count) for _ in range(ROUNDS))
+
+
+def _round_us(function: Callable[[], Any], count: int) -> float:
+    began = time.process_time()
+    for _ in range(count):
+        function()
+    return (time.process_time() - began) * US_PER_S / count
+
+
+def _other(number: int) -> str:
+    rest = number % OTHER_SERVICES
+    return f'service-{rest}'
 
 
 def _member(number: int, service: str = '') -> Member:
+    zone = number % ZONES
+    region = zone % 2
     return Member(
         name=f'n{number}',
-        host=f'10.0.{number // 250}.{number % 250}',
+        host=str(ipaddress.ip_address(FIRST_ADDRESS) + number),
         port=PORT,
-        zone=f'zone-{number % ZONES}',
-        region=f'region-{number % 2}',
+        zone=f'zone-{zone}',
+        region=f'region-{region}',
         incarnation=1,
         beat=1,
         target=_target(service, number) if service else None,
@@ -170,4 +195,4 @@
 
 
 def _target(service: str, number: int) -> Target:
-    return Target(service, 'v1', f'{number:032x}', '127.0.0.1', PORT)
+    return Target(service, 'v1', uuid.UUID(int=number).hex, '127.0.0.1', PORT)
--- a/bench/capacity_evidence.py
+++ b/bench/capacity_evidence.py
@@ -13,7 +13,6 @@
     PlatformWrite,
 )
 from daisyline.coordination.evidence import (
-    JUDGES,
     LARGE_FLEET_INTERVAL_S,
     Collector,
 )
--- a/bench/capacity_fit.py
+++ b/bench/capacity_fit.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+THOUSAND = 1000
+LEAST_POINTS = 4
+
 Points = tuple[tuple[float, float], ...]
 
 
@@ -29,7 +32,7 @@
         Raises:
             ValueError: If there are fewer than four points.
         """
-        if len(points) < 4:
+        if len(points) < LEAST_POINTS:
             raise ValueError('a slope is fitted to at least four points')
         fitted = statistics.linear_regression(*zip(*points, strict=True))
         squares = [
@@ -73,18 +76,10 @@
     def cells(self) -> tuple[str, ...]:
         """Return the cells of the row that shows it."""
         line = self.line
-        measured = ', '.join(
-            f'{at:g}: {short(value)}' for at, value in self.points
-        )
-        return (
-            self.name,
-            self.axis,
-            measured,
-            short(line.slope),
-            short(line.intercept),
-            short(line.residual),
-            f'{self.target:g}: {short(self.at_target)}',
-        )
+        measured = ', '.join(_point(*point) for point in self.points)
+        fitted = map(short, (line.slope, line.intercept, line.residual))
+        at_target = _point(self.target, self.at_target)
+        return (self.name, self.axis, measured, *fitted, at_target)
 
 
 @attrs.frozen
@@ -119,15 +114,22 @@
         return self.node_calls_s * self.depth
 
 
-def short(value: float) -> str:
+def short(measured: float) -> str:
     """Return a number with three significant digits."""
-    return f'{value:,.0f}' if abs(value) >= 1000 else f'{value:.3g}'
+    form = ',.0f' if abs(measured) >= THOUSAND else '.3g'
+    return format(measured, form)
 
 
 def table(header: tuple[str, ...], rows: list[tuple[str, ...]]) -> list[str]:
     """Return the lines of a table in Markdown."""
     rule = tuple('---' for _ in header)
-    return [f'| {" | ".join(cells)} |' for cells in (header, rule, *rows)]
+    joined = (' | '.join(cells) for cells in (header, rule, *rows))
+    return [f'| {line} |' for line in joined]
+
+
+def _point(at: float, measured: float) -> str:
+    where = format(at, ',.4g')
+    return f'{where}: {short(measured)}'
 
 
 def series_table(measured: list[Series]) -> list[str]:
--- a/bench/capacity_gossip.py
+++ b/bench/capacity_gossip.py
@@ -67,7 +67,7 @@
 _QUIET = (
     ('messages_s', 'gossip, idle, messages/s'),
     ('cpu_us_s', 'gossip, idle, decisions us/s'),
-    ('start_calls', 'platform calls of a node at its start'),
+    ('start_calls', 'platform calls of a node in its first minutes'),
     ('calls_s', 'platform calls/s of the fleet, idle'),
 )
 
--- a/bench/capacity_members.py
+++ b/bench/capacity_members.py
@@ -52,7 +52,7 @@
     ]
     return [
         *_timed(fleets, 'members, 19 of the service', upstreams),
-        *_timed(services, 'members of the service', OF_SERVICE),
+        *_timed(services, 'members of the service', upstreams),
     ]
 
 
--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -1,6 +1,7 @@
 """What a call costs a node by parts: decisions, h11, msgpack, sockets."""
 
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -9,6 +10,7 @@
     ANSWER_HEADERS,
     BODY,
     HEADERS,
+    OK,
     CoreRig,
     answer,
     run,
@@ -53,6 +55,11 @@
     name: str
     call_us: float
 
+    @classmethod
+    def timed(cls, role: str, name: str, once: Callable[[], None]) -> 'Part':
+        """Measure what is done for one call."""
+        return cls(role, name, timed_us(once, CALLS))
+
 
 @attrs.define
 class CallerExchange:
@@ -66,7 +73,7 @@
         """Read a request and write its answer."""
         self.codec.feed(_REQUEST)
         self.codec.next_event()
-        self.codec.head(200, ANSWER_HEADERS, None)
+        self.codec.head(OK, ANSWER_HEADERS, None)
         self.codec.part(BODY)
         self.codec.end()
         self.codec.next_cycle()
@@ -111,30 +118,33 @@
 
 def parts() -> list[Part]:
     """Return the parts, each measured alone in this process."""
-    members = TargetSize().upstreams
-    entry = CoreRig.from_members(members, OF_SERVICE)
-    beside = CoreRig.from_members(members, OF_SERVICE)
-    beside.announce()
-    asked = run('n0-1-1')
-    answered = answer('n0-1-1')
-    at_entry = Frames.from_messages(asked, answered)
-    at_target = Frames.from_messages(answered, asked)
-    measured = (
-        ('entry', 'decisions', entry.as_entry),
-        ('entry', 'h11 towards the caller', CallerExchange().once),
-        ('entry', 'msgpack', at_entry.once),
-        ("target's node", 'decisions', beside.as_target),
-        ("target's node", 'h11 towards the target', TargetExchange().once),
-        ("target's node", 'msgpack', at_target.once),
-    )
-    timed = [
-        Part(role, name, timed_us(once, CALLS)) for role, name, once in measured
+    return [*_at_entry(), *_at_target(), _of_sockets()]
+
+
+def _at_entry() -> list[Part]:
+    rig = CoreRig.from_members(TargetSize().upstreams, OF_SERVICE)
+    frames = Frames.from_messages(run('n0-1-1'), answer('n0-1-1'))
+    return [
+        Part.timed('entry', 'decisions', rig.as_entry),
+        Part.timed('entry', 'h11 towards the caller', CallerExchange().once),
+        Part.timed('entry', 'msgpack', frames.once),
+    ]
+
+
+def _at_target() -> list[Part]:
+    rig = CoreRig.from_members(TargetSize().upstreams, OF_SERVICE)
+    rig.announce()
+    role = "target's node"
+    frames = Frames.from_messages(answer('n0-1-1'), run('n0-1-1'))
+    return [
+        Part.timed(role, 'decisions', rig.as_target),
+        Part.timed(role, 'h11 towards the target', TargetExchange().once),
+        Part.timed(role, 'msgpack', frames.once),
     ]
-    return [*timed, Part('each', 'a send and a receive here', _socket_us())]
 
 
-def _socket_us() -> float:
-    """Return the time of a send and a receive that wake no other process."""
+def _of_sockets() -> Part:
+    """Return a send and a receive that wake no other process."""
     near, far = socket.socketpair()
     frame = bytes(FRAME_BYTES)
 
@@ -143,4 +153,4 @@
         far.recv(READ_BYTES)
 
     with near, far:
-        return timed_us(once, CALLS)
+        return Part.timed('each', 'a send and a receive here', once)
--- a/bench/capacity_rig.py
+++ b/bench/capacity_rig.py
@@ -17,11 +17,14 @@
 
 SERVICE = 'docs'
 CHECK_S = 0.05
+# More than the calls at once, so that none waits for a slot.
+SLOTS = 64
 START_S = 0.5
 SETTLE_S = 3.0
 READY_TRIES = 60
 TRY_RATE = 20
 US_PER_S = 1_000_000
+NS_PER_US = 1000
 MIB = 1_048_576
 # Fields of /proc/PID/stat behind the name of the program.
 _USER_FIELD = 11
@@ -32,8 +35,8 @@
     region='flanders',
     zones=('ghent-a', 'ghent-b'),
     services=(
-        ServicePlan('edge', upstreams=1, slots=64),
-        ServicePlan(SERVICE, upstreams=1, slots=64),
+        ServicePlan('edge', upstreams=1, slots=SLOTS),
+        ServicePlan(SERVICE, upstreams=1, slots=SLOTS),
     ),
 )
 
@@ -47,11 +50,14 @@
     Attributes:
         user_us: Processor time in the program, in microseconds.
         system_us: Processor time in the kernel, in microseconds.
+        run_us: Processor time in all as the scheduler counts it, which is
+            finer than the ticks of the other two.
         rss_mib: Resident memory.
     """
 
     user_us: float
     system_us: float
+    run_us: float
     rss_mib: float
 
     @classmethod
@@ -60,10 +66,12 @@
         proc = pathlib.Path('/proc') / str(pid)
         stat = (proc / 'stat').read_text().rpartition(')')[2].split()
         resident = int((proc / 'statm').read_text().split()[1])
+        ran_ns = int((proc / 'schedstat').read_text().split()[0])
         tick_us = US_PER_S / os.sysconf('SC_CLK_TCK')
         return cls(
             int(stat[_USER_FIELD]) * tick_us,
             int(stat[_SYSTEM_FIELD]) * tick_us,
+            ran_ns / NS_PER_US,
             resident * os.sysconf('SC_PAGE_SIZE') / MIB,
         )
 
@@ -72,6 +80,7 @@
         return Usage(
             self.user_us - before.user_us,
             self.system_us - before.system_us,
+            self.run_us - before.run_us,
             self.rss_mib,
         )
 
@@ -99,8 +108,10 @@
         """Take ports; nothing is started."""
         self.loop = loop
         self.processes = Processes(loop)
-        self._fleet = Fleet(loop, SMALL, Ports.from_random(), self.processes)
-        self.entry, self.target = self._fleet.places
+        self._ports = Ports.from_random()
+        self._fleet = Fleet(loop, SMALL, self._ports, self.processes)
+        self.entry = self._fleet.places[0]
+        self.target = self._fleet.places[1]
 
     @classmethod
     def measure(cls, steps: Callable[['Rig'], Steps]) -> bool:
@@ -144,6 +155,10 @@
         )
         return entry, target
 
+    def take_port(self) -> int:
+        """Return a free port."""
+        return self._ports.take()
+
     def stop(self) -> None:
         """End all processes, then the loop."""
         self.processes.stop_all(self.loop.stop)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out as the package is."""
