--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -43,6 +43,7 @@
         repeatable=True,
         key='',
         retried=False,
+        may_move=False,
         settings_version=0,
         method=b'GET',
         path=path,
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -147,6 +147,8 @@
             process.kill()
 
     def _knows_all(self, place: Place) -> bool:
+        assert place.node is not None
+        assert place.node.popen.poll() is None, 'the node has ended'
         status = place.status()
         if not status['settings_version']:
             return False
