Judge zones and planned stops more strictly in the soak

Now just an outage puts the bound off, zones are out for 4 to 8 s, the platform is late by at most 1 s, calls take 30 ms and one that a target had begun before the stop is judged.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -25,6 +25,9 @@
 # What a silent connection swallows is missed only after a while.
 SILENT_KINDS = frozenset(('SilentCallers', 'SilentTarget'))
 SILENT_LOSS_S = 1.0
+# Of the platform's faults just this keeps a change from the nodes: watches go
+# on while reads are stale, answers lost or all of them late.
+OUTAGE_KIND = 'PlatformDown'
 CONTRACT_LIMITS = frozenset(('slots', 'connections'))
 
 
@@ -259,7 +262,7 @@
     known_at = accepted_at
     for window in sorted(journal.windows, key=operator.attrgetter('begins_at')):
         begins_soon = window.begins_at <= known_at + AWAY_GRACE_S
-        if window.place == PLATFORM and begins_soon:
+        if window.kind == OUTAGE_KIND and begins_soon:
             known_at = max(known_at, window.ends_at)
     return known_at
 
@@ -269,14 +272,22 @@
 ) -> bool:
     if attempt.ending not in {Ending.CUT, Ending.UNKNOWN}:
         return False
-    if _is_refused_by_stop(attempt, journal):
+    if _is_refused_by_stop(attempt, journal, starts):
         return False
     return not _is_repeated_doubt(attempt, journal, starts)
 
 
-def _is_refused_by_stop(attempt: Attempt, journal: Journal) -> bool:
+def _is_refused_by_stop(
+    attempt: Attempt, journal: Journal, starts: list[Start]
+) -> bool:
+    """Return whether a call met a node that had been told to stop.
+
+    One that a target had begun by then was in progress for certain.
+    """
+    begun_at = min((start.at for start in starts), default=float('inf'))
     return any(
         absence.place == attempt.entry
+        and begun_at > absence.begins_at
         and absence.begins_at - ARRIVAL_S <= attempt.sent_at <= absence.ends_at
         for absence in journal.absences
     )
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -19,13 +19,27 @@
 CHAINED = 'docs'
 # Silent connections stay open at the target, so there is room for some.
 CONNECTIONS = 40
+# Long enough that a fault often finds calls in progress.
+SERVICE_MS = 30
 DEPLOYMENT = Deployment(
     name='soak',
     region='flanders',
     zones=('ghent-a', 'ghent-b', 'antwerp-c'),
     services=(
-        ServicePlan(CALLED, upstreams=3, slots=6, connections=CONNECTIONS),
-        ServicePlan(CHAINED, upstreams=3, slots=6, connections=CONNECTIONS),
+        ServicePlan(
+            CALLED,
+            upstreams=3,
+            slots=6,
+            connections=CONNECTIONS,
+            service_ms=SERVICE_MS,
+        ),
+        ServicePlan(
+            CHAINED,
+            upstreams=3,
+            slots=6,
+            connections=CONNECTIONS,
+            service_ms=SERVICE_MS,
+        ),
     ),
 )
 
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -15,9 +15,12 @@
 LONGEST_S = 5.0
 SHORTEST_DOWN_S = 0.3
 LONGEST_DOWN_S = 2.0
-SLOW_FACTORS = (5, 20, 100)
+# A zone is out for longer than the seconds in which it may get new work.
+SHORTEST_OUT_S = 4.0
+LONGEST_OUT_S = 8.0
+SLOW_FACTORS = (5, 20)
 FAIL_SHARES = (0.3, 1.0)
-DELAYS_MS = (200, 1000, 5000)
+DELAYS_MS = (200, 500, 1000)
 LAGS_MS = (500, 3000)
 
 
@@ -234,7 +237,9 @@
 
 
 def _seconds(kind: type, source: random.Random, left_s: float) -> float:
-    if kind in _DOWN:
+    if kind is ZoneOut:
+        seconds = source.uniform(SHORTEST_OUT_S, LONGEST_OUT_S)
+    elif kind in _DOWN:
         seconds = source.uniform(SHORTEST_DOWN_S, LONGEST_DOWN_S)
     else:
         seconds = source.uniform(SHORTEST_S, LONGEST_S)
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -155,6 +155,7 @@
 ) -> None:
     record.journal.zones_away.append(ZoneAway('ghent-a', 10, 30))
     record.journal.windows.append(Window('PlatformDown', PLATFORM, 11, 15))
+    record.journal.windows.append(Window('StaleReads', PLATFORM, 15, 29))
     record.start('x', 17.9)
     assert not record.found()
     record.start('x', 18.1)
@@ -209,6 +210,8 @@
     assert not record.found()
     record.attempt('z', 4.7, Ending.CUT)
     assert record.found() == ['cut']
+    record.start('x', 4.99)
+    assert record.found() == ['cut', 'cut']
 
 
 def test_a_fourth_crash_of_one_request_is_found(record: Record) -> None:
