--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -8,6 +8,7 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
+from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.entry import Entry
 from daisyline.coordination.fleet import Fleet
@@ -22,6 +23,8 @@
 
 # A target that has not announced itself for this long is not routed to.
 TARGET_LEASE_S = 3.0
+# The connections of a target that crashed are all found closed within this.
+_ONE_CRASH_S = 1.0
 _US_PER_S = 1_000_000
 _SERVER_ERROR = 500
 
@@ -41,6 +44,8 @@
     events: log.EventLog
     latencies: Latencies
     lease_ends: float = math.inf
+    _cut: set[str] = attrs.field(factory=set)
+    _cut_at: float = -math.inf
 
     @classmethod
     def from_config(
@@ -58,12 +63,13 @@
             entry=Entry.from_config(me.name, rng, events),
             owner=Owner.from_config(me.name, me.zone, events),
             fleet=Fleet.from_config(me, cluster, peers, rng, now),
-            rollouts=Rollouts.from_config(me.name, rng, now),
-            quarantine=Quarantine.from_config(me.name, rng),
+            rollouts=Rollouts.from_config(me.name, rng, now, events),
+            quarantine=Quarantine.from_config(me.name, rng, events),
             events=events,
             latencies=Latencies.from_config(),
         )
         core.entry.shares = core.rollouts.shares
+        core.entry.suspects = core.suspects
         core.owner.screen = core.screen
         core.entry.table.use_members(core.fleet.members.values(), now)
         return core
@@ -85,7 +91,7 @@
         if target == self.owner.target:
             return []
         return [
-            ev.TargetChanged(target),
+            inward.TargetChanged(target),
             *self.owner.use_target(target, now),
             *self.fleet.announce(target, now),
         ]
@@ -98,13 +104,19 @@
                 return Failure(Reason.VERSION_STOPPED, detail=target.version)
         return None if self.quarantine.is_empty else self._quarantined(run, now)
 
-    def observed(self, event: ev.Observed, now: float) -> Effects:
+    def suspects(self, arrived: ev.Arrived) -> bool:
+        """Return whether a call's request was in flight at a crash."""
+        if self.quarantine.is_empty:
+            return False
+        request = fingerprint(arrived.method, arrived.path, arrived.body)
+        return self.quarantine.must_run_alone(request, arrived.deadline)
+
+    def observed(self, event: inward.Observed, now: float) -> Effects:
         """Learn from a call that has ended at the target."""
         target = self.owner.target
         effects: Effects = []
         if event.crashed:
-            in_flight = [_fingerprint(event.run), *self._in_flight()]
-            effects += self.quarantine.crashed(in_flight, self.name, now)
+            effects += self._crashed(event.run, now)
         elif event.status and not self.quarantine.is_empty:
             request = _fingerprint(event.run)
             effects += self.quarantine.succeeded(request, now)
@@ -112,6 +124,15 @@
             self.rollouts.observe(self._sample(event, target), now)
         return effects
 
+    def _crashed(self, run: msg.Run, now: float) -> Effects:
+        """Count a crash once: each of the calls that it cut tells of it."""
+        if run.call in self._cut and now < self._cut_at + _ONE_CRASH_S:
+            return []
+        self._cut = set(self.owner.jobs)
+        self._cut_at = now
+        in_flight = [_fingerprint(run), *self._in_flight()]
+        return self.quarantine.crashed(in_flight, self.name, now)
+
     def _quarantined(self, run: msg.Run, now: float) -> Failure | None:
         """Return why a suspect must not run, or not beside others."""
         request = _fingerprint(run)
@@ -137,7 +158,7 @@
             if job.started_at is not None
         ]
 
-    def _sample(self, event: ev.Observed, target: Target) -> Sample:
+    def _sample(self, event: inward.Observed, target: Target) -> Sample:
         return Sample(
             service=target.service,
             version=target.version,
