--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,9 @@
 import bench
 
 # These have commands of their own.
-SEPARATE = frozenset(('__main__', 'load', 'capacity', 'bare_relay'))
+SEPARATE = frozenset(
+    ('__main__', 'load', 'capacity', 'bare_relay', 'capacity_whole')
+)
 
 
 def main(names: list[str]) -> int:
