--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -153,6 +153,7 @@
         tenant='default',
         budget_ms=int(DEADLINE_S * 1000),
         repeatable=True,
+        may_move=True,
         key='',
         retried=False,
         settings_version=1,
--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -19,7 +19,9 @@
 )
 from bench.capacity_fit import TargetSize, short
 from daisyline.protocol.frames import FrameDecoder, FrameEncoder
-from daisyline.protocol.http import ClientCodec, Request, ServerCodec
+from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_messages import Request
+from daisyline.protocol.http_server import ServerCodec
 
 HEADER = ('node', 'part', 'us/call in a row', 'us/call after 5 ms of sleep')
 CALLS = 400
