Prove poison, frozen nodes and silent targets over real processes

A poison request sent again nine times crashes three targets at most and is quarantined, while other calls are answered; calls on a node frozen by SIGSTOP end within 6 s and run once at most; a target's connections that go silent cost one call, not one for each connection. Two tests of test_path.py were weaker than they read: requests without a call id are never recorded, so that the check of ambiguous framing could not fail, and orders shared one id.

--- /dev/null
+++ b/tests/transport/test_failures.py
@@ -0,0 +1,240 @@
+"""Failures between real processes stay small, are found, and double nothing."""
+
+import collections
+import contextlib
+import signal
+import threading
+import time
+from collections.abc import Iterator
+
+import attrs
+
+from standins.processes import HOST
+from tests.fixtures import (
+    Place,
+    SmallFleet,
+    fetch,
+    talk,
+    wait_until,
+)
+from tests.support import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+ANNOUNCE_S = 0.5
+CALL_WAIT_S = 9
+FROZEN_CALLS = 4
+POISON_SENT = 8
+
+
+def _request(
+    path: str, call: str, extra: str = '', method: str = 'GET'
+) -> bytes:
+    lines = (
+        f'{method} {path} HTTP/1.1',
+        'Host: docs',
+        f'X-Call-Id: {call}',
+        'Connection: close',
+        'Content-Length: 0',
+        extra,
+    )
+    head = '\r\n'.join(line for line in lines if line)
+    return f'{head}\r\n\r\n'.encode()
+
+
+def _status(came: bytes) -> str:
+    return came.split(b' ')[1].decode() if came else 'none'
+
+
+class Callers:
+    """Callers that call at the same time and keep what came back."""
+
+    def __init__(self) -> None:
+        """Start without callers."""
+        self.came: dict[str, bytes] = {}
+        self._threads: list[threading.Thread] = []
+
+    def call(self, port: int, call: str, sent: bytes) -> None:
+        """Start one call."""
+        thread = threading.Thread(
+            target=lambda: self.came.update(
+                {call: talk(port, sent, CALL_WAIT_S)}
+            )
+        )
+        self._threads.append(thread)
+        thread.start()
+
+    def join(self) -> None:
+        """Wait for all calls."""
+        for thread in self._threads:
+            thread.join()
+
+
+def _runs(places: list[Place]) -> collections.Counter[str]:
+    """Return how often each call was run, over several targets."""
+    ran: collections.Counter[str] = collections.Counter()
+    for place in places:
+        calls = fetch(place.control, '/control/calls')['calls']
+        ran.update({name: one['runs'] for name, one in calls.items()})
+    return ran
+
+
+def _restart_crashed(fleet: SmallFleet) -> int:
+    """Start targets that have crashed again; return how many those were."""
+    crashed = [
+        place
+        for place in fleet.places
+        if place.target is not None and place.target.popen.poll() is not None
+    ]
+    for place in crashed:
+        fleet.start_target(place)
+    return len(crashed)
+
+
+def test_a_poison_request_sent_again_crashes_three_targets_at_most(
+    fleet: SmallFleet,
+) -> None:
+    entry = fleet.places[0].callers
+    crashes = 0
+    answers = []
+    for number in range(POISON_SENT):
+        talk(entry, _request('/poison', f'p{number}'), CALL_WAIT_S)
+        crashes += _restart_crashed(fleet)
+        _until_answers(entry)
+        answers += [
+            _status(talk(entry, _request('/x', f'x{number}-{again}')))
+            for again in range(4)
+        ]
+    crashes += _restart_crashed(fleet)
+    last = talk(entry, _request('/poison', 'last'), CALL_WAIT_S)
+    assert 0 < crashes <= 3, crashes
+    assert b'Daisyline-Reason: quarantined' in last
+    assert set(answers) == {'200'}
+
+
+def _until_answers(port: int) -> None:
+    wait_until(lambda: _answers(port))
+
+
+def _answers(port: int) -> bool:
+    return _status(talk(port, _request('/x', 'again'))) == '200'
+
+
+def test_calls_on_a_frozen_node_end_in_time_and_run_once(
+    fleet: SmallFleet,
+) -> None:
+    entry, other = fleet.places
+    for place in fleet.places:
+        place.faults(slow_factor=4)
+    assert other.node is not None
+    orders = [f'o{number}' for number in range(FROZEN_CALLS)]
+    reads = [f'r{number}' for number in range(FROZEN_CALLS)]
+    callers = Callers()
+    other.node.signal(signal.SIGSTOP)
+    started = time.monotonic()
+    for order in orders:
+        sent = _request('/order', order, method='POST')
+        callers.call(entry.callers, order, sent)
+    for read in reads:
+        callers.call(entry.callers, read, _request('/x', read))
+    callers.join()
+    took_s = time.monotonic() - started
+    other.node.signal(signal.SIGCONT)
+    time.sleep(1)
+    ran = _runs(fleet.places)
+    assert took_s < 6
+    assert {_status(callers.came[read]) for read in reads} == {'200'}
+    for order in orders:
+        assert ran[order] <= 1, order
+        if b'Daisyline-Outcome: not-run' in callers.came[order]:
+            assert not ran[order], order
+        if _status(callers.came[order]) == '200':
+            assert ran[order] == 1, order
+
+
+@attrs.define
+class Relayed:
+    """A target whose node reaches it through a relay."""
+
+    place: Place
+    control: int
+
+    def freeze(self) -> int:
+        """Let open connections go silent for good; return how many."""
+        fields = {'freeze': True}
+        return int(fetch(self.control, '/faults', 'POST', fields)['hit'])
+
+
+@fixture
+def relayed(fleet: SmallFleet) -> Iterator[Relayed]:
+    """The only target of the service, behind a relay."""
+    place, other = fleet.places
+    for one in fleet.places:
+        assert one.target is not None
+        one.target.kill()
+    port, control, nobody = (fleet.ports.take() for _ in range(3))
+    fleet.run(
+        'standins.relay', port=port, control_port=control, to_port=place.calls
+    )
+    fleet.run(
+        'standins.target',
+        port=place.calls,
+        control_port=place.control,
+        node_target_port=nobody,
+        service='docs',
+        slots=2,
+        cold_calls=0,
+    )
+    ended = threading.Event()
+    thread = threading.Thread(target=_announce, args=(place, port, ended))
+    thread.start()
+    with contextlib.ExitStack() as stack:
+        stack.callback(thread.join)
+        stack.callback(ended.set)
+        wait_until(lambda: not _has_target(other))
+        wait_until(lambda: _answers(place.callers))
+        yield Relayed(place, control)
+
+
+def _announce(place: Place, port: int, ended: threading.Event) -> None:
+    said = {
+        'service': 'docs',
+        'version': 'v1',
+        'instance': 'relayed',
+        'host': HOST,
+        'port': port,
+        'phase': 'ready',
+    }
+    while not ended.wait(ANNOUNCE_S):
+        with contextlib.suppress(OSError):
+            fetch(place.for_target, '/announce', 'POST', said)
+
+
+def _has_target(place: Place) -> bool:
+    members = place.status()['members']
+    return any(one['name'] == place.name and one['service'] for one in members)
+
+
+def test_connections_of_a_target_gone_silent_cost_one_call_each_caller(
+    relayed: Relayed,
+) -> None:
+    port = relayed.place.callers
+    callers = Callers()
+    for number in range(6):
+        callers.call(port, f'w{number}', _request('/x', f'w{number}'))
+    callers.join()
+    hit = relayed.freeze()
+    assert hit >= 2
+    short = 'X-Deadline-Ms: 1500'
+    started = time.monotonic()
+    first = talk(port, _request('/x', 'first', short), CALL_WAIT_S)
+    took_s = time.monotonic() - started
+    assert took_s < 3
+    assert b'Daisyline-Outcome: not-run' not in first
+    # Its slot is held until the connection is closed; then all goes on.
+    answers = [
+        _status(talk(port, _request('/x', f'n{again}', short), CALL_WAIT_S))
+        for again in range(6)
+    ]
+    assert set(answers) == {'200'}
+    assert set(_runs([relayed.place]).values()) == {1}
--- a/tests/transport/test_path.py
+++ b/tests/transport/test_path.py
@@ -54,13 +54,23 @@
         'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n',
     )
     for framing in framings:
-        head = 'POST /smuggled HTTP/1.1\r\nHost: docs\r\n'
+        head = (
+            'POST /smuggled HTTP/1.1\r\nHost: docs\r\nX-Call-Id: smuggled\r\n'
+        )
         came = talk(port, (head + framing).encode())
         assert came.startswith(b'HTTP/1.1 400'), framing
         assert b'Daisyline-Outcome: not-run' in came
         assert came.count(b'HTTP/1.1') == 1, framing
-    ran = [call for place in fleet.places for call in place.ran()]
-    assert '/smuggled' not in {call['path'] for call in ran}
+    whole = f'{head}Connection: close\r\nContent-Length: 3\r\n\r\nabc'
+    assert talk(port, whole.encode()).startswith(b'HTTP/1.1 200')
+    calls = [fetch(place.control, '/control/calls') for place in fleet.places]
+    runs = [
+        one['calls']['smuggled']['runs']
+        for one in calls
+        if 'smuggled' in one['calls']
+    ]
+    # The whole one alone, which shows that the record would have told.
+    assert runs == [1]
 
 
 def test_head_expect_chunks_and_hop_by_hop_headers(fleet: SmallFleet) -> None:
@@ -92,11 +102,13 @@
     other.faults(slow_factor=400)
     entry.faults(slow_factor=400)
     sent = (
-        b'POST /order HTTP/1.1\r\nHost: docs\r\nX-Call-Id: order\r\n'
+        b'POST /order HTTP/1.1\r\nHost: docs\r\nX-Call-Id: order-%d\r\n'
         b'Connection: close\r\nContent-Length: 0\r\n\r\n'
     )
     came: list[bytes] = []
-    threads = [_sending(came, entry.callers, sent) for _ in range(4)]
+    threads = [
+        _sending(came, entry.callers, sent % number) for number in range(4)
+    ]
     wait_until(lambda: other.ran())
     ran = len(other.ran())
     assert other.node is not None
@@ -106,6 +118,14 @@
     unknown = [one for one in came if b'Daisyline-Outcome: unknown' in one]
     assert len(unknown) >= ran
     assert len(other.ran()) == ran
+    calls = [fetch(place.control, '/control/calls') for place in fleet.places]
+    runs = {
+        name: record['runs']
+        for one in calls
+        for name, record in one['calls'].items()
+    }
+    assert set(runs.values()) == {1}
+    assert len(runs) == sum(len(one['calls']) for one in calls)
 
 
 def test_a_node_told_to_stop_cuts_no_call(fleet: SmallFleet) -> None:
