--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -18,7 +18,9 @@
 )
 from bench.capacity_fit import TargetSize
 from daisyline.protocol.frames import FrameDecoder, FrameEncoder
-from daisyline.protocol.http import ClientCodec, Request, ServerCodec
+from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_messages import Request
+from daisyline.protocol.http_server import ServerCodec
 
 CALLS = 400
 OF_SERVICE = 19
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -12,7 +12,7 @@
 from daisyline.coordination.call_events import AnswerCaller, RefuseCaller
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol import operator_views
-from daisyline.protocol.http import Request
+from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
 from daisyline.transport.callers import CallerConnection
 from daisyline.transport.loop import Loop
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -24,7 +24,20 @@
 BOUNDED = profile(derandomize=True, max_examples=200, deadline=None)
 HEADERS = ((b'Host', b'docs'), (b'X', b''))
 RUN = msg.Run(
-    'c', 1, 'docs', 't', 9, True, '', False, 3, b'GET', b'/', HEADERS, b'\xff'
+    call='c',
+    attempt=1,
+    service='docs',
+    tenant='t',
+    budget_ms=9,
+    repeatable=True,
+    key='',
+    retried=False,
+    may_move=True,
+    settings_version=3,
+    method=b'GET',
+    path=b'/',
+    headers=HEADERS,
+    body=b'\xff',
 )
 EACH = (
     msg.Hello('c', 1, 'n', 5),
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -24,7 +24,20 @@
 
 def _start(call: str, body: bytes = b'') -> StartTarget:
     run = Run(
-        call, 1, 'docs', 't', 5000, True, '', False, 1, b'POST', b'/', (), body
+        call=call,
+        attempt=1,
+        service='docs',
+        tenant='t',
+        budget_ms=5000,
+        repeatable=True,
+        key='',
+        retried=False,
+        may_move=True,
+        settings_version=1,
+        method=b'POST',
+        path=b'/',
+        headers=(),
+        body=body,
     )
     return StartTarget(call, run, 5)
 
