Go back to a target that only refused when nobody new is left

Cause: with moves on, a call that a busy target passed on and whose second target froze ended as no-target (seen with two nodes, one stopped), though the first had room by then. It may now go back, within the three tries; a target that was lost is not tried again. Ruled out: more tries, which multiply load.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -33,6 +33,18 @@
 # entry waits this much longer to hear it, in seconds.
 _GRACE_S = 0.2
 
+# Reasons for which a target isn't tried again.
+_LOST = frozenset(
+    (
+        Reason.NODE_LOST,
+        Reason.TARGET_LOST,
+        Reason.LEAVING,
+        Reason.ZONE_OUT,
+        Reason.VERSION_STOPPED,
+        Reason.NO_TARGET,
+    )
+)
+
 Effects = list[Any]
 
 
@@ -46,6 +58,7 @@
         attempt: The number of the attempt under way.
         node: Where it was sent last.
         tried: The nodes that got it.
+        lost_on: Those of them that were lost or lost their target.
         retried: Whether a retry was spent on it, above it or below it.
         outcome: `UNKNOWN` once any attempt may have run.
         begun: Whether the caller has the head of the answer.
@@ -58,6 +71,7 @@
     attempt: int = 1
     node: str = ''
     tried: frozenset[str] = frozenset()
+    lost_on: frozenset[str] = frozenset()
     retried: bool = False
     outcome: Outcome = Outcome.NOT_RUN
     begun: bool = False
@@ -134,6 +148,10 @@
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
         node = self._pick(call, candidates, now)
+        if isinstance(node, Failure) and self._may_go_back(call):
+            # Nobody new is left, but one that refused may have room by now.
+            call.tried = call.lost_on
+            node = self._pick(call, candidates, now)
         if isinstance(node, Failure):
             return self.refuse(call, node, now)
         call.node = node
@@ -163,6 +181,8 @@
         """
         if failure.outcome == Outcome.UNKNOWN:
             call.outcome = Outcome.UNKNOWN
+        if failure.reason in _LOST:
+            call.lost_on |= {call.node}
         if call.begun:
             self.forget(call)
             return [ev.CutCaller(call.arrived.call, failure)]
@@ -282,6 +302,10 @@
         cancel = Send(call.node, Cancel(call.arrived.call))
         return [cancel, *self.refuse(call, failure, now)]
 
+    def _may_go_back(self, call: EntryCall) -> bool:
+        """Return whether a target that only refused may be tried again."""
+        return call.tried != call.lost_on and not call.arrived.key
+
     def _pick(
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -151,7 +151,7 @@
 ) -> Effects:
     entry.report(call, _load(message), refused=True, now=now)
     spent = _came_up(entry, call, message.retried, now)
-    failure = Failure(Reason(message.reason), Outcome(message.outcome))
+    failure = _failure_of(message)
     return [*spent, *entry.fail(call, failure, now)]
 
 
@@ -180,6 +180,14 @@
     return mark_parent(call, spent)
 
 
+def _failure_of(message: msg.Refused) -> Failure:
+    """Return a refusal; a newer node may name what this one doesn't know."""
+    try:
+        return Failure(Reason(message.reason), Outcome(message.outcome))
+    except ValueError:
+        return Failure(Reason.NODE_LOST, Outcome.UNKNOWN, message.reason)
+
+
 def _load(message: msg.Answer | msg.Refused) -> LoadReport:
     return LoadReport(
         message.running, message.waiting, message.limit, message.service_us
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -16,6 +16,7 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _UNACKNOWLEDGED_MS = 5_000
+_UNDER_WAY = frozenset((0, errno.EINPROGRESS))
 _NOT_YET = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
 
@@ -59,8 +60,12 @@
     def dial(cls, loop: Loop, host: str, port: int) -> 'Connection':
         """Begin to connect; the handler hears `opened` or `closed`."""
         sock = _make_socket()
-        sock.connect_ex((host, port))
-        return cls(loop, sock, opening=True)
+        code = sock.connect_ex((host, port))
+        connection = cls(loop, sock, opening=True)
+        if code not in _UNDER_WAY:
+            # The socket would report itself as writable and without an error.
+            loop.defer(connection.abort)
+        return connection
 
     @property
     def buffered(self) -> int:
