--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/target_table.py
@@ -37,6 +37,16 @@
     _cache: dict[str, _Weighed] = attrs.field(factory=dict)
     _started: float | None = None
 
+    @property
+    def settings(self) -> Settings:
+        """Return the settings that it follows."""
+        return self._settings
+
+    @property
+    def members(self) -> Mapping[str, Member]:
+        """Return the members that it knows, by name."""
+        return self._members
+
     def use_settings(self, settings: Settings, now: float) -> None:
         """Follow a change of settings; a zone that is back starts its ramp."""
         zones = settings.tree.get('zones', {})
