--- a/bench/capacity_rig.py
+++ b/bench/capacity_rig.py
@@ -102,11 +102,13 @@
         processes: The children.
         entry: The place of the node without a target.
         target: The place of the node with one.
+        serves: Whether calls were answered in time after the start.
     """
 
     def __init__(self, loop: Loop) -> None:
         """Take ports; nothing is started."""
         self.loop = loop
+        self.serves = True
         self.processes = Processes(loop)
         self._ports = Ports.from_random()
         self._fleet = Fleet(loop, SMALL, self._ports, self.processes)
@@ -130,7 +132,7 @@
         rig.loop.on_signal = lambda _number: rig.stop()
         play(rig.loop, rig.start_then(steps), finish)
         rig.loop.run()
-        return bool(done)
+        return rig.serves and bool(done)
 
     @property
     def entry_address(self) -> tuple[str, int]:
@@ -175,7 +177,8 @@
             if tally.sent and tally.endings[Ending.ANSWERED] == tally.sent:
                 break
         else:
-            raise RuntimeError('the nodes did not serve in time')
+            self.serves = False
+            return
         yield SETTLE_S
         yield from steps(self)
 
