--- a/bench/latency.py
+++ b/bench/latency.py
@@ -139,12 +139,21 @@
 
 def latencies(latency: Latency) -> list[str]:
     """Return the table of latencies as the caller saw them."""
-    header = ('way', 'calls/s', 'calls', 'p50 ms', 'p99 ms', 'p99.9 ms')
+    header = (
+        'way',
+        'calls/s',
+        'sent',
+        'answered',
+        'p50 ms',
+        'p99 ms',
+        'p99.9 ms',
+    )
     rows = [
         (
             way,
             str(rate),
             str(tally.sent),
+            str(tally.endings[Ending.ANSWERED]),
             *(short(tally.percentile_ms(rank)) for rank in PERCENTILES),
         )
         for (way, rate), tally in latency.tallies.items()
