--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -118,7 +118,7 @@
         length = None
         if answer.last and not _has_length(answer.headers):
             length = len(answer.body)
-        headers = answer.headers + _said_last(self._closing)
+        headers = _said_last(answer.headers, self._closing)
         head = self._codec.head(answer.status, headers, length)
         self._send(head, answer.body, answer.last)
 
@@ -160,7 +160,7 @@
 
     def _refuse(self, failure: Failure, status: int) -> None:
         body = body_of(failure)
-        headers = headers_of(failure, self.call) + _said_last(self._closing)
+        headers = _said_last(headers_of(failure, self.call), self._closing)
         head = self._codec.head(status, headers, len(body))
         self._send(head, body, last=True)
 
@@ -221,6 +221,9 @@
     return any(name.lower() == b'content-length' for name, _ in headers)
 
 
-def _said_last(closing: bool) -> Headers:
-    """Return the header that says that no further request is taken."""
-    return ((b'Connection', b'close'),) if closing else ()
+def _said_last(headers: Headers, closing: bool) -> Headers:
+    """Return headers that also say if no further request is taken."""
+    is_said = any(name.lower() == b'connection' for name, _ in headers)
+    if is_said or not closing:
+        return headers
+    return (*headers, (b'Connection', b'close'))
