Wire zone and member events, and walk the heap of deadlines rarely

Cause of the second: with more than 1,024 live deadlines each new one walked the whole heap (measured before: 850 us a call with no idle connection, 1,713 with 3,000). It is now walked once it has doubled; a test counts the walks.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -148,7 +148,7 @@
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
         node = self._pick(call, candidates, now)
-        if isinstance(node, Failure) and self._may_go_back(call):
+        if isinstance(node, Failure) and _may_go_back(call):
             # Nobody new is left, but one that refused may have room by now.
             call.tried = call.lost_on
             node = self._pick(call, candidates, now)
@@ -302,10 +302,6 @@
         cancel = Send(call.node, Cancel(call.arrived.call))
         return [cancel, *self.refuse(call, failure, now)]
 
-    def _may_go_back(self, call: EntryCall) -> bool:
-        """Return whether a target that only refused may be tried again."""
-        return call.tried != call.lost_on and not call.arrived.key
-
     def _pick(
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
@@ -335,6 +331,11 @@
         )
 
 
+def _may_go_back(call: EntryCall) -> bool:
+    """Return whether a target that only refused may be tried again."""
+    return call.tried != call.lost_on and not call.arrived.key
+
+
 def mark_parent(call: EntryCall, spent: bool) -> Effects:
     """Mark the call above, so that no layer retries once more."""
     parent = call.arrived.parent
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -18,6 +18,10 @@
 from daisyline.coordination.evidence_messages import Evidence
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.node_core import Effects, NodeCore
+from daisyline.coordination.settings_events import (
+    member_events,
+    zone_events,
+)
 
 _US_PER_S = 1_000_000
 
@@ -161,6 +165,9 @@
 def _(
     effect: fleet_events.MembersChanged, core: NodeCore, now: float
 ) -> Effects:
+    members = core.entry.table.members
+    for event in member_events(members, core.fleet.members, now):
+        core.events.add(event)
     core.entry.table.use_members(core.fleet.members.values(), now)
     core.rollouts.replace_members(tuple(core.fleet.members))
     return []
@@ -172,6 +179,8 @@
 ) -> Effects:
     settings = effect.settings
     core.events.add(log.SettingsChanged(at=now, version=settings.version))
+    for event in zone_events(core.entry.table.settings, settings, now):
+        core.events.add(event)
     core.entry.use_settings(settings, now)
     plans = map(settings.rollout_of, settings.services)
     return [
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -110,7 +110,12 @@
         if isinstance(decision, Admitted):
             return [self._start(run.call, now)]
         self._events.add(
-            log.Queued(at=now, call=run.call, waiting=self.load.waiting)
+            log.Queued(
+                at=now,
+                call=run.call,
+                target=self._me,
+                waiting=self.load.waiting,
+            )
         )
         return []
 
@@ -275,7 +280,11 @@
         assert load.running <= self._slots(), 'slots hold at every instant'
         self._events.add(
             log.Admitted(
-                at=now, call=call, running=load.running, limit=load.limit
+                at=now,
+                call=call,
+                target=self._me,
+                running=load.running,
+                limit=load.limit,
             )
         )
         budget_s = max(_MIN_BUDGET_S, job.deadline - now)
--- a/daisyline/transport/deadlines.py
+++ b/daisyline/transport/deadlines.py
@@ -43,12 +43,13 @@
         super().__init__()
         self._heap: list[tuple[float, int, Deadline]] = []
         self._order = itertools.count()
+        self._compact_at = _COMPACT_AT
 
     def call_at(self, at: float, function: Callable[[], None]) -> Deadline:
         """Call a function at a time in monotonic seconds."""
         deadline = Deadline(at, function)
         heapq.heappush(self._heap, (at, next(self._order), deadline))
-        if len(self._heap) > _COMPACT_AT:
+        if len(self._heap) > self._compact_at:
             self._compact()
         return deadline
 
@@ -80,3 +81,6 @@
         if 2 * len(live) < len(self._heap):
             heapq.heapify(live)
             self._heap = live
+        # Walked again once it has doubled, so that each entry is walked a
+        # bounded number of times however many are live.
+        self._compact_at = max(_COMPACT_AT, 2 * len(self._heap))
--- a/tests/transport/test_loop.py
+++ b/tests/transport/test_loop.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterator
 
+from daisyline.transport.deadlines import Deadlines
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection, Listener
 from tests.support import fixture, function_tests
@@ -78,3 +79,20 @@
     before = time.process_time()
     loop.run()
     assert time.process_time() - before < IDLE_CPU_S / 4
+
+
+def test_many_live_deadlines_are_not_walked_at_each_new_one(
+    loop: Loop,
+) -> None:
+    deadlines = Deadlines()
+    walks = []
+    walk = deadlines._compact
+
+    def counted() -> None:
+        walks.append(1)
+        walk()
+
+    deadlines._compact = counted
+    for number in range(20_000):
+        deadlines.call_at(loop.now() + number, loop.stop)
+    assert len(walks) < 10
