--- a/daisyline/coordination/answer_records.py
+++ b/daisyline/coordination/answer_records.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from daisyline.coordination.messages import Answer, Refused
+from daisyline.coordination.messages import Answer, Refused, Run
+from daisyline.coordination.quarantine import fingerprint
 
 # Longer than an entry takes to find a broken stream and to ask, in seconds.
 RECORD_S = 30
@@ -20,10 +21,12 @@
     Attributes:
         message: The answer or refusal, or None if it is not kept whole.
         until: When it is dropped, in monotonic seconds.
+        request: The fingerprint of what was asked, if it had a key.
     """
 
     message: Answer | Refused | None
     until: float
+    request: str = ''
 
     @property
     def octets(self) -> int:
@@ -53,6 +56,21 @@
         record = self._records.get(name)
         return record if record is not None and record.until > now else None
 
+    def keep(
+        self, run: Run, message: Answer | Refused | None, now: float
+    ) -> None:
+        """Keep how a call ended, if it may not be repeated."""
+        if run.repeatable:
+            return
+        self.put(run.call, Record(message, now + RECORD_S), now)
+        if run.key:
+            record = Record(message, now + KEY_RECORD_S, request_of(run))
+            self.put(_key_name(run), record, now)
+
+    def of_key(self, run: Run, now: float) -> Record | None:
+        """Return how the first call under a call's key ended, if known."""
+        return self.get(_key_name(run), now)
+
     def _drop(self, name: str) -> None:
         old = self._records.pop(name, None)
         if old is not None:
@@ -70,3 +88,12 @@
             or len(self._records) > MAX_RECORDS
             or self._total_bytes > MAX_TOTAL_BYTES
         )
+
+
+def request_of(run: Run) -> str:
+    """Return what two sendings of one request have in common."""
+    return fingerprint(run.method, run.path, run.body)
+
+
+def _key_name(run: Run) -> str:
+    return f'key:{run.key}'
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -1,6 +1,5 @@
 """The entry's side of calls: every caller gets one whole answer or refusal."""
 
-import hashlib
 import heapq
 import math
 import random
@@ -11,13 +10,22 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
-from daisyline.coordination import inward
 from daisyline.coordination.effects import Send
-from daisyline.coordination.messages import Cancel, Run
+from daisyline.coordination.entry_call import (
+    LOST_REASONS,
+    EntryCall,
+    mark_parent,
+    may_be_crash,
+    may_go_back,
+    no_suspect,
+    pick_by_key,
+    retried_event,
+    run_of,
+)
+from daisyline.coordination.messages import Cancel
 from daisyline.coordination.policies import ExpectedWait, Policy
 from daisyline.coordination.retries import (
     Attempt,
-    Retry,
     RetryBudget,
     decide_retry,
     mark_down,
@@ -28,66 +36,13 @@
 from daisyline.state.settings import Settings
 from daisyline.state.targets import LoadReport
 
-MS_PER_S = 1000
 # The target's node ends a call at its deadline and says whether it ran; the
 # entry waits this much longer to hear it, in seconds.
 _GRACE_S = 0.2
 
-# Reasons for which a target isn't tried again.
-_LOST = frozenset(
-    (
-        Reason.NODE_LOST,
-        Reason.TARGET_LOST,
-        Reason.LEAVING,
-        Reason.ZONE_OUT,
-        Reason.VERSION_STOPPED,
-        Reason.NO_TARGET,
-    )
-)
-
 Effects = list[Any]
 
 
-@attrs.define
-class EntryCall:
-    """A call that this node answers for to its caller.
-
-    Attributes:
-        arrived: The request.
-        arrived_at: When it came, in monotonic seconds.
-        attempt: The number of the attempt under way.
-        node: Where it was sent last.
-        tried: The nodes that got it.
-        lost_on: Those of them that were lost or lost their target.
-        retried: Whether a retry was spent on it, above it or below it.
-        outcome: `UNKNOWN` once any attempt may have run.
-        begun: Whether the caller has the head of the answer.
-        asking: Whether its node was asked what became of it.
-        may_move: Whether it could still be offered to another target.
-    """
-
-    arrived: ev.Arrived
-    arrived_at: float
-    attempt: int = 1
-    node: str = ''
-    tried: frozenset[str] = frozenset()
-    lost_on: frozenset[str] = frozenset()
-    retried: bool = False
-    outcome: Outcome = Outcome.NOT_RUN
-    begun: bool = False
-    asking: bool = False
-    may_move: bool = False
-
-
-def _may_be_crash(failure: Failure) -> bool:
-    may_have_run = failure.outcome == Outcome.UNKNOWN
-    return may_have_run and failure.reason == Reason.TARGET_LOST
-
-
-def _no_suspect(_arrived: ev.Arrived) -> bool:
-    return False
-
-
 @attrs.define
 class Entry:
     """Calls from callers, from their arrival to their answer."""
@@ -103,7 +58,7 @@
     _gives_up: list[tuple[float, str]] = attrs.field(factory=list)
     table: TargetTable = attrs.field(factory=TargetTable)
     shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
-    suspects: Callable[[ev.Arrived], bool] = attrs.field(default=_no_suspect)
+    suspects: Callable[[ev.Arrived], bool] = attrs.field(default=no_suspect)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
 
     @classmethod
@@ -148,7 +103,7 @@
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
         node = self._pick(call, candidates, now)
-        if isinstance(node, Failure) and _may_go_back(call):
+        if isinstance(node, Failure) and may_go_back(call):
             # Nobody new is left, but one that refused may have room by now.
             call.tried = call.lost_on
             node = self._pick(call, candidates, now)
@@ -171,7 +126,14 @@
                 candidates=len(candidates),
             )
         )
-        return [Send(node, self._run(call, now))]
+        return [
+            Send(
+                node,
+                run_of(
+                    call, self.repeatable(call), self._settings.version, now
+                ),
+            )
+        ]
 
     def fail(self, call: EntryCall, failure: Failure, now: float) -> Effects:
         """Send a call that got no answer elsewhere, or give it up.
@@ -181,13 +143,13 @@
         """
         if failure.outcome == Outcome.UNKNOWN:
             call.outcome = Outcome.UNKNOWN
-        if failure.reason in _LOST:
+        if failure.reason in LOST_REASONS:
             call.lost_on |= {call.node}
         if call.begun:
             self.forget(call)
             return [ev.CutCaller(call.arrived.call, failure)]
         # A retry would overtake the news of the crash that it may have caused.
-        if _may_be_crash(failure) and self.suspects(call.arrived):
+        if may_be_crash(failure) and self.suspects(call.arrived):
             return self.refuse(call, failure, now)
         attempt = Attempt(
             number=call.attempt,
@@ -199,7 +161,7 @@
         decision = decide_retry(attempt, failure, budget, now)
         if isinstance(decision, Failure):
             return self.refuse(call, failure, now)
-        self.events.add(_retried(call, decision, failure, now))
+        self.events.add(retried_event(call, decision, failure, now))
         spent = decision.retried and not call.retried
         call.attempt = decision.number
         call.retried = decision.retried
@@ -306,70 +268,7 @@
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
         if call.arrived.key:
-            return _pick_by_key(call, candidates)
+            return pick_by_key(call, candidates)
         return self.router(call.arrived.service).pick(
             candidates, now, call.tried
         )
-
-    def _run(self, call: EntryCall, now: float) -> Run:
-        arrived = call.arrived
-        return Run(
-            call=arrived.call,
-            attempt=call.attempt,
-            service=arrived.service,
-            tenant=arrived.tenant,
-            budget_ms=max(0, int((arrived.deadline - now) * MS_PER_S)),
-            repeatable=self.repeatable(call),
-            key=arrived.key,
-            retried=call.retried,
-            may_move=call.may_move,
-            settings_version=self._settings.version,
-            method=arrived.method,
-            path=arrived.path,
-            headers=arrived.headers,
-            body=arrived.body,
-        )
-
-
-def _may_go_back(call: EntryCall) -> bool:
-    """Return whether a target that only refused may be tried again."""
-    return call.tried != call.lost_on and not call.arrived.key
-
-
-def mark_parent(call: EntryCall, spent: bool) -> Effects:
-    """Mark the call above, so that no layer retries once more."""
-    parent = call.arrived.parent
-    return [inward.RetrySpent(parent)] if spent and parent else []
-
-
-def _retried(
-    call: EntryCall, retry: Retry, failure: Failure, now: float
-) -> log.Retried:
-    return log.Retried(
-        at=now,
-        call=call.arrived.call,
-        target=call.node,
-        attempt=retry.number,
-        reason=failure.reason,
-    )
-
-
-def _pick_by_key(
-    call: EntryCall, candidates: tuple[Candidate, ...]
-) -> str | Failure:
-    """Pick by rendezvous hashing, so that a re-sent call meets its first.
-
-    It is offered to one target only: were it taken elsewhere when that one is
-    full, a re-send could run again there.
-    """
-    if call.tried:
-        return Failure(Reason.OVERLOADED, detail='its target takes no more')
-    usable = [one.node for one in candidates if one.weight > 0]
-    if not usable:
-        return Failure(Reason.NO_TARGET, detail='no target is left')
-    key = call.arrived.key
-    return max(usable, key=lambda node: _rendezvous(key, node))
-
-
-def _rendezvous(key: str, node: str) -> bytes:
-    return hashlib.blake2b(f'{key}\0{node}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/daisyline/coordination/entry_call.py
@@ -0,0 +1,138 @@
+"""A call as its entry holds it, and what follows from that alone."""
+
+import hashlib
+from collections.abc import Sequence
+
+import attrs
+
+from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
+from daisyline.coordination import inward
+from daisyline.coordination.messages import Run
+from daisyline.coordination.policies import Candidate
+from daisyline.coordination.retries import Retry
+from daisyline.state.failures import Failure, Outcome, Reason
+
+_MS_PER_S = 1000
+
+# Reasons for which a target isn't tried again.
+LOST_REASONS = frozenset(
+    (
+        Reason.NODELOST_REASONS,
+        Reason.TARGETLOST_REASONS,
+        Reason.LEAVING,
+        Reason.ZONE_OUT,
+        Reason.VERSION_STOPPED,
+        Reason.NO_TARGET,
+    )
+)
+
+
+@attrs.define
+class EntryCall:
+    """A call that this node answers for to its caller.
+
+    Attributes:
+        arrived: The request.
+        arrived_at: When it came, in monotonic seconds.
+        attempt: The number of the attempt under way.
+        node: Where it was sent last.
+        tried: The nodes that got it.
+        lost_on: Those of them that were lost or lost their target.
+        retried: Whether a retry was spent on it, above it or below it.
+        outcome: `UNKNOWN` once any attempt may have run.
+        begun: Whether the caller has the head of the answer.
+        asking: Whether its node was asked what became of it.
+        may_move: Whether it could still be offered to another target.
+    """
+
+    arrived: ev.Arrived
+    arrived_at: float
+    attempt: int = 1
+    node: str = ''
+    tried: frozenset[str] = frozenset()
+    lost_on: frozenset[str] = frozenset()
+    retried: bool = False
+    outcome: Outcome = Outcome.NOT_RUN
+    begun: bool = False
+    asking: bool = False
+    may_move: bool = False
+
+
+def run_of(
+    call: EntryCall, repeatable: bool, settings_version: int, now: float
+) -> Run:
+    """Return the message that asks a node to run a call."""
+    arrived = call.arrived
+    return Run(
+        call=arrived.call,
+        attempt=call.attempt,
+        service=arrived.service,
+        tenant=arrived.tenant,
+        budget_ms=max(0, int((arrived.deadline - now) * _MS_PER_S)),
+        repeatable=repeatable,
+        key=arrived.key,
+        retried=call.retried,
+        may_move=call.may_move,
+        settings_version=settings_version,
+        method=arrived.method,
+        path=arrived.path,
+        headers=arrived.headers,
+        body=arrived.body,
+    )
+
+
+def may_be_crash(failure: Failure) -> bool:
+    """Return whether a call may have crashed the target that it was lost on."""
+    may_have_run = failure.outcome == Outcome.UNKNOWN
+    return may_have_run and failure.reason == Reason.TARGET_LOST
+
+
+def no_suspect(_arrived: ev.Arrived) -> bool:
+    """Suspect no request; stands in until a node has a quarantine."""
+    return False
+
+
+def may_go_back(call: EntryCall) -> bool:
+    """Return whether a target that only refused may be tried again."""
+    return call.tried != call.lost_on and not call.arrived.key
+
+
+def mark_parent(call: EntryCall, spent: bool) -> list[inward.RetrySpent]:
+    """Mark the call above, so that no layer retries once more."""
+    parent = call.arrived.parent
+    return [inward.RetrySpent(parent)] if spent and parent else []
+
+
+def retried_event(
+    call: EntryCall, retry: Retry, failure: Failure, now: float
+) -> log.Retried:
+    """Return the event of a call that is sent again."""
+    return log.Retried(
+        at=now,
+        call=call.arrived.call,
+        target=call.node,
+        attempt=retry.number,
+        reason=failure.reason,
+    )
+
+
+def pick_by_key(
+    call: EntryCall, candidates: Sequence[Candidate]
+) -> str | Failure:
+    """Pick by rendezvous hashing, so that a re-sent call meets its first.
+
+    It is offered to one target only: were it taken elsewhere when that one is
+    full, a re-send could run again there.
+    """
+    if call.tried:
+        return Failure(Reason.OVERLOADED, detail='its target takes no more')
+    usable = [one.node for one in candidates if one.weight > 0]
+    if not usable:
+        return Failure(Reason.NO_TARGET, detail='no target is left')
+    key = call.arrived.key
+    return max(usable, key=lambda node: _rendezvous(key, node))
+
+
+def _rendezvous(key: str, node: str) -> bytes:
+    return hashlib.blake2b(f'{key}\0{node}'.encode(), digest_size=8).digest()
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -8,12 +8,8 @@
 from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry import (
-    Effects,
-    Entry,
-    EntryCall,
-    mark_parent,
-)
+from daisyline.coordination.entry import Effects, Entry
+from daisyline.coordination.entry_call import EntryCall, mark_parent
 from daisyline.coordination.retries import settle
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.targets import LoadReport
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -8,8 +8,8 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
+from daisyline.coordination.fact_events import FactChanged
 from daisyline.coordination.fleet_events import (
-    FactChanged,
     FromPeer,
     MembersChanged,
     NodeUnreachable,
--- a/daisyline/coordination/fleet_events.py
+++ b/daisyline/coordination/fleet_events.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from daisyline.state.facts import Fact
 from daisyline.state.failures import Finding
 from daisyline.state.settings import Settings
 
@@ -89,10 +88,3 @@
 
     changed: tuple[str, ...]
     removed: tuple[str, ...]
-
-
-@attrs.frozen
-class FactChanged:
-    """A fact is new, or has taken an older one's place."""
-
-    fact: Fact
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -9,9 +9,10 @@
 
 from daisyline.coordination.digest import Digest, bucket_of
 from daisyline.coordination.effects import Send
+from daisyline.coordination.fact_events import FactChanged
 from daisyline.coordination.fact_store import FactStore
 from daisyline.coordination.failure_detector import FailureDetector
-from daisyline.coordination.fleet_events import FactChanged, SendTo
+from daisyline.coordination.fleet_events import SendTo
 from daisyline.coordination.gossip_messages import (
     Buckets,
     GossipPing,
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -155,10 +155,9 @@
 
 
 @_apply.register
-def _(effect: fleet_events.FactChanged, core: NodeCore, now: float) -> Effects:
-    changed = FactChanged(effect.fact)
-    core.quarantine.handle(changed, now)
-    return core.rollouts.handle(changed, now)
+def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
+    core.quarantine.handle(effect, now)
+    return core.rollouts.handle(effect, now)
 
 
 @_apply.register
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -13,10 +13,8 @@
 from daisyline.coordination import messages as msg
 from daisyline.coordination.admission import Admission, Admitted
 from daisyline.coordination.answer_records import (
-    KEY_RECORD_S,
-    RECORD_S,
     AnswerRecords,
-    Record,
+    request_of,
 )
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.jobs import Job
@@ -154,32 +152,25 @@
             *(self._start(name, now) for name in started),
         ]
 
-    def keep(
-        self, job: Job, message: msg.Answer | msg.Refused | None, now: float
-    ) -> None:
-        """Remember how a call that may not be repeated ended."""
-        run = job.run
-        if run.repeatable:
-            return
-        self.records.put(run.call, Record(message, now + RECORD_S), now)
-        if run.key:
-            name = _key_name(run)
-            self.records.put(name, Record(message, now + KEY_RECORD_S), now)
-
     def by_key(self, run: msg.Run, now: float) -> Any:
         """Return what a caller's own re-send gets; None if it is the first.
 
         It gets the answer of the first if that is known, and is refused with
         the outcome unknown while the first runs or if its answer is not kept.
+        Another request under the key is refused as not run.
         """
         if run.repeatable or not run.key:
             return None
-        record = self.records.get(_key_name(run), now)
-        if record is not None and record.message is not None:
-            return attrs.evolve(record.message, call=run.call)
+        record = self.records.of_key(run, now)
         if record is None and run.key not in _keys_of(self.jobs):
             return None
         failure = Failure(Reason.DUPLICATE, Outcome.UNKNOWN, 'it ran before')
+        if record is not None and record.request != request_of(run):
+            failure = Failure(
+                Reason.DUPLICATE, detail='the key was used for another request'
+            )
+        elif record is not None and record.message is not None:
+            return attrs.evolve(record.message, call=run.call)
         return self.refused('', run.call, failure, now).message
 
     def refused(
@@ -324,9 +315,5 @@
         return effects
 
 
-def _key_name(run: msg.Run) -> str:
-    return f'key:{run.key}'
-
-
 def _keys_of(jobs: dict[str, Job]) -> set[str]:
     return {job.run.key for job in jobs.values()}
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -73,7 +73,7 @@
     job.moved_at = now
     effects = _forward(job, answer, len(event.body))
     if event.last:
-        owner.keep(job, job.kept, now)
+        owner.records.keep(job.run, job.kept, now)
         effects += owner.ended(job, now, status=event.status)
     return effects
 
@@ -86,7 +86,7 @@
     part = msg.AnswerPart(event.call, event.body, event.last)
     effects = _forward(job, part, len(event.body))
     if event.last:
-        owner.keep(job, job.kept, now)
+        owner.records.keep(job.run, job.kept, now)
         effects += owner.ended(job, now, status=job.status)
     return effects
 
@@ -101,7 +101,7 @@
         job.peer, event.call, failure, now, retried=job.retry_spent
     )
     if event.sent:
-        owner.keep(job, refusal.message, now)
+        owner.records.keep(job.run, refusal.message, now)
     if job.attached:
         effects.append(refusal)
     crashed = event.crashed and not job.aborted
