Let an order under a key meet its first although its zone left

Closed targets' nodes are now asked as well, in the same order: one that ran the call answers from its record, one that did not notes that it sent the call on and answers for the key as perhaps run once it is open again. The hash is weighted, so that a version's share holds for keyed calls too. Ruled out: keeping keys on the platform, which takes some hundred writes a second. What is left open: a node that is lost takes its records along.

--- a/daisyline/coordination/answer_records.py
+++ b/daisyline/coordination/answer_records.py
@@ -22,11 +22,13 @@
         message: The answer or refusal, or None if it is not kept whole.
         until: When it is dropped, in monotonic seconds.
         request: The fingerprint of what was asked, if it had a key.
+        sent_on: Whether the call was refused here to be run elsewhere.
     """
 
     message: Answer | Refused | None
     until: float
     request: str = ''
+    sent_on: bool = False
 
     @property
     def octets(self) -> int:
@@ -67,6 +69,14 @@
             record = Record(message, now + KEY_RECORD_S, request_of(run))
             self.put(_key_name(run), record, now)
 
+    def note_sent_on(self, run: Run, now: float) -> None:
+        """Note that a call under a key may have run elsewhere."""
+        known = self.of_key(run, now)
+        if run.repeatable or not run.key or known is not None:
+            return
+        record = Record(None, now + KEY_RECORD_S, request_of(run), sent_on=True)
+        self.put(_key_name(run), record, now)
+
     def of_key(self, run: Run, now: float) -> Record | None:
         """Return how the first call under a call's key ended, if known."""
         return self.get(_key_name(run), now)
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -13,6 +13,7 @@
 from daisyline.coordination.effects import Send
 from daisyline.coordination.entry_call import (
     LOST_REASONS,
+    SENT_ON_REASONS,
     EntryCall,
     mark_parent,
     may_be_crash,
@@ -87,6 +88,7 @@
         budget = self.budget(arrived.service)
         mark = mark_down(arrived.retried, budget, now)
         call = EntryCall(arrived, now, retried=mark)
+        call.keyed = bool(arrived.key) and not self.repeatable(call)
         assert arrived.call not in self._calls
         self._calls[arrived.call] = call
         if arrived.parent:
@@ -102,7 +104,10 @@
         arrived = call.arrived
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
-        node = self._pick(call, candidates, now)
+        if call.keyed:
+            node = pick_by_key(call, known, candidates)
+        else:
+            node = self._pick(call, candidates, now)
         if isinstance(node, Failure) and may_go_back(call):
             # Nobody new is left, but one that refused may have room by now.
             call.tried = call.lost_on
@@ -112,7 +117,7 @@
         call.node = node
         call.tried |= {node}
         call.asking = False
-        call.may_move = not arrived.key and self.router(
+        call.may_move = not call.keyed and self.router(
             arrived.service
         ).may_move(candidates, call.tried)
         self.router(arrived.service).sent(node, now)
@@ -151,6 +156,12 @@
         # A retry would overtake the news of the crash that it may have caused.
         if may_be_crash(failure) and self.suspects(call.arrived):
             return self.refuse(call, failure, now)
+        if call.keyed and failure.outcome == Outcome.NOT_RUN:
+            # Taken elsewhere when its target is merely full, a re-send could
+            # run again there.
+            if failure.reason in SENT_ON_REASONS:
+                return self.place(call, now)
+            return self.refuse(call, failure, now)
         attempt = Attempt(
             number=call.attempt,
             repeatable=self.repeatable(call),
@@ -267,8 +278,6 @@
     def _pick(
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
-        if call.arrived.key:
-            return pick_by_key(call, candidates)
         return self.router(call.arrived.service).pick(
             candidates, now, call.tried
         )
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -1,6 +1,7 @@
 """A call as its entry holds it, and what follows from that alone."""
 
 import hashlib
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -14,12 +15,20 @@
 from daisyline.state.failures import Failure, Outcome, Reason
 
 _MS_PER_S = 1000
+_DIGEST_BYTES = 8
+_DIGESTS = 1 << (8 * _DIGEST_BYTES)
+
+# Reasons for which a target's node sends a call under a key on: it notes
+# that it did, and answers for the key as perhaps run from then on.
+SENT_ON_REASONS = frozenset(
+    (Reason.LEAVING, Reason.ZONE_OUT, Reason.VERSION_STOPPED)
+)
 
 # Reasons for which a target isn't tried again.
 LOST_REASONS = frozenset(
     (
-        Reason.NODELOST_REASONS,
-        Reason.TARGETLOST_REASONS,
+        Reason.NODE_LOST,
+        Reason.TARGET_LOST,
         Reason.LEAVING,
         Reason.ZONE_OUT,
         Reason.VERSION_STOPPED,
@@ -44,6 +53,7 @@
         begun: Whether the caller has the head of the answer.
         asking: Whether its node was asked what became of it.
         may_move: Whether it could still be offered to another target.
+        keyed: Whether it may not be repeated and has an idempotency key.
     """
 
     arrived: ev.Arrived
@@ -57,6 +67,7 @@
     begun: bool = False
     asking: bool = False
     may_move: bool = False
+    keyed: bool = False
 
 
 def run_of(
@@ -95,7 +106,7 @@
 
 def may_go_back(call: EntryCall) -> bool:
     """Return whether a target that only refused may be tried again."""
-    return call.tried != call.lost_on and not call.arrived.key
+    return call.tried != call.lost_on and not call.keyed
 
 
 def mark_parent(call: EntryCall, spent: bool) -> list[inward.RetrySpent]:
@@ -118,21 +129,39 @@
 
 
 def pick_by_key(
-    call: EntryCall, candidates: Sequence[Candidate]
+    call: EntryCall,
+    known: Sequence[Candidate],
+    candidates: Sequence[Candidate],
 ) -> str | Failure:
     """Pick by rendezvous hashing, so that a re-sent call meets its first.
 
-    It is offered to one target only: were it taken elsewhere when that one is
-    full, a re-send could run again there.
+    Targets that take no calls now are asked too, in the order of the hash:
+    one of them may have run the call before it was closed. Weights follow
+    Schindelhauer and Schomaker (2005).
+
+    Args:
+        call: The call, with its key.
+        known: All targets of the service.
+        candidates: Those of them that may take calls, with their weights.
     """
-    if call.tried:
-        return Failure(Reason.OVERLOADED, detail='its target takes no more')
-    usable = [one.node for one in candidates if one.weight > 0]
-    if not usable:
+    weights = {one.node: one.weight for one in candidates if one.weight > 0}
+    if not weights:
+        return Failure(Reason.NO_TARGET, detail='no target is left')
+    usual = sum(weights.values()) / len(weights)
+    untried = [one.node for one in known if one.node not in call.tried]
+    if not untried:
         return Failure(Reason.NO_TARGET, detail='no target is left')
     key = call.arrived.key
-    return max(usable, key=lambda node: _rendezvous(key, node))
+    return min(
+        untried,
+        key=lambda node: _distance(key, node) / weights.get(node, usual),
+    )
 
 
-def _rendezvous(key: str, node: str) -> bytes:
-    return hashlib.blake2b(f'{key}\0{node}'.encode(), digest_size=8).digest()
+def _distance(key: str, node: str) -> float:
+    """Return an exponentially distributed number for a key and a node."""
+    digest = hashlib.blake2b(
+        f'{key}\0{node}'.encode(), digest_size=_DIGEST_BYTES
+    ).digest()
+    drawn = (int.from_bytes(digest, 'big') + 1) / _DIGESTS
+    return -math.log(drawn)
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -14,13 +14,13 @@
 from daisyline.coordination.admission import Admission, Admitted
 from daisyline.coordination.answer_records import (
     AnswerRecords,
-    request_of,
 )
+from daisyline.coordination.entry_call import SENT_ON_REASONS
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.jobs import Job
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Settings
-from daisyline.state.targets import LoadReport, Target
+from daisyline.state.targets import LoadReport, Phase, Target
 
 MS_PER_S = 1000
 _SERVER_ERROR = 500
@@ -93,9 +93,9 @@
 
     def offer(self, peer: str, run: msg.Run, now: float) -> Effects:
         """Take a call, let it wait, or refuse it as not run."""
-        failure = self._refusal(peer, run, now)
+        failure = self.refusal(peer, run, now)
         if failure is not None:
-            return [self.refused(peer, run.call, failure, now)]
+            return [self._turned_away(peer, run, failure, now)]
         assert self._admission is not None
         deadline = now + run.budget_ms / MS_PER_S
         self.jobs[run.call] = Job(run, peer, deadline)
@@ -103,7 +103,7 @@
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
             self.jobs.pop(run.call)
-            return [self.refused(peer, run.call, decision, now)]
+            return [self._turned_away(peer, run, decision, now)]
         heapq.heappush(self._deadlines, (deadline, run.call))
         if isinstance(decision, Admitted):
             return [self._start(run.call, now)]
@@ -152,27 +152,6 @@
             *(self._start(name, now) for name in started),
         ]
 
-    def by_key(self, run: msg.Run, now: float) -> Any:
-        """Return what a caller's own re-send gets; None if it is the first.
-
-        It gets the answer of the first if that is known, and is refused with
-        the outcome unknown while the first runs or if its answer is not kept.
-        Another request under the key is refused as not run.
-        """
-        if run.repeatable or not run.key:
-            return None
-        record = self.records.of_key(run, now)
-        if record is None and run.key not in _keys_of(self.jobs):
-            return None
-        failure = Failure(Reason.DUPLICATE, Outcome.UNKNOWN, 'it ran before')
-        if record is not None and record.request != request_of(run):
-            failure = Failure(
-                Reason.DUPLICATE, detail='the key was used for another request'
-            )
-        elif record is not None and record.message is not None:
-            return attrs.evolve(record.message, call=run.call)
-        return self.refused('', run.call, failure, now).message
-
     def refused(
         self,
         peer: str,
@@ -240,7 +219,7 @@
             effects.append(self.refused(job.peer, call, failure, now))
         return effects
 
-    def _refusal(self, peer: str, run: msg.Run, now: float) -> Failure | None:
+    def refusal(self, peer: str, run: msg.Run, now: float) -> Failure | None:
         """Return why a call must not reach the target, if that is so."""
         if self._target is None or self._target.service != run.service:
             return Failure(Reason.NO_TARGET, detail='no such target here')
@@ -250,6 +229,13 @@
             return Failure(Reason.DUPLICATE, detail='it was given up')
         return self._closed_to(peer) or self.screen(run, now)
 
+    def _turned_away(
+        self, peer: str, run: msg.Run, failure: Failure, now: float
+    ) -> ev.Reply:
+        if failure.reason in SENT_ON_REASONS:
+            self.records.note_sent_on(run, now)
+        return self.refused(peer, run.call, failure, now)
+
     def _closed_to(self, peer: str) -> Failure | None:
         """Return why this node takes no new call from a peer, if so."""
         if peer in self.stale_peers:
@@ -257,6 +243,8 @@
         if self._settings.version == 0:
             # Until the contract's limits are known, none could be kept.
             return Failure(Reason.NO_SETTINGS, detail='no settings yet')
+        if self._target is not None and self._target.phase == Phase.LEAVING:
+            return Failure(Reason.LEAVING, detail='the target is leaving')
         if self.stopping:
             return Failure(Reason.LEAVING, detail='the node is stopping')
         if self._settings.zone_is_out(self._zone):
@@ -313,7 +301,3 @@
             failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
             effects.append(self.refused(job.peer, job.run.call, failure, now))
         return effects
-
-
-def _keys_of(jobs: dict[str, Job]) -> set[str]:
-    return {job.run.key for job in jobs.values()}
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -3,12 +3,16 @@
 import functools
 from typing import Any
 
+import attrs
+
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import messages as msg
 from daisyline.coordination.answer_records import (
     RECORD_S,
     Record,
+    request_of,
 )
+from daisyline.coordination.entry_call import SENT_ON_REASONS
 from daisyline.coordination.jobs import Job
 from daisyline.coordination.owner import MS_PER_S, Effects, Owner
 from daisyline.state.failures import Failure, Outcome, Reason
@@ -127,7 +131,7 @@
 @_take.register
 def _(message: msg.Run, owner: Owner, peer: str, now: float) -> Effects:
     owner.peers.add(peer)
-    known = owner.by_key(message, now)
+    known = _by_key(owner, peer, message, now)
     if known is not None:
         return [ev.Reply(peer, known)]
     return owner.offer(peer, message, now)
@@ -177,6 +181,37 @@
     return [owner.refused(peer, message.call, failure, now)]
 
 
+def _by_key(owner: Owner, peer: str, run: msg.Run, now: float) -> Any:
+    """Return what a caller's own re-send gets; None if it is the first.
+
+    It gets the answer of the first if that is known, and is refused with the
+    outcome unknown while the first runs, if its answer is not kept, or if it
+    was sent on from here. Another request under the key is refused as not run.
+    """
+    if run.repeatable or not run.key:
+        return None
+    record = owner.records.of_key(run, now)
+    runs = any(job.run.key == run.key for job in owner.jobs.values())
+    if (record is None and not runs) or _sends_on(owner, peer, run, now):
+        return None
+    failure = Failure(Reason.DUPLICATE, Outcome.UNKNOWN, 'it ran before')
+    if record is not None and record.request != request_of(run):
+        detail = 'the key was used for another request'
+        failure = Failure(Reason.DUPLICATE, detail=detail)
+    elif record is not None and record.message is not None:
+        return attrs.evolve(record.message, call=run.call)
+    return owner.refused(peer, run.call, failure, now).message
+
+
+def _sends_on(owner: Owner, peer: str, run: msg.Run, now: float) -> bool:
+    """Return whether a call that was sent on from here is so again."""
+    record = owner.records.of_key(run, now)
+    if record is None or not record.sent_on:
+        return False
+    failure = owner.refusal(peer, run, now)
+    return failure is not None and failure.reason in SENT_ON_REASONS
+
+
 def _refuse_for_good(
     owner: Owner, peer: str, call: str, now: float
 ) -> ev.Reply:
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -11,7 +11,11 @@
 from daisyline.coordination.fact_events import PutFact
 from daisyline.coordination.rollout_judge import Judge
 from daisyline.coordination.rollout_record import Record
-from daisyline.coordination.rollout_schedule import decide, settle_s
+from daisyline.coordination.rollout_schedule import (
+    DONE_DUE,
+    decide,
+    settle_s,
+)
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
 from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.rollout_state import (
@@ -185,7 +189,7 @@
         """Judge the evidence of the last interval."""
         if now - bench.evaluate_at > PAUSE_S:
             bench.settled_at = now + settle_s(self.plan)
-        bench.evaluate_at = now + bench.interval_s
+        bench.evaluate_at = self._next_evaluation(bench, now)
         judgement = bench.judge.evaluate()
         bench.judged = judgement.judged
         if now < bench.settled_at and not judgement.bad:
@@ -199,6 +203,12 @@
         )
         return [] if decided is None else [self._put(decided, now)]
 
+    def _next_evaluation(self, bench: Bench, now: float) -> float:
+        """Return when to judge next: not past the time of the last step."""
+        usual = now + bench.interval_s
+        last_step_at = self._started_at + DONE_DUE * self.plan.finish_in_s
+        return min(usual, last_step_at) if last_step_at > now else usual
+
     def _repeat(self, now: float) -> PutFact:
         """Spread the same standing anew, for nodes that would forget it."""
         repeat = self.standing.repeat + 1
--- a/tests/coordination/test_owner.py
+++ b/tests/coordination/test_owner.py
@@ -1,13 +1,19 @@
 """The target's side of calls: what a re-send under a key gets."""
 
+import random
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
+
 from daisyline.coordination import call_events as ev
+from daisyline.coordination import entry_events, owner_events
 from daisyline.coordination import messages as msg
-from daisyline.coordination import owner_events
+from daisyline.coordination.effects import Send
+from daisyline.coordination.entry import Entry
 from daisyline.coordination.events import EventLog
 from daisyline.coordination.owner import Owner
+from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
 from tests.support import fixture, function_tests
@@ -70,3 +76,106 @@
         'duplicate',
         'unknown',
     )
+
+
+def test_an_order_under_a_key_runs_once_while_a_zone_leaves_and_returns() -> (
+    None
+):
+    desk = Desk.from_names('a', 'b', 'c')
+    first = desk.order('c1')
+    ran = desk.ran[0]
+    desk.out = frozenset((ran,))
+    assert desk.order('c2') == first
+    desk.out = frozenset()
+    assert desk.order('c3') == first
+    assert desk.ran == [ran]
+
+
+def test_an_order_sent_on_from_a_closed_zone_runs_once_also_afterwards() -> (
+    None
+):
+    first = Desk.from_names('a', 'b', 'c')
+    first.order('c1')
+    desk = Desk.from_names('a', 'b', 'c')
+    desk.out = frozenset(first.ran)
+    answer = desk.order('c1')
+    assert answer == desk.order('c2')
+    desk.out = frozenset()
+    refused = desk.order('c3')
+    assert refused.failure.outcome == 'unknown'
+    assert len(desk.ran) == 1
+    assert desk.ran != first.ran
+
+
+@attrs.define
+class Desk:
+    """An entry and three targets' nodes, each in a zone of its own."""
+
+    entry: Entry
+    owners: dict[str, Owner]
+    ran: list[str] = attrs.field(factory=list)
+    _version: int = 0
+
+    @classmethod
+    def from_names(cls, *names: str) -> 'Desk':
+        """Build a desk with all zones in."""
+        log = EventLog.from_config()
+        owners = {name: Owner.from_config(name, name, log) for name in names}
+        desk = cls(Entry.from_config('e', random.Random(1), log), owners)
+        for name, owner in owners.items():
+            owner.use_target(_target(name), 0)
+        desk.entry.table.use_members(map(_member, names), 0)
+        desk.out = frozenset()
+        return desk
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Return nothing; the zones that are out are only set."""
+        raise AttributeError
+
+    @out.setter
+    def out(self, zones: frozenset[str]) -> None:
+        self._version += 1
+        states = {
+            name: {'state': 'out' if name in zones else 'in'}
+            for name in self.owners
+        }
+        tree = {'services': {'docs': {}}, 'zones': states}
+        settings = Settings.from_tree(self._version, tree)
+        self.entry.use_settings(settings, 0)
+        for owner in self.owners.values():
+            owner.use_settings(settings, 0)
+
+    def order(self, call: str) -> Any:
+        """Send an order under one key and return its end without its id."""
+        arrived = ev.Arrived(
+            call, 'docs', 't', b'POST', b'/order', (), b'', 'k', 5
+        )
+        waiting = entry_events.handle(arrived, self.entry, 1)
+        while True:
+            effect = waiting.pop(0)
+            if not isinstance(effect, Send):
+                return attrs.evolve(effect, call='')
+            for message in self._carry(effect):
+                reply = ev.FromNode(effect.node, message)
+                waiting += entry_events.handle(reply, self.entry, 1)
+
+    def _carry(self, effect: Send) -> list[Any]:
+        """Deliver a message to its node and return what comes back."""
+        owner = self.owners[effect.node]
+        came = ev.FromNode('e', effect.message)
+        effects = owner_events.handle(came, owner, 1)
+        if isinstance(effects[0], ev.StartTarget):
+            self.ran.append(effect.node)
+            body = effect.node.encode()
+            head = ev.TargetHead(effect.message.call, 200, (), body, last=True)
+            effects = owner_events.handle(head, owner, 1)
+        return [one.message for one in effects if isinstance(one, ev.Reply)]
+
+
+def _target(name: str) -> Target:
+    return Target('docs', 'v1', f'{name}-1', '127.0.0.1', 1)
+
+
+def _member(name: str) -> Member:
+    return Member(name, '127.0.0.1', 1, name, 'r', 1, 0, _target(name))
