--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -7,24 +7,19 @@
 
 import attrs
 
-from standins.soak_records import PLATFORM, Attempt, Journal, Start, Window
+from standins.soak_losses import is_judged_loss, touches
+from standins.soak_records import Attempt, Journal, Start
 from standins.tally import Ending
-from standins.target_model import CHAIN_PREFIX, POISON_PATH
+from standins.target_model import POISON_PATH
 from standins.target_records import REPEATABLE
 
 # A zone that was taken out, or a leaving target, gets no new work after this.
 AWAY_GRACE_S = 3.0
 RECOVERY_S = 10.0
-# A call sent later than so long before its entry is told to stop may not have
-# reached it.
-ARRIVAL_S = 0.2
 MAX_CRASHES = 3
 # A crash whose node was gone within so long could not be told to the others.
 TELL_S = 1.0
 MAX_RSS_BYTES = 67_108_864
-# What a silent connection swallows is missed only after a while.
-SILENT_KINDS = frozenset(('SilentCallers', 'SilentTarget'))
-SILENT_LOSS_S = 1.0
 # Of the platform's faults just this keeps a change from the nodes: watches go
 # on while reads are stale, answers lost or all of them late.
 OUTAGE_KIND = 'PlatformDown'
@@ -130,12 +125,10 @@
     """
     starts = _starts_by_call(journal)
     for attempt in journal.attempts:
-        if not _is_judged_loss(attempt, journal, starts[attempt.call_id]):
+        if not is_judged_loss(attempt, journal, starts[attempt.call_id]):
             continue
         ran = [start.place for start in starts[attempt.call_id]]
-        if not any(
-            _touches(window, attempt, ran) for window in journal.windows
-        ):
+        if not any(touches(window, attempt, ran) for window in journal.windows):
             where = f'by {attempt.entry}, ran at {ran}'
             when = f'{attempt.sent_at:.3f} to {attempt.ended_at:.3f}'
             detail = f'{attempt.call_id} {attempt.ending} {attempt.reason}'
@@ -267,72 +260,6 @@
     return known_at
 
 
-def _is_judged_loss(
-    attempt: Attempt, journal: Journal, starts: list[Start]
-) -> bool:
-    if attempt.ending not in {Ending.CUT, Ending.UNKNOWN}:
-        return False
-    if _is_refused_by_stop(attempt, journal, starts):
-        return False
-    return not _is_repeated_doubt(attempt, journal, starts)
-
-
-def _is_refused_by_stop(
-    attempt: Attempt, journal: Journal, starts: list[Start]
-) -> bool:
-    """Return whether a call met a node that had been told to stop.
-
-    One that a target had begun by then was in progress for certain.
-    """
-    begun_at = min((start.at for start in starts), default=float('inf'))
-    return any(
-        absence.place == attempt.entry
-        and begun_at > absence.begins_at
-        and absence.begins_at - ARRIVAL_S <= attempt.sent_at <= absence.ends_at
-        for absence in journal.absences
-    )
-
-
-def _is_repeated_doubt(
-    attempt: Attempt, journal: Journal, starts: list[Start]
-) -> bool:
-    """Return whether a re-sent call was just told what its first one was.
-
-    The first sending that was in doubt is judged itself.
-    """
-    ran = any(
-        attempt.sent_at <= start.at <= attempt.ended_at for start in starts
-    )
-    return (
-        attempt.ending == Ending.UNKNOWN
-        and not ran
-        and any(
-            earlier.call_id == attempt.call_id
-            and earlier.ended_at <= attempt.sent_at
-            and earlier.ending in {Ending.UNKNOWN, Ending.CUT}
-            for earlier in journal.attempts
-        )
-    )
-
-
-def _touches(window: Window, attempt: Attempt, ran: list[str]) -> bool:
-    """Return whether a fault lay on the way of a call while it was sent.
-
-    Where a call went that no target began, or that made calls in turn, is not
-    known, so any place counts.
-    """
-    apart = (
-        window.ends_at < attempt.sent_at or window.begins_at > attempt.ended_at
-    )
-    if apart or window.place == PLATFORM:
-        return False
-    lasted_s = attempt.ended_at - attempt.sent_at
-    if window.kind in SILENT_KINDS and lasted_s < SILENT_LOSS_S:
-        return False
-    anywhere = not ran or attempt.path.startswith(CHAIN_PREFIX)
-    return anywhere or window.place in {attempt.entry, *ran}
-
-
 def _is_told(start: Start, journal: Journal) -> bool:
     """Return whether the node beside a crash lived on to tell of it."""
     return not any(
