--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -105,7 +105,7 @@
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
         if call.keyed:
-            node = pick_by_key(call, known, candidates)
+            node = pick_by_key(call, known, self.shares(arrived.service))
         else:
             node = self._pick(call, candidates, now)
         if isinstance(node, Failure) and may_go_back(call):
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -12,6 +12,7 @@
 from daisyline.coordination.messages import Run
 from daisyline.coordination.policies import Candidate
 from daisyline.coordination.retries import Retry
+from daisyline.coordination.target_table import Shares, by_share
 from daisyline.state.failures import Failure, Outcome, Reason
 
 _MS_PER_S = 1000
@@ -129,28 +130,26 @@
 
 
 def pick_by_key(
-    call: EntryCall,
-    known: Sequence[Candidate],
-    candidates: Sequence[Candidate],
+    call: EntryCall, known: Sequence[Candidate], shares: Shares
 ) -> str | Failure:
     """Pick by rendezvous hashing, so that a re-sent call meets its first.
 
     Targets that take no calls now are asked too, in the order of the hash:
     one of them may have run the call before it was closed. Weights follow
-    Schindelhauer and Schomaker (2005).
+    Schindelhauer and Schomaker (2005). They are the versions' shares alone, as
+    all entries must come to the same order, and ramps differ between them.
 
     Args:
         call: The call, with its key.
         known: All targets of the service.
-        candidates: Those of them that may take calls, with their weights.
+        shares: Each version's share of calls; None if none is moving.
     """
-    weights = {one.node: one.weight for one in candidates if one.weight > 0}
-    if not weights:
-        return Failure(Reason.NO_TARGET, detail='no target is left')
-    usual = sum(weights.values()) / len(weights)
+    equal = [attrs.evolve(one, weight=1) for one in known if one.weight > 0]
+    weights = {one.node: one.weight for one in by_share(equal, shares)}
     untried = [one.node for one in known if one.node not in call.tried]
-    if not untried:
+    if not weights or not untried:
         return Failure(Reason.NO_TARGET, detail='no target is left')
+    usual = sum(weights.values()) / len(weights)
     key = call.arrived.key
     return min(
         untried,
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -12,7 +12,9 @@
 _BACKLOG = 1024
 _READ_BYTES = 65_536
 _ACCEPTS_PER_TURN = 64
-_KEEPALIVE_IDLE_S = 2
+# Nobody waits on the connection of a quiet caller, so probes of it are rare.
+_KEEPALIVE_IDLE_ACCEPTED_S = 15
+_KEEPALIVE_IDLE_DIALLED_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _UNACKNOWLEDGED_MS = 5_000
@@ -266,17 +268,17 @@
                 sock, _address = self._sock.accept()
             except OSError:
                 return
-            _prepare(sock)
+            _prepare(sock, _KEEPALIVE_IDLE_ACCEPTED_S)
             self._on_accept(Connection(self._loop, sock, opening=False))
 
 
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    _prepare(sock)
+    _prepare(sock, _KEEPALIVE_IDLE_DIALLED_S)
     return sock
 
 
-def _prepare(sock: socket.socket) -> None:
+def _prepare(sock: socket.socket, idle_s: int) -> None:
     """Set what makes a connection prompt, and a silent one be found.
 
     Keep-alive probes find a connection that something between the two ends
@@ -286,7 +288,7 @@
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, idle_s)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
