--- a/tests/coordination/test_entry_call.py
+++ b/tests/coordination/test_entry_call.py
@@ -1,5 +1,7 @@
 """What follows from a call at its entry alone."""
 
+import itertools
+
 from daisyline.coordination import call_events as ev
 from daisyline.coordination.entry_call import EntryCall, pick_by_key
 from daisyline.coordination.policies import Candidate
@@ -17,8 +19,10 @@
 
 def _targets(*weights: float) -> list[Candidate]:
     return [
-        Candidate(f'n{number}', f'v{number % 2}', 'z', weight)
-        for number, weight in enumerate(weights)
+        Candidate(f'n{number}', version, 'z', weight)
+        for number, (version, weight) in enumerate(
+            zip(itertools.cycle(('v0', 'v1')), weights, strict=False)
+        )
     ]
 
 
