Build the run message of tests in one place, and drop what nothing uses

Four test modules spelt out the same 14 fields; tests/builders.py now does, and each states only what differs. An event that nothing sent or took is gone, and the router is looked up once where a call is placed.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -117,10 +117,11 @@
         call.node = node
         call.tried |= {node}
         call.asking = False
-        call.may_move = not call.keyed and self.router(
-            arrived.service
-        ).may_move(candidates, call.tried)
-        self.router(arrived.service).sent(node, now)
+        router = self.router(arrived.service)
+        call.may_move = not call.keyed and router.may_move(
+            candidates, call.tried
+        )
+        router.sent(node, now)
         self.events.add(
             log.Picked(
                 at=now,
--- a/daisyline/coordination/fleet_events.py
+++ b/daisyline/coordination/fleet_events.py
@@ -21,13 +21,6 @@
     message: Any
 
 
-@attrs.frozen
-class StreamOpened:
-    """A stream to a node is open."""
-
-    node: str
-
-
 @attrs.frozen
 class StreamLost:
     """The stream to a node has closed or failed."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,25 @@
+"""Messages that the tests of several modules build."""
+
+from typing import Any
+
+from daisyline.coordination.messages import Run
+
+
+def run_message(call: str, **changes: Any) -> Run:
+    """Return the message that asks a node to run a call."""
+    usual: dict[str, Any] = {
+        'attempt': 1,
+        'service': 'docs',
+        'tenant': 't',
+        'budget_ms': 5000,
+        'repeatable': True,
+        'key': '',
+        'retried': False,
+        'may_move': False,
+        'settings_version': 1,
+        'method': b'GET',
+        'path': b'/',
+        'headers': (),
+        'body': b'',
+    }
+    return Run(call=call, **usual | changes)
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from daisyline.coordination import call_events as ev
-from daisyline.coordination import messages as msg
 from daisyline.coordination import node_events
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.quarantine import fingerprint
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Phase, Target
+from tests.builders import run_message
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -34,21 +34,12 @@
 def _offer(
     core: NodeCore, call: str, path: bytes, node: str = 'entry'
 ) -> list[Any]:
-    run = msg.Run(
-        call=call,
-        attempt=1,
-        service='docs',
+    run = run_message(
+        call,
         tenant='default',
         budget_ms=3000,
-        repeatable=True,
-        key='',
-        retried=False,
-        may_move=False,
         settings_version=0,
-        method=b'GET',
         path=path,
-        headers=(),
-        body=b'',
     )
     return _hear(core, ev.FromNode(node, run))
 
--- a/tests/coordination/test_owner.py
+++ b/tests/coordination/test_owner.py
@@ -16,6 +16,7 @@
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
+from tests.builders import run_message
 from tests.support import fixture, function_tests
 
 load_tests = function_tests(__name__)
@@ -36,20 +37,12 @@
 
 
 def _order(call: str, body: bytes) -> ev.FromNode:
-    run = msg.Run(
-        call=call,
-        attempt=1,
-        service='docs',
-        tenant='t',
-        budget_ms=5000,
+    run = run_message(
+        call,
         repeatable=False,
         key='k',
-        retried=False,
-        may_move=False,
-        settings_version=1,
         method=b'POST',
         path=b'/order',
-        headers=(),
         body=body,
     )
     return ev.FromNode('e', run)
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -16,6 +16,7 @@
     FrameDecoder,
     FrameEncoder,
 )
+from tests.builders import run_message
 from tests.coordination.test_gossip_messages import MESSAGES
 from tests.support import function_tests
 
@@ -23,19 +24,11 @@
 
 BOUNDED = profile(derandomize=True, max_examples=200, deadline=None)
 HEADERS = ((b'Host', b'docs'), (b'X', b''))
-RUN = msg.Run(
-    call='c',
-    attempt=1,
-    service='docs',
-    tenant='t',
+RUN = run_message(
+    'c',
     budget_ms=9,
-    repeatable=True,
-    key='',
-    retried=False,
     may_move=True,
     settings_version=3,
-    method=b'GET',
-    path=b'/',
     headers=HEADERS,
     body=b'\xff',
 )
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -9,10 +9,10 @@
     TargetHead,
     TargetPart,
 )
-from daisyline.coordination.messages import Run
 from daisyline.state.targets import Target
 from daisyline.transport import target_exchange
 from daisyline.transport.target_pool import TargetPool
+from tests.builders import run_message
 from tests.support import function_tests
 from tests.transport.rig import HOST, Far, Turning
 
@@ -23,22 +23,7 @@
 
 
 def _start(call: str, body: bytes = b'') -> StartTarget:
-    run = Run(
-        call=call,
-        attempt=1,
-        service='docs',
-        tenant='t',
-        budget_ms=5000,
-        repeatable=True,
-        key='',
-        retried=False,
-        may_move=True,
-        settings_version=1,
-        method=b'POST',
-        path=b'/',
-        headers=(),
-        body=body,
-    )
+    run = run_message(call, may_move=True, method=b'POST', body=body)
     return StartTarget(call, run, 5)
 
 
