--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -8,7 +8,9 @@
 
 from daisyline.coordination.breaker import Breaker
 from daisyline.coordination.concurrency import Concurrency
-from daisyline.coordination.fair_queue import FairQueue, Ticket
+from daisyline.coordination.fair_queue import Ticket
+from daisyline.coordination.ranked_queue import RankedQueue
+from daisyline.coordination.rate_limit import RateLimit
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import LoadReport, Phase
@@ -91,22 +93,33 @@
 
     _contract: Limits
     _concurrency: Concurrency
-    _queue: FairQueue
+    _queue: RankedQueue
     _now: float
     _breaker: Breaker = attrs.field(factory=Breaker)
     _announced: Phase = Phase.READY
+    _cold_rate: RateLimit = attrs.field(factory=lambda: RateLimit(0))
     _running: set[str] = attrs.field(factory=set)
     _waits: _Waits = attrs.field(factory=_Waits)
     _refused: Refusals = attrs.field(factory=list)
 
     @classmethod
-    def from_limits(cls, limits: Limits, now: float) -> 'Admission':
-        """Build admission for a target just met, which is taken for cold."""
+    def from_limits(
+        cls, limits: Limits, now: float, *, candid: bool = False
+    ) -> 'Admission':
+        """Build admission for a target just met.
+
+        Args:
+            limits: What the contract allows.
+            now: Monotonic seconds.
+            candid: Whether the target says itself when it is cold; one that
+                doesn't is taken for cold at first.
+        """
         return cls(
             contract=limits,
-            concurrency=Concurrency.from_limits(limits),
-            queue=FairQueue.from_capacity(limits.queue_per_upstream),
+            concurrency=Concurrency.from_limits(limits, candid=candid),
+            queue=RankedQueue.from_capacity(limits.queue_per_upstream),
             now=now,
+            cold_rate=RateLimit(limits.cold_calls_per_s),
         )
 
     @property
@@ -129,8 +142,8 @@
         failure = self._refusal(ticket, now)
         if failure is not None:
             return failure
-        if self._has_slot() and not self._queue:
-            self._start(ticket)
+        if self._has_room(now) and not self._queue:
+            self._start(ticket, now)
             return Admitted()
         return self._enqueue(ticket, now)
 
@@ -175,13 +188,22 @@
         return refused
 
     def next_at(self) -> float:
-        """Return when `expire` has something to do, in monotonic seconds."""
-        return -math.inf if self._refused else self._waits.next_at()
+        """Return when `expire` or `resume` has something to do."""
+        if self._refused:
+            return -math.inf
+        if self._queue and self._is_cold and self._has_slot():
+            return min(self._waits.next_at(), self._cold_rate.next_at())
+        return self._waits.next_at()
+
+    def resume(self, now: float) -> list[str]:
+        """Return waiting calls that start now that a cold target bears more."""
+        return self._fill(now)
 
     def set_limits(self, limits: Limits, now: float) -> Change:
         """Follow a change of settings."""
         self._contract = limits
         self._concurrency.set_limits(limits)
+        self._cold_rate.per_s = limits.cold_calls_per_s
         dropped = self._queue.set_capacity(limits.queue_per_upstream)
         for ticket in dropped:
             self._refuse(ticket, Reason.OVERLOADED)
@@ -192,7 +214,8 @@
         if phase == self._announced:
             return Change()
         self._announced = phase
-        self._concurrency.hold(phase == Phase.COLD)
+        by_slots = not self._contract.cold_calls_per_s
+        self._concurrency.hold(phase == Phase.COLD and by_slots)
         if phase == Phase.LEAVING:
             self._refuse_all(Reason.LEAVING)
         return Change(started=self._fill(now), refused=self.expire(now))
@@ -220,7 +243,7 @@
 
     def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
         gives_up_at = self._gives_up_at(ticket, now)
-        turns = self._queue.ahead_of(ticket.tenant) + 1
+        turns = self._queue.ahead_of(ticket) + 1
         wait_s = turns * self._concurrency.service_s / self._concurrency.limit
         if now + wait_s > gives_up_at:
             return Failure(Reason.OVERLOADED, detail='the wait is too long')
@@ -241,18 +264,29 @@
             wait_s = min(wait_s, move_wait_s)
         return min(now + wait_s, ticket.give_up_at - service_s)
 
+    @property
+    def _is_cold(self) -> bool:
+        return self._announced == Phase.COLD and self._cold_rate.per_s > 0
+
     def _has_slot(self) -> bool:
         return self.running < self._concurrency.limit
 
-    def _start(self, ticket: Ticket) -> None:
+    def _has_room(self, now: float) -> bool:
+        if self._is_cold and not self._cold_rate.allows(now):
+            return False
+        return self._has_slot()
+
+    def _start(self, ticket: Ticket, now: float) -> None:
         assert self.running < self._contract.slots_per_upstream
         self._running.add(ticket.call)
-        self._queue.charge(ticket.tenant)
+        self._queue.charge(ticket)
+        # Counted also while it is warm, as it may turn out to have been cold.
+        self._cold_rate.started(now)
 
     def _fill(self, now: float) -> list[str]:
         """Start waiting calls while there are slots."""
         started = []
-        while self._has_slot():
+        while self._has_room(now):
             ticket = self._queue.pop()
             if ticket is None:
                 break
@@ -260,7 +294,7 @@
                 self._refuse(ticket, Reason.QUEUE_TIMEOUT)
             else:
                 self._waits.discard(ticket.call)
-                self._start(ticket)
+                self._start(ticket, now)
                 started.append(ticket.call)
         return started
 
--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/call_events.py
@@ -6,6 +6,7 @@
 
 from daisyline.coordination.messages import Headers, Run
 from daisyline.state.failures import Failure
+from daisyline.state.routes import Route
 from daisyline.state.targets import Target
 
 
@@ -25,6 +26,9 @@
         deadline: When the caller gives up, in monotonic seconds.
         parent: The call that a target was serving when it made this one.
         retried: Whether a retry was spent on a call above this one.
+        route: The route that led it here, if the settings list routes.
+        objective: When an answer is wanted, in monotonic seconds; 0 if no
+            time is stated.
     """
 
     call: str
@@ -38,6 +42,16 @@
     deadline: float
     parent: str = ''
     retried: bool = False
+    route: Route | None = None
+    objective: float = 0
+
+
+@attrs.frozen
+class Unroutable:
+    """A request came that leads to no service."""
+
+    call: str
+    failure: Failure
 
 
 @attrs.frozen
@@ -145,12 +159,14 @@
         sent: Whether a byte of the request was handed to the network.
         crashed: Whether the target closed the connection by itself.
         detail: A short sentence for people.
+        declined: Whether the target said that it did not run the call.
     """
 
     call: str
     sent: bool
     crashed: bool
     detail: str
+    declined: bool = False
 
 
 @attrs.frozen
@@ -233,6 +249,25 @@
 
     Attributes:
         target: None once it has not announced itself for its lease.
+        cold_s: For how long it says that it stays cold, in seconds; 0 if it
+            says so anew when it is warm.
+        sequence: Grows with each announcement of one start; 0 if the target
+            doesn't count them.
     """
 
     target: Target | None
+    cold_s: float = 0
+    sequence: int = 0
+
+
+@attrs.frozen
+class TargetLeaves:
+    """An instance beside this node said that it leaves.
+
+    Attributes:
+        instance: The instance.
+        started_ms: When it started; 0 if it doesn't say.
+    """
+
+    instance: str
+    started_ms: int = 0
--- a/daisyline/coordination/concurrency.py
+++ b/daisyline/coordination/concurrency.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.state.settings import Limits
+from daisyline.state.limits import PERCENT, Limits
 
 #: Weight of the newest call in the smoothed service time.
 SMOOTHING = 0.03
@@ -41,6 +41,7 @@
     """
 
     _slots: int
+    _candid: bool = False
     _limit: float = 1
     _held: bool = False
     _service_s: float = 0
@@ -52,9 +53,16 @@
     )
 
     @classmethod
-    def from_limits(cls, limits: Limits) -> 'Concurrency':
-        """Build the state of a target just met, which is taken for cold."""
-        return cls(slots=limits.slots_per_upstream)
+    def from_limits(
+        cls, limits: Limits, *, candid: bool = False
+    ) -> 'Concurrency':
+        """Build the state of a target just met.
+
+        One that says itself when it is cold is believed; any other is taken
+        for cold.
+        """
+        slots = usable_slots(limits)
+        return cls(slots=slots, candid=candid, limit=slots if candid else 1)
 
     @property
     def limit(self) -> int:
@@ -76,7 +84,7 @@
     def set_limits(self, limits: Limits) -> None:
         """Follow a change of the contract's slots."""
         was_full = not self.is_growing
-        self._slots = limits.slots_per_upstream
+        self._slots = usable_slots(limits)
         if was_full or self._limit > self._slots:
             self._limit = self._slots
 
@@ -87,9 +95,10 @@
             self.turned_cold()
 
     def turned_cold(self) -> None:
-        """Go back to one slot."""
-        self._limit = 1
+        """Go back to one slot; a target that is believed has no such guess."""
         self._recent.clear()
+        if not self._candid:
+            self._limit = 1
 
     def observe(self, service_s: float, *, succeeded: bool) -> bool:
         """Learn from a call that ended; return whether slots were lost.
@@ -100,7 +109,9 @@
         """
         limit_before = self.limit
         self._recent.append(service_s if succeeded else math.inf)
-        if self._is_found_cold():
+        if self._candid:
+            self._limit = self._slots
+        elif self._is_found_cold():
             self.turned_cold()
         elif succeeded:
             self._grow(service_s)
@@ -146,3 +157,9 @@
         self._usual_fastest_s += slow_weight * (
             fastest_s - self._usual_fastest_s
         )
+
+
+def usable_slots(limits: Limits) -> int:
+    """Return how many of the contract's slots are used."""
+    used = limits.slots_per_upstream * limits.slots_used_percent // PERCENT
+    return max(1, used)
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -39,7 +39,7 @@
 
 # The target's node ends a call at its deadline and says whether it ran; the
 # entry waits this much longer to hear it, in seconds.
-_GRACE_S = 0.2
+_GRACE_S = 0.1
 
 Effects = list[Any]
 
@@ -149,6 +149,7 @@
         """
         if failure.outcome == Outcome.UNKNOWN:
             call.outcome = Outcome.UNKNOWN
+        call.reached += failure.reached or failure.outcome == Outcome.UNKNOWN
         if failure.reason in LOST_REASONS:
             call.lost_on |= {call.node}
         if call.begun:
@@ -168,6 +169,8 @@
             repeatable=self.repeatable(call),
             retried=call.retried,
             left_s=call.arrived.deadline - now,
+            reached=call.reached,
+            most_targets=call.most_targets,
         )
         budget = self.budget(call.arrived.service)
         decision = decide_retry(attempt, failure, budget, now)
@@ -183,17 +186,23 @@
         """Tell the caller why there is no answer; true over all attempts."""
         self.forget(call)
         truth = attrs.evolve(failure, outcome=call.outcome)
+        self.note_refusal(call.arrived.call, call.node, truth, now)
+        return [ev.RefuseCaller(call.arrived.call, truth)]
+
+    def note_refusal(
+        self, call: str, node: str, failure: Failure, now: float
+    ) -> None:
+        """Record why a caller gets no answer."""
         self.events.add(
             log.Refused(
                 at=now,
-                call=call.arrived.call,
-                target=call.node,
-                reason=truth.reason,
-                outcome=truth.outcome,
-                detail=truth.detail,
+                call=call,
+                target=node,
+                reason=failure.reason,
+                outcome=failure.outcome,
+                detail=failure.detail,
             )
         )
-        return [ev.RefuseCaller(call.arrived.call, truth)]
 
     def forget(self, call: EntryCall) -> None:
         """Drop a call that has ended."""
@@ -259,6 +268,9 @@
 
     def repeatable(self, call: EntryCall) -> bool:
         """Return whether a call may run more than once."""
+        route = call.arrived.route
+        if route is not None:
+            return route.repeatable
         limits = self._settings.limits_for(call.arrived.service, '')
         return call.arrived.method.decode() in limits.repeatable_methods
 
@@ -266,7 +278,9 @@
         """Return the retry budget of a service."""
         if service not in self._budgets:
             limits = self._settings.limits_for(service, '')
-            self._budgets[service] = RetryBudget.from_limits(limits, 0)
+            nodes = max(1, len(self.table.members))
+            budget = RetryBudget.from_limits(limits, 0, nodes)
+            self._budgets[service] = budget
         return self._budgets[service]
 
     def _give_up(self, call: EntryCall, now: float) -> Effects:
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -11,9 +11,10 @@
 from daisyline.coordination import inward
 from daisyline.coordination.messages import Run
 from daisyline.coordination.policies import Candidate
-from daisyline.coordination.retries import Retry
+from daisyline.coordination.retries import MAX_TRIES, Retry
 from daisyline.coordination.target_table import Shares, by_share
 from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.routes import DEFAULT_PRIORITY
 
 _MS_PER_S = 1000
 _DIGEST_BYTES = 8
@@ -55,6 +56,7 @@
         asking: Whether its node was asked what became of it.
         may_move: Whether it could still be offered to another target.
         keyed: Whether it may not be repeated and has an idempotency key.
+        reached: How many targets were handed it.
     """
 
     arrived: ev.Arrived
@@ -69,6 +71,13 @@
     asking: bool = False
     may_move: bool = False
     keyed: bool = False
+    reached: int = 0
+
+    @property
+    def most_targets(self) -> int:
+        """Return how many targets may be handed it."""
+        route = self.arrived.route
+        return MAX_TRIES if route is None else route.targets
 
 
 def run_of(
@@ -76,6 +85,7 @@
 ) -> Run:
     """Return the message that asks a node to run a call."""
     arrived = call.arrived
+    route = arrived.route
     return Run(
         call=arrived.call,
         attempt=call.attempt,
@@ -87,6 +97,8 @@
         retried=call.retried,
         may_move=call.may_move,
         settings_version=settings_version,
+        priority=DEFAULT_PRIORITY if route is None else route.priority,
+        objective_ms=max(0, int((arrived.objective - now) * _MS_PER_S)),
         method=arrived.method,
         path=arrived.path,
         headers=arrived.headers,
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -26,6 +26,12 @@
     return entry.begin(event, now)
 
 
+@handle.register
+def _(event: ev.Unroutable, entry: Entry, now: float) -> Effects:
+    entry.note_refusal(event.call, '', event.failure, now)
+    return [ev.RefuseCaller(event.call, event.failure)]
+
+
 @handle.register
 def _(event: ev.FromNode, entry: Entry, now: float) -> Effects:
     call = entry.calls.get(getattr(event.message, 'call', ''))
@@ -179,7 +185,11 @@
 def _failure_of(message: msg.Refused) -> Failure:
     """Return a refusal; a newer node may name what this one doesn't know."""
     try:
-        return Failure(Reason(message.reason), Outcome(message.outcome))
+        return Failure(
+            Reason(message.reason),
+            Outcome(message.outcome),
+            reached=message.reached,
+        )
     except ValueError:
         return Failure(Reason.NODE_LOST, Outcome.UNKNOWN, message.reason)
 
--- a/daisyline/coordination/fair_queue.py
+++ b/daisyline/coordination/fair_queue.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from daisyline.state.routes import DEFAULT_PRIORITY
+
 DEFAULT_WEIGHT = 1
 #: The part of the queue that one tenant may hold, however idle the others.
 TENANT_PART = 0.75
@@ -19,12 +21,14 @@
         tenant: The tenant or class of the caller.
         give_up_at: The call's deadline, in monotonic seconds.
         may_move: Whether its entry node can still offer it to another target.
+        priority: Its rank; 0 goes first.
     """
 
     call: str
     tenant: str
     give_up_at: float
     may_move: bool = False
+    priority: int = DEFAULT_PRIORITY
 
 
 @attrs.define
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -22,16 +22,34 @@
     MemberRecord,
     Standing,
 )
+from daisyline.coordination.order_reading import orders_in
 from daisyline.coordination.outbox import messages_to, shortened
+from daisyline.coordination.reader import Finding, Found
+from daisyline.coordination.readers import SETTINGS_KIND, SETTINGS_NAME
 from daisyline.coordination.seeds import Seeds
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
+from daisyline.state.orders import Orders
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
 
 PAUSE_NOTED_S = 1.0
 
 
+@attrs.frozen
+class Sources:
+    """What is read of the platform.
+
+    Attributes:
+        kinds: The kinds of objects that are followed.
+        current: Whether a list is never older than the call for it, so that
+            a node may serve what it has read without asking others.
+    """
+
+    kinds: tuple[str, ...] = (SETTINGS_KIND,)
+    current: bool = False
+
+
 @attrs.define
 class Fleet:
     """Find members, notice failures, and spread settings and facts.
@@ -42,6 +60,7 @@
 
     _gossip: Gossip
     _seeds: Seeds
+    _sources: Sources = attrs.field(factory=Sources)
     _called_at: float = 0
     _has_left: bool = False
 
@@ -53,6 +72,7 @@
         peers: tuple[tuple[str, int], ...],
         rng: random.Random,
         now: float,
+        sources: Sources | None = None,
     ) -> 'Fleet':
         """Make the view of a node that has just started.
 
@@ -62,9 +82,12 @@
             peers: Addresses of other nodes that may be tried first.
             rng: Where random numbers come from.
             now: The time in seconds.
+            sources: What is read of the platform.
         """
-        gossip = Gossip.from_member(me, cluster, rng, now)
-        return cls(gossip=gossip, seeds=Seeds(me, peers, rng, now))
+        sources = sources or Sources()
+        gossip = Gossip.from_member(me, cluster, rng, now, sources.kinds)
+        seeds = Seeds(me, peers, rng, now)
+        return cls(gossip=gossip, seeds=seeds, sources=sources)
 
     @property
     def me(self) -> Member:
@@ -177,12 +200,9 @@
     def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
         gossip = self._gossip
         effects: list[Any] = []
-        neighbours = gossip.members.overlay.neighbours()
-        replied = gossip.readers.replied(event, len(self.members), now)
-        for version, value in replied:
-            effects.extend(
-                gossip.settings.adopt(version, value, neighbours, now)
-            )
+        finding = gossip.readers.replied(event, len(self.members), now)
+        if finding is not None:
+            effects.extend(self._learn(finding, now))
         live = self.members.values()
         for address in self._seeds.replied(event, live, now):
             effects.append(gossip.contact(*address))
@@ -195,6 +215,26 @@
     ) -> list[Any]:
         return self._gossip.detector.probe(event.node, now)
 
+    def follow_orders(self, now: float) -> list[Any]:
+        """Put the orders among the facts in force."""
+        return self._gossip.settings.follow(Orders.from_facts(self.facts))
+
+    def _learn(self, finding: Finding, now: float) -> list[Any]:
+        """Take over what a read of the platform has brought."""
+        gossip = self._gossip
+        neighbours = gossip.members.overlay.neighbours()
+        effects: list[Any] = []
+        if finding.kind == SETTINGS_KIND and self._sources.current:
+            gossip.settings.trust(now)
+        for found in finding.objects:
+            if finding.kind == SETTINGS_KIND and _is_tree(found):
+                effects += gossip.settings.adopt(
+                    found.version, found.content, neighbours, now
+                )
+        for order in orders_in(finding, self.facts):
+            effects += self.put_fact(order.to_fact(), now)
+        return effects
+
     def _note_pause(self, now: float) -> None:
         """Notice that the process was paused; each pause counts once."""
         late = now - max(self.next_at(), self._called_at)
@@ -214,3 +254,7 @@
             effects.append(MembersChanged(changed, removed))
         gossip.holders.watch(now)
         return effects
+
+
+def _is_tree(found: Found) -> bool:
+    return found.name == SETTINGS_NAME and found.content is not None
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -31,7 +31,7 @@
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership import Membership, Merge
 from daisyline.coordination.outbox import Outbox, messages_to, shortened
-from daisyline.coordination.readers import Readers
+from daisyline.coordination.readers import SETTINGS_KIND, Readers
 from daisyline.coordination.spread import START_WAIT_S, SettingsSpread
 from daisyline.state.members import Member
 
@@ -78,13 +78,26 @@
 
     @classmethod
     def from_member(
-        cls, me: Member, cluster: str, rng: random.Random, now: float
+        cls,
+        me: Member,
+        cluster: str,
+        rng: random.Random,
+        now: float,
+        kinds: tuple[str, ...] = (SETTINGS_KIND,),
     ) -> 'Gossip':
-        """Make the view of a node that has just started."""
+        """Make the view of a node that has just started.
+
+        Args:
+            me: The node itself.
+            cluster: The cluster's name.
+            rng: Where random numbers come from.
+            now: The time in seconds.
+            kinds: The kinds of the platform's objects that are followed.
+        """
         digest = Digest()
         members = Membership.from_member(me, digest)
         settings = SettingsSpread(start_until=now + START_WAIT_S)
-        readers = Readers(me.region, me.name, rng, now, now)
+        readers = Readers.from_kinds(me, kinds, rng, now)
         summary = functools.partial(_summary, digest, settings, readers)
         return cls(
             cluster=cluster,
--- a/daisyline/coordination/messages.py
+++ b/daisyline/coordination/messages.py
@@ -51,6 +51,9 @@
         retried: Whether this call, or one above it, is a retry.
         may_move: Whether the sender can still offer it to another target.
         settings_version: The newest settings that the sender holds.
+        priority: Its rank when the target has no room for all; 0 goes first.
+        objective_ms: Milliseconds left until the time within which an answer
+            is wanted; 0 if none is stated or it has passed.
         method: The request's method.
         path: The request's target, byte for byte.
         headers: End-to-end headers, in order.
@@ -67,6 +70,8 @@
     retried: bool
     may_move: bool
     settings_version: int
+    priority: int
+    objective_ms: int
     method: bytes
     path: bytes
     headers: Headers
@@ -124,6 +129,8 @@
         limit: Load of the target, see `LoadReport`.
         service_us: Load of the target, see `LoadReport`.
         retried: Whether a retry was spent on this call or below it.
+        reached: Whether the target was handed the call, which it may have
+            turned away.
     """
 
     call: str
@@ -134,6 +141,7 @@
     limit: int = 1
     service_us: int = 0
     retried: bool = False
+    reached: bool = False
 
 
 @attrs.frozen
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 from typing import Any
 
 import attrs
@@ -11,9 +12,10 @@
 from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.entry import Entry
-from daisyline.coordination.fleet import Fleet
+from daisyline.coordination.fleet import Fleet, Sources
 from daisyline.coordination.owner import Owner
 from daisyline.coordination.quarantine import Quarantine, fingerprint
+from daisyline.coordination.registration import Registration
 from daisyline.coordination.rollout import Rollouts
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
@@ -25,6 +27,10 @@
 TARGET_LEASE_S = 3.0
 # The connections of a target that crashed are all found closed within this.
 _ONE_CRASH_S = 1.0
+# A target that crashed has started again within this time.
+_RESTART_S = 10.0
+# Requests that are remembered until it has: more than one target runs.
+_CUT_REQUESTS = 64
 _US_PER_S = 1_000_000
 _SERVER_ERROR = 500
 
@@ -43,7 +49,14 @@
     quarantine: Quarantine
     events: log.EventLog
     latencies: Latencies
+    registration: Registration = attrs.field(factory=Registration)
+    lease_s: float = TARGET_LEASE_S
     lease_ends: float = math.inf
+    warm_at: float = math.inf
+    is_leaving: bool = False
+    _cut_requests: deque[tuple[str, float]] = attrs.field(
+        factory=lambda: deque(maxlen=_CUT_REQUESTS)
+    )
     _cut: set[str] = attrs.field(factory=set)
     _cut_at: float = -math.inf
 
@@ -55,6 +68,7 @@
         peers: tuple[tuple[str, int], ...],
         rng: random.Random,
         now: float,
+        sources: Sources | None = None,
     ) -> 'NodeCore':
         """Build the decisions of a node that has just started."""
         events = log.EventLog.from_config()
@@ -62,7 +76,7 @@
             name=me.name,
             entry=Entry.from_config(me.name, rng, events),
             owner=Owner.from_config(me.name, me.zone, events),
-            fleet=Fleet.from_config(me, cluster, peers, rng, now),
+            fleet=Fleet.from_config(me, cluster, peers, rng, now, sources),
             rollouts=Rollouts.from_config(me.name, rng, now, events),
             quarantine=Quarantine.from_config(me.name, rng, events),
             events=events,
@@ -82,19 +96,36 @@
             self.fleet.next_at(),
             self.rollouts.next_at(),
             self.lease_ends,
+            self.warm_at,
         )
 
-    def announced(self, target: Target | None, now: float) -> Effects:
-        """Follow what the target beside this node says of itself."""
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+        return self.fleet.settings.version > 0 and not self.is_leaving
+
+    def announced(
+        self, target: Target | None, now: float, cold_s: float = 0
+    ) -> Effects:
+        """Follow what the target beside this node says of itself.
+
+        Args:
+            target: The target; None if it has lapsed.
+            now: Monotonic seconds.
+            cold_s: For how long it says that it stays cold, in seconds.
+        """
+        self.warm_at = now + cold_s if cold_s else math.inf
         if target is not None:
-            self.lease_ends = now + TARGET_LEASE_S
-        if target == self.owner.target:
+            self.lease_ends = now + self.lease_s
+        return self._use_target(target, now)
+
+    def warmed(self, now: float) -> Effects:
+        """Take the target for warm, as the time that it named is over."""
+        self.warm_at = math.inf
+        target = self.owner.target
+        if target is None or target.phase != Phase.COLD:
             return []
-        return [
-            inward.TargetChanged(target),
-            *self.owner.use_target(target, now),
-            *self.fleet.announce(target, now),
-        ]
+        return self._use_target(attrs.evolve(target, phase=Phase.READY), now)
 
     def screen(self, run: msg.Run, now: float) -> Failure | None:
         """Return why a call must not reach this node's target, if so."""
@@ -124,8 +155,43 @@
             self.rollouts.observe(self._sample(event, target), now)
         return effects
 
+    def _use_target(self, target: Target | None, now: float) -> Effects:
+        known = self.owner.target
+        if target == known:
+            return []
+        effects: Effects = []
+        if target is not None and known is not None:
+            if target.incarnation != known.incarnation:
+                effects += self._started_anew(now)
+        return [
+            *effects,
+            inward.TargetChanged(target),
+            *self.owner.use_target(target, now),
+            *self.fleet.announce(target, now),
+        ]
+
+    def _started_anew(self, now: float) -> Effects:
+        """Count a crash, if calls were cut shortly before the new start."""
+        lately = [
+            request
+            for request, at in self._cut_requests
+            if at > now - _RESTART_S
+        ]
+        self._cut_requests.clear()
+        if not lately:
+            return []
+        return self.quarantine.crashed(lately, self.name, now)
+
     def _crashed(self, run: msg.Run, now: float) -> Effects:
-        """Count a crash once: each of the calls that it cut tells of it."""
+        """Count a crash once: each of the calls that it cut tells of it.
+
+        A lost answer alone is no proof of a crash if the target tells when it
+        was started, as its next start will.
+        """
+        target = self.owner.target
+        if target is not None and target.started_ms:
+            self._cut_requests.append((_fingerprint(run), now))
+            return []
         if run.call in self._cut and now < self._cut_at + _ONE_CRASH_S:
             return []
         self._cut = set(self.owner.jobs)
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -18,10 +18,12 @@
 from daisyline.coordination.evidence_messages import Evidence
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.node_core import Effects, NodeCore
+from daisyline.coordination.registration import Announcement
 from daisyline.coordination.settings_events import (
     member_events,
     zone_events,
 )
+from daisyline.state.orders import ORDER_KINDS
 
 _US_PER_S = 1_000_000
 
@@ -49,6 +51,8 @@
     if core.lease_ends <= now:
         core.lease_ends = math.inf
         effects += core.announced(None, now)
+    if core.warm_at <= now:
+        effects += core.warmed(now)
     for part in (core.entry, core.owner, core.fleet, core.rollouts):
         if part.next_at() <= now:
             effects += part.tick(now)
@@ -93,7 +97,18 @@
 
 @_route.register
 def _(event: ev.TargetAnnounced, core: NodeCore, now: float) -> Effects:
-    return core.announced(event.target, now)
+    if event.target is None:
+        return core.announced(None, now)
+    said = Announcement(event.target, event.sequence, event.cold_s)
+    if not core.registration.accept(said):
+        return []
+    return core.announced(said.target, now, said.cold_s)
+
+
+@_route.register
+def _(event: ev.TargetLeaves, core: NodeCore, now: float) -> Effects:
+    said = core.registration.leaving(event.instance, event.started_ms)
+    return [] if said is None else core.announced(said.target, now)
 
 
 @_route.register
@@ -157,7 +172,10 @@
 @_apply.register
 def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
     core.quarantine.handle(effect, now)
-    return core.rollouts.handle(effect, now)
+    effects = core.rollouts.handle(effect, now)
+    if effect.fact.kind in ORDER_KINDS:
+        effects += core.fleet.follow_orders(now)
+    return effects
 
 
 @_apply.register
--- /dev/null
+++ b/daisyline/coordination/order_reading.py
@@ -0,0 +1,79 @@
+"""Turn what reads of the platform bring into orders."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from daisyline.coordination.reader import Finding, Found
+from daisyline.state.facts import Fact
+from daisyline.state.orders import (
+    ROLLOUT_ORDER,
+    ZONE_ORDER,
+    Order,
+    rollout_to,
+    zone_out,
+)
+from daisyline.state.rollout_plan import RolloutPlan
+
+ZONES_KIND = 'zones'
+ROLLOUTS_KIND = 'rollout-orders'
+
+
+def orders_in(
+    finding: Finding, held: Mapping[tuple[str, str], Fact]
+) -> list[Order]:
+    """Return the orders that a read has brought or withdrawn.
+
+    Args:
+        finding: An answer of the platform about a kind of orders.
+        held: The facts that this node holds.
+    """
+    kind = _order_kind(finding.kind)
+    if kind is None:
+        return []
+    orders = [
+        order
+        for order in (_order(kind, found) for found in finding.objects)
+        if order is not None
+    ]
+    if finding.whole:
+        listed = {found.name for found in finding.objects}
+        orders += _withdrawn(kind, listed, finding.revision, held)
+    return orders
+
+
+def _order_kind(kind: str) -> str | None:
+    return {ZONES_KIND: ZONE_ORDER, ROLLOUTS_KIND: ROLLOUT_ORDER}.get(kind)
+
+
+def _withdrawn(
+    kind: str,
+    listed: Iterable[str],
+    revision: int,
+    held: Mapping[tuple[str, str], Fact],
+) -> list[Order]:
+    """Return the end of each order that was held and isn't there any more."""
+    gone = [
+        fact.name
+        for fact in held.values()
+        if fact.kind == kind and fact.payload and fact.rank <= revision
+    ]
+    return [
+        Order(kind, name, revision) for name in gone if name not in set(listed)
+    ]
+
+
+def _order(kind: str, found: Found) -> Order | None:
+    """Return one order; None if its object holds none that can be read."""
+    if found.content is None:
+        return Order(kind, found.name, found.version)
+    if kind == ZONE_ORDER:
+        return zone_out(found.name, found.version)
+    plan = _plan(found.name, found.content)
+    return None if plan is None else rollout_to(plan, found.version)
+
+
+def _plan(service: str, content: Any) -> RolloutPlan | None:
+    try:
+        return RolloutPlan(service=service, **content)
+    except (TypeError, ValueError):
+        return None
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -19,6 +19,7 @@
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.jobs import Job
 from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.limits import Limits
 from daisyline.state.settings import Settings
 from daisyline.state.targets import LoadReport, Phase, Target
 
@@ -71,7 +72,7 @@
         self._settings = settings
         if self._admission is None or self._target is None:
             return []
-        limits = settings.limits_for(self._target.service, self._zone)
+        limits = self._limits_of(self._target)
         self._admission.set_weights(settings.tenant_weights)
         change = self._admission.set_limits(limits, now)
         return self.follow(change.started, change.refused, now)
@@ -83,10 +84,12 @@
         if target is None:
             return []
         if self._admission is None:
-            limits = self._settings.limits_for(target.service, self._zone)
-            self._admission = Admission.from_limits(limits, now)
+            limits = self._limits_of(target)
+            self._admission = Admission.from_limits(
+                limits, now, candid=target.slots > 0
+            )
             self._admission.set_weights(self._settings.tenant_weights)
-        elif known is not None and known.instance != target.instance:
+        elif known is not None and known.incarnation != target.incarnation:
             self._admission.turned_cold(now)
         change = self._admission.set_phase(target.phase, now)
         return self.follow(change.started, change.refused, now)
@@ -99,7 +102,9 @@
         assert self._admission is not None
         deadline = now + run.budget_ms / MS_PER_S
         self.jobs[run.call] = Job(run, peer, deadline)
-        ticket = Ticket(run.call, run.tenant, deadline, run.may_move)
+        ticket = Ticket(
+            run.call, run.tenant, deadline, run.may_move, run.priority
+        )
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
             self.jobs.pop(run.call)
@@ -182,6 +187,7 @@
             limit=load.limit,
             service_us=load.service_us,
             retried=retried,
+            reached=failure.reached,
         )
         return ev.Reply(peer, message)
 
@@ -198,7 +204,9 @@
         """End what has waited or run for too long."""
         effects: Effects = []
         if self._admission is not None:
-            effects += self.follow([], self._admission.expire(now), now)
+            refused = self._admission.expire(now)
+            started = self._admission.resume(now)
+            effects += self.follow(started, refused, now)
         while self._deadlines and self._deadlines[0][0] <= now:
             job = self.jobs.get(heapq.heappop(self._deadlines)[1])
             if job is not None:
@@ -273,8 +281,14 @@
         """Return the contract's slots; a lowered one holds for new calls."""
         if self._target is None:
             return math.inf
-        service = self._target.service
-        return self._settings.limits_for(service, self._zone).slots_per_upstream
+        return self._limits_of(self._target).slots_per_upstream
+
+    def _limits_of(self, target: Target) -> Limits:
+        """Return the target's limits; it may say how many slots it has."""
+        limits = self._settings.limits_for(target.service, self._zone)
+        if not target.slots:
+            return limits
+        return attrs.evolve(limits, slots_per_upstream=target.slots)
 
     def _abort(self, job: Job) -> Effects:
         if job.aborted:
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -98,13 +98,12 @@
 @handle.register
 def _(event: ev.TargetFailed, owner: Owner, now: float) -> Effects:
     job = owner.jobs[event.call]
-    outcome = Outcome.UNKNOWN if event.sent else Outcome.NOT_RUN
-    failure = Failure(Reason.TARGET_LOST, outcome, event.detail)
+    failure = _failure_of(event)
     effects: Effects = []
     refusal = owner.refused(
         job.peer, event.call, failure, now, retried=job.retry_spent
     )
-    if event.sent:
+    if failure.outcome == Outcome.UNKNOWN:
         owner.records.keep(job.run, refusal.message, now)
     if job.attached:
         effects.append(refusal)
@@ -112,6 +111,13 @@
     return effects + owner.ended(job, now, status=0, crashed=crashed)
 
 
+def _failure_of(event: ev.TargetFailed) -> Failure:
+    if event.declined:
+        return Failure(Reason.OVERLOADED, detail=event.detail, reached=True)
+    outcome = Outcome.UNKNOWN if event.sent else Outcome.NOT_RUN
+    return Failure(Reason.TARGET_LOST, outcome, event.detail)
+
+
 def _forward(job: Job, message: Any, octets: int) -> Effects:
     """Send a part of an answer on, and hold the target if that is too much."""
     if not job.attached:
--- a/daisyline/coordination/retries.py
+++ b/daisyline/coordination/retries.py
@@ -6,12 +6,8 @@
 from daisyline.state.settings import Limits
 
 PERCENT = 100
-#: Retries that a budget holds before it has earned any.
-RESERVE = 3
-#: The most retries that a budget saves up.
-MOST_SAVED = 10
 #: Nodes that one call is offered to at most, while all refuse it as not run.
-MAX_TRIES = 3
+MAX_TRIES = 4
 #: With less time than this left a call isn't sent again, in seconds.
 MIN_LEFT_S = 0.001
 
@@ -43,16 +39,20 @@
     """
 
     _per_call: float
-    _saved: float = RESERVE
+    _saved: float
+    _reserve: float
 
     @classmethod
-    def from_limits(cls, limits: Limits, now: float) -> 'RetryBudget':
-        """Build a budget that holds its reserve."""
-        return cls(per_call=limits.retry_percent / PERCENT)
+    def from_limits(
+        cls, limits: Limits, now: float, nodes: int = 1
+    ) -> 'RetryBudget':
+        """Build a budget that holds its part of the fleet's reserve."""
+        reserve = max(1, limits.retry_reserve / nodes)
+        return cls(limits.retry_percent / PERCENT, reserve, reserve)
 
     def earned(self, now: float) -> None:
         """Count a call of a caller; retries are no calls."""
-        self._saved = min(MOST_SAVED, self._saved + self._per_call)
+        self._saved = min(self._reserve, self._saved + self._per_call)
 
     def allows(self, now: float) -> bool:
         """Return whether there is a retry left."""
@@ -105,12 +105,16 @@
             or below it; the mark goes down with the call and comes up with
             the answer or failure.
         left_s: Seconds until the call's deadline.
+        reached: How many targets were handed the call.
+        most_targets: How many may be.
     """
 
     number: int
     repeatable: bool
     retried: bool
     left_s: float
+    reached: int = 0
+    most_targets: int = MAX_TRIES
 
 
 @attrs.frozen
@@ -132,15 +136,18 @@
     """Return whether a call is sent again, or the failure for its caller.
 
     A call refused as not run goes to another target at no cost, as nothing
-    was done for it. One that may have run goes again only if it is
-    repeatable, nobody else in the chain has retried it, and the budget has
-    a retry left.
+    was done for it. One that reached a target goes again only if it did not
+    run or is repeatable, nobody else in the chain has retried it, and the
+    budget has a retry left.
     """
     if attempt.left_s < MIN_LEFT_S or attempt.number >= MAX_TRIES:
         return failure
-    if failure.outcome == Outcome.NOT_RUN:
+    if failure.outcome == Outcome.NOT_RUN and not failure.reached:
         return _try_elsewhere(attempt, failure)
-    if attempt.retried or not attempt.repeatable:
+    may_repeat = attempt.repeatable or failure.outcome == Outcome.NOT_RUN
+    if attempt.retried or not may_repeat:
+        return failure
+    if attempt.reached >= attempt.most_targets:
         return failure
     if not budget.spend(now):
         return failure
--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -87,7 +87,7 @@
         if progress is None or not progress.is_moving:
             return
         plan = progress.plan
-        if sample.version not in {plan.old, plan.new}:
+        if sample.version != plan.new and not plan.leaves(sample.version):
             return
         collector = self._collectors.get(sample.service)
         if collector is None:
--- a/daisyline/coordination/rollout_judge.py
+++ b/daisyline/coordination/rollout_judge.py
@@ -97,7 +97,7 @@
             return False
         if evidence.version == self._plan.new:
             self._add_new(evidence)
-        elif evidence.version == self._plan.old:
+        elif self._plan.leaves(evidence.version):
             for row in evidence.rows:
                 self._route(row.route).add_old(row)
         return True
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -1,7 +1,7 @@
 """When a rollout's share grows, and when it is done."""
 
 from daisyline.coordination.rollout_judge import Judgement
-from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.rollout_plan import FULL_PERCENT, RolloutPlan
 from daisyline.state.rollout_state import FIRST_SHARE, Stage, Standing
 
 # The old version keeps the last part until the end, to be compared with; the
@@ -50,8 +50,9 @@
     # A version that no call ever reached may not be there at all.
     if not judgement.seen and not standing.step:
         return None
-    if standing.step + 1 < len(SHARES):
-        return _grown(standing.step + 1, part, elapsed_s, calls_at_step)
+    index = standing.step + 1
+    if index < len(SHARES) and _may_grow(plan, index):
+        return _grown(index, part, elapsed_s, calls_at_step)
     if part < DONE_DUE:
         return None
     return _ended(
@@ -61,6 +62,10 @@
     )
 
 
+def _may_grow(plan: RolloutPlan, index: int) -> bool:
+    return SHARES[index] * FULL_PERCENT <= plan.exposed_percent
+
+
 def _grown(
     index: int, part: float, elapsed_s: float, calls: int
 ) -> Standing | None:
--- a/daisyline/coordination/settings_events.py
+++ b/daisyline/coordination/settings_events.py
@@ -51,9 +51,8 @@
     return events
 
 
-def _zones_of(settings: Settings) -> Mapping[str, object]:
-    zones: Mapping[str, object] = settings.tree.get('zones', {})
-    return zones
+def _zones_of(settings: Settings) -> set[str]:
+    return {*settings.tree.get('zones', {}), *settings.zones_out}
 
 
 def _state(settings: Settings, zone: str) -> str:
--- a/daisyline/coordination/spread.py
+++ b/daisyline/coordination/spread.py
@@ -17,6 +17,7 @@
     SettingsNotice,
     SettingsWanted,
 )
+from daisyline.state.orders import Orders
 from daisyline.state.settings import Settings
 
 MAX_CONTENT_BYTES = 2 * 1024 * 1024
@@ -142,7 +143,7 @@
         if isinstance(settings, list):
             self._refused = version
             return [SettingsRefused(version, tuple(settings))]
-        self._held = settings
+        self._held = attrs.evolve(settings, orders=self._held.orders)
         # Nodes need the tree; the history of changes is read from the platform.
         self._content = pack_value({'tree': settings.tree})
         self._asked = ''
@@ -154,6 +155,18 @@
         ]
         return self._settle(now) + effects
 
+    def trust(self, now: float) -> None:
+        """Serve what is held, as the platform has just been asked."""
+        self._start_until = min(self._start_until, now)
+
+    def follow(self, orders: Orders) -> list[Any]:
+        """Put orders in force that stand beside the tree."""
+        self._held = attrs.evolve(self._held, orders=orders)
+        if self._served.orders == orders:
+            return []
+        self._served = attrs.evolve(self._served, orders=orders)
+        return [SettingsChanged(self._served)]
+
     def tick(self, live: Iterable[str], now: float) -> list[Any]:
         """Ask another peer if one hasn't answered, and settle if it is time."""
         effects = self._settle(now)
--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/target_table.py
@@ -15,6 +15,8 @@
 _REFRESH_S = 0.1
 
 Shares = Mapping[str, float] | None
+# The share of all versions that have none of their own.
+OTHERS = ''
 
 
 @attrs.frozen
@@ -49,8 +51,7 @@
 
     def use_settings(self, settings: Settings, now: float) -> None:
         """Follow a change of settings; a zone that is back starts its ramp."""
-        zones = settings.tree.get('zones', {})
-        out = frozenset(zone for zone in zones if settings.zone_is_out(zone))
+        out = settings.zones_out
         for zone in self._out - out:
             self._back_at[zone] = now
         self._out = out
@@ -129,12 +130,17 @@
         return candidates
     totals: dict[str, float] = defaultdict(float)
     for candidate in candidates:
-        totals[candidate.version] += candidate.weight
-    return [
-        attrs.evolve(
-            one,
-            weight=shares[one.version] * one.weight / totals[one.version],
-        )
-        for one in candidates
-        if one.weight > 0 and shares.get(one.version, 0) > 0
-    ]
+        totals[_group(candidate, shares)] += candidate.weight
+    weighed = []
+    for one in candidates:
+        group = _group(one, shares)
+        share = shares.get(group, 0)
+        if one.weight > 0 and share > 0:
+            weight = share * one.weight / totals[group]
+            weighed.append(attrs.evolve(one, version=group, weight=weight))
+    return weighed
+
+
+def _group(candidate: Candidate, shares: Mapping[str, float]) -> str:
+    """Return the version whose share a target's is part of."""
+    return candidate.version if candidate.version in shares else OTHERS
--- /dev/null
+++ b/daisyline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and daisyline; it decides nothing."""
--- /dev/null
+++ b/daisyline/platform/front.py
@@ -0,0 +1,33 @@
+"""The front end by which a node speaks with the users' platform."""
+
+from daisyline.coordination.fleet import Sources
+from daisyline.coordination.order_reading import ROLLOUTS_KIND, ZONES_KIND
+from daisyline.coordination.readers import SETTINGS_KIND
+from daisyline.platform import wire
+from daisyline.platform.boot import Boot
+from daisyline.platform.notices import Notices, acknowledge
+from daisyline.platform.store import PlatformStore
+from daisyline.protocol.front_end import FrontEnd
+
+# Heartbeats may come seconds late; a target that is gone refuses connections
+# long before.
+_LEASE_HEARTBEATS = 6
+# The platform asks once a second and believes the second answer.
+_NOTICE_S = 2.3
+# A process is killed at the end of its grace; it ends by itself before.
+_STOP_MARGIN_S = 0.7
+
+
+def front_end(boot: Boot) -> FrontEnd:
+    """Return the front end of a node."""
+    return FrontEnd(
+        dialect=wire.DIALECT,
+        store=PlatformStore.from_boot(boot),
+        sources=Sources((SETTINGS_KIND, ZONES_KIND, ROLLOUTS_KIND), True),
+        read_notice=Notices.from_boot(boot).read,
+        acknowledge=acknowledge,
+        lease_s=_LEASE_HEARTBEATS * boot.heartbeat_s,
+        ready_path=wire.READY_PATH,
+        notice_s=_NOTICE_S,
+        stop_s=boot.stop_s - _STOP_MARGIN_S,
+    )
--- /dev/null
+++ b/daisyline/platform/store.py
@@ -0,0 +1,171 @@
+"""Calls on the platform's metadata store, and its answers."""
+
+import functools
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+
+from daisyline.coordination.effects import (
+    PlatformList,
+    PlatformRead,
+    PlatformReply,
+    PlatformWatch,
+    PlatformWrite,
+)
+from daisyline.platform import wire
+from daisyline.platform.boot import Boot
+from daisyline.platform.kinds import (
+    Kind,
+    RolloutRecords,
+    Stored,
+    fields_of,
+    kinds_of,
+    name_of,
+    value_of,
+)
+from daisyline.protocol.http_messages import Request
+from daisyline.protocol.platform import NO_ANSWER, PlatformCall
+
+_WRITTEN = frozenset((HTTPStatus.OK, HTTPStatus.CREATED))
+
+
+@attrs.frozen
+class PlatformStore:
+    """The codec of the platform's store."""
+
+    _kinds: Mapping[str, Kind]
+
+    @classmethod
+    def from_boot(cls, boot: Boot) -> 'PlatformStore':
+        """Build the codec for a node."""
+        return cls(kinds_of(boot))
+
+    def request_of(self, effect: PlatformCall, host: str) -> Request:
+        """Return the request for an effect."""
+        kind = self._kinds[effect.kind]
+        method, path, body = _call_of(effect, kind)
+        headers = [(b'Host', host.encode())]
+        octets = b''
+        if body is not None:
+            headers.append((b'Content-Type', b'application/json'))
+            octets = json.dumps(body).encode()
+        return Request(method, path.encode(), tuple(headers), octets)
+
+    def reply_of(
+        self, effect: PlatformCall, status: int, body: bytes
+    ) -> PlatformReply:
+        """Return the event for an answer; status 0 means that none came."""
+        try:
+            said = json.loads(body) if body else {}
+        except (ValueError, RecursionError):
+            return PlatformReply(effect.token, NO_ANSWER)
+        if not isinstance(said, dict):
+            return PlatformReply(effect.token, NO_ANSWER)
+        if status not in _WRITTEN:
+            return PlatformReply(effect.token, status)
+        reply = _reply_of(effect, self._kinds[effect.kind], said)
+        return reply or PlatformReply(effect.token, NO_ANSWER)
+
+
+@functools.singledispatch
+def _call_of(effect: Any, kind: Kind) -> tuple[bytes, str, Any]:
+    """Return method, path and body of the call for an effect.
+
+    Raises:
+        TypeError: If the effect is none of the store's.
+    """
+    raise TypeError(f'{effect!r} is not for the store')
+
+
+@_call_of.register
+def _(effect: PlatformRead, kind: Kind) -> tuple[bytes, str, Any]:
+    return (b'GET', _object_path(kind, effect.name), None)
+
+
+@_call_of.register
+def _(effect: PlatformList, kind: Kind) -> tuple[bytes, str, Any]:
+    return (b'GET', _kind_path(kind), None)
+
+
+@_call_of.register
+def _(effect: PlatformWatch, kind: Kind) -> tuple[bytes, str, Any]:
+    query = f'watch={effect.since}&waitMs={effect.wait_ms}'
+    return (b'GET', f'{_kind_path(kind)}?{query}', None)
+
+
+@_call_of.register
+def _(effect: PlatformWrite, kind: Kind) -> tuple[bytes, str, Any]:
+    fields = fields_of(kind, effect.content)
+    if effect.version == 0 and not isinstance(kind, RolloutRecords):
+        body = {'metadata': {'name': effect.name}, **fields}
+        return (b'POST', _kind_path(kind), body)
+    meta = {'name': effect.name, 'rev': effect.version}
+    path = _object_path(kind, effect.name)
+    if isinstance(kind, RolloutRecords):
+        path = f'{path}/status'
+    return (b'PUT', path, {'metadata': meta, **fields})
+
+
+@functools.singledispatch
+def _reply_of(
+    effect: Any, kind: Kind, said: dict[str, Any]
+) -> PlatformReply | None:
+    """Return the event for a good answer; None if it can't be read."""
+    stored = Stored.from_fields(said)
+    if stored is None:
+        return None
+    content = value_of(kind, stored)
+    return PlatformReply(effect.token, HTTPStatus.OK, stored.revision, content)
+
+
+@_reply_of.register
+def _(
+    effect: PlatformList, kind: Kind, said: dict[str, Any]
+) -> PlatformReply | None:
+    at, items = said.get('at'), said.get('items')
+    if not isinstance(at, int) or not isinstance(items, list):
+        return None
+    listed = [
+        (name_of(kind, stored.name), stored.revision, value_of(kind, stored))
+        for stored in map(Stored.from_fields, items)
+        if stored is not None
+    ]
+    return PlatformReply(effect.token, HTTPStatus.OK, at, listed)
+
+
+@_reply_of.register
+def _(
+    effect: PlatformWatch, kind: Kind, said: dict[str, Any]
+) -> PlatformReply | None:
+    at, events = said.get('at'), said.get('events')
+    if not isinstance(at, int) or not isinstance(events, list):
+        return None
+    # Several events may be about one object; the last of them holds.
+    latest: dict[str, tuple[int, Any]] = {}
+    for event in events:
+        fields = event if isinstance(event, dict) else {}
+        stored = Stored.from_fields(fields.get('object'))
+        if stored is None:
+            continue
+        name = name_of(kind, stored.name)
+        if fields.get('deleted'):
+            latest[name] = (at, None)
+        elif name not in latest or latest[name][0] <= stored.revision:
+            latest[name] = (stored.revision, value_of(kind, stored))
+        elif latest[name][1] is None:
+            latest[name] = (stored.revision, value_of(kind, stored))
+    changed = [(name, *found) for name, found in latest.items()]
+    return PlatformReply(effect.token, HTTPStatus.OK, at, changed)
+
+
+def _kind_path(kind: Kind) -> str:
+    return f'{wire.OBJECTS_PATH}/{kind.path}'
+
+
+def _object_path(kind: Kind, name: str) -> str:
+    quoted = quote(name, safe='')
+    return f'{_kind_path(kind)}/{quoted}'
--- a/daisyline/programs/node_settings.py
+++ b/daisyline/programs/node_settings.py
@@ -23,6 +23,7 @@
 MAX_PORT = 65_535
 MAX_NAME_LENGTH = 128
 HTTP_PORT = 80
+LOOPBACK = '127.0.0.1'
 
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 _YEA = frozenset(('1', 'true', 'yes', 'on'))
@@ -69,6 +70,21 @@
     log_level: str = 'INFO'
     log_json: bool = False
 
+    @property
+    def target_host(self) -> str:
+        """Return the IP number that the target beside it calls."""
+        return LOOPBACK
+
+    @property
+    def ready_port(self) -> int | None:
+        """Return None: readiness is asked for at the operators' port."""
+        return None
+
+    @property
+    def service(self) -> str:
+        """Return nothing: the target beside it says what it is."""
+        return ''
+
     @property
     def platform_address(self) -> tuple[str, int]:
         """Return the IP number and the TCP port of the platform."""
--- a/daisyline/protocol/announcements.py
+++ b/daisyline/protocol/announcements.py
@@ -4,13 +4,27 @@
 import json
 from typing import Any
 
-import attrs
-
+from daisyline.coordination.registration import Announcement
+from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Finding
 from daisyline.state.targets import Phase, Target
 
 _MAX_PORT = 65_535
 _MAX_TEXT = 128
+_MS_PER_S = 1000
+
+
+def read_notice(request: Request) -> Announcement | list[Finding] | None:
+    """Return what a target announces; None if the request is another."""
+    if request.path != b'/announce' or request.method != b'POST':
+        return None
+    target = read_announcement(request.body)
+    return Announcement(target) if isinstance(target, Target) else target
+
+
+def acknowledge(lease_s: float) -> bytes:
+    """Return the body of the answer to an announcement."""
+    return json.dumps({'lease_ms': int(lease_s * _MS_PER_S)}).encode()
 
 
 def read_announcement(body: bytes) -> Target | list[Finding]:
@@ -26,13 +40,13 @@
     ]
     if findings:
         return findings
-    names = [field.name for field in attrs.fields(Target)]
+    names = ('service', 'version', 'instance', 'host', 'port', 'phase')
     return Target(**{name: said[name] for name in names if name in said})
 
 
 def _problems(said: dict[str, Any]) -> list[tuple[str, str]]:
     texts = [
-        (name, '' if _is_text(said.get(name)) else 'a short text is needed')
+        (name, '' if is_text(said.get(name)) else 'a short text is needed')
         for name in ('service', 'version', 'instance')
     ]
     phases = tuple(Phase)
@@ -45,7 +59,7 @@
     ]
 
 
-def _is_text(said: Any) -> bool:
+def is_text(said: Any) -> bool:
     """Return whether it is short, and fit for logs and for other nodes."""
     if not isinstance(said, str):
         return False
--- /dev/null
+++ b/daisyline/protocol/answer_check.py
@@ -0,0 +1,43 @@
+"""Whether the head of an answer belongs to the call that was sent."""
+
+import enum
+from http import HTTPStatus
+
+from daisyline.protocol.dialect import Dialect
+from daisyline.protocol.http_messages import Head
+
+
+class Verdict(enum.Enum):
+    """What the head of an answer is."""
+
+    OWN = 'own'
+    DECLINED = 'declined'
+    FOREIGN = 'foreign'
+
+
+def judge_head(head: Head, request_id: bytes, dialect: Dialect) -> Verdict:
+    """Return whether an answer is the call's own, as far as it says.
+
+    Args:
+        head: The head of the answer.
+        request_id: The caller's id of the request; empty if it had none.
+        dialect: The names of the headers that say so.
+    """
+    if dialect.request_id:
+        said = head.header(dialect.request_id)
+        if said is not None and said != request_id:
+            return Verdict.FOREIGN
+    if _is_declined(head, dialect):
+        return Verdict.DECLINED
+    if dialect.signature and head.header(dialect.signature) is None:
+        return Verdict.FOREIGN
+    if dialect.request_id and head.header(dialect.request_id) is None:
+        return Verdict.FOREIGN
+    return Verdict.OWN
+
+
+def _is_declined(head: Head, dialect: Dialect) -> bool:
+    if dialect.declined and head.header(dialect.declined) is not None:
+        return True
+    expects = bool(dialect.expected)
+    return expects and head.status == HTTPStatus.MISDIRECTED_REQUEST
--- /dev/null
+++ b/daisyline/protocol/dialect.py
@@ -0,0 +1,51 @@
+"""The names that daisyline's own values have in HTTP headers."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import attrs
+
+from daisyline.state.failures import Reason
+
+
+@attrs.frozen
+class Dialect:
+    """How one front end spells what daisyline says to callers and targets.
+
+    A name that is empty means that the front end has no such header. Names
+    that are looked up are in small letters.
+
+    Attributes:
+        request_id: The caller's id of a request; a target sends it back.
+        caller_deadline_ms: How long the caller waits, in milliseconds.
+        target_deadline_ms: How long the target may take, in milliseconds.
+        call: Names a call to the target, for the calls that it makes in turn.
+        expected: The instance that must run a call; others decline it.
+        origin: The service beside the node where a request came in.
+        declined: Stands in a target's answer if it didn't run the call.
+        signature: Stands in each answer that a target has made.
+        load: The target's load, in its answers.
+        reserved: Headers of callers that are not passed on.
+        statuses: Statuses of refusals that differ from the usual ones.
+        needs_route: Whether a request that no route fits is refused; else its
+            host names the service.
+        held_bytes: An answer is held back while it is shorter, so that one
+            which breaks off can still be asked for elsewhere; 0 if none is.
+        closing_stops: Whether a target stops a call once its connection is
+            closed; else it is told by the end of the stream and waited for.
+    """
+
+    request_id: bytes = b''
+    caller_deadline_ms: bytes = b'x-deadline-ms'
+    target_deadline_ms: bytes = b'Daisyline-Deadline-Ms'
+    call: bytes = b'Daisyline-Call'
+    expected: bytes = b''
+    origin: bytes = b''
+    declined: bytes = b''
+    signature: bytes = b''
+    load: bytes = b''
+    reserved: frozenset[bytes] = frozenset()
+    statuses: Mapping[Reason, HTTPStatus] = attrs.field(factory=dict)
+    needs_route: bool = False
+    held_bytes: int = 0
+    closing_stops: bool = False
--- /dev/null
+++ b/daisyline/protocol/front_end.py
@@ -0,0 +1,76 @@
+"""What differs between the ways in which daisyline meets its surroundings."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+
+from daisyline.coordination.effects import PlatformReply
+from daisyline.coordination.fleet import Sources
+from daisyline.coordination.node_core import TARGET_LEASE_S
+from daisyline.coordination.registration import Announcement
+from daisyline.protocol import announcements
+from daisyline.protocol import platform as object_api
+from daisyline.protocol.dialect import Dialect
+from daisyline.protocol.http_messages import Request
+from daisyline.protocol.platform import PlatformCall
+from daisyline.state.failures import Finding
+
+
+@attrs.frozen
+class Leaving:
+    """An instance says that it leaves, without its announcement.
+
+    Attributes:
+        instance: The instance.
+        started_ms: When it started, in Unix milliseconds; 0 if it doesn't
+            say.
+    """
+
+    instance: str
+    started_ms: int = 0
+
+
+Notice = Announcement | Leaving | Sequence[Finding]
+
+
+class StoreCodec(Protocol):
+    """How calls on the platform's store are put into HTTP."""
+
+    def request_of(self, effect: PlatformCall, host: str) -> Request:
+        """Return the request for an effect."""
+
+    def reply_of(
+        self, effect: PlatformCall, status: int, body: bytes
+    ) -> PlatformReply:
+        """Return the event for an answer; status 0 means that none came."""
+
+
+@attrs.frozen
+class FrontEnd:
+    """How a node speaks with callers, with its target and with the platform.
+
+    Attributes:
+        dialect: The names of headers.
+        store: The codec of the platform's store.
+        sources: What is read of the store.
+        read_notice: Reads a target's notice; None if a request is no notice.
+        acknowledge: Makes the body of the answer to a notice; it is given
+            the lease in seconds.
+        lease_s: How long an announcement holds, in seconds.
+        ready_path: Where the platform asks if the node takes callers.
+        notice_s: How long callers may take to hear that a node stops, during
+            which it goes on to serve them, in seconds.
+        stop_s: The longest that a stop waits for calls in progress, in
+            seconds.
+    """
+
+    dialect: Dialect = attrs.field(factory=Dialect)
+    store: StoreCodec = object_api
+    sources: Sources = attrs.field(factory=Sources)
+    read_notice: Callable[[Request], Notice | None] = announcements.read_notice
+    acknowledge: Callable[[float], bytes] = announcements.acknowledge
+    lease_s: float = TARGET_LEASE_S
+    ready_path: str = '/ready'
+    notice_s: float = 0
+    stop_s: float = 30.0
--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -1,6 +1,7 @@
 """The client's side of HTTP/1.1, as targets speak it, over h11."""
 
 import functools
+import re
 
 import h11
 
@@ -15,6 +16,7 @@
     answer_headers,
 )
 
+_KEPT = re.compile(rb'timeout\s*=\s*(\d{1,6})')
 # Stands before the first event, which is skipped like all of its kind.
 _SKIPPED = h11.InformationalResponse(status_code=100, headers=[])
 
@@ -90,7 +92,8 @@
 
 @_answer_event.register
 def _(event: h11.Response, codec: ClientCodec) -> Head:
-    return Head(event.status_code, answer_headers(event.headers.raw_items()))
+    headers = answer_headers(event.headers.raw_items())
+    return Head(event.status_code, headers, _idle_s(event))
 
 
 @_answer_event.register
@@ -106,3 +109,12 @@
 @_answer_event.register
 def _(event: h11.ConnectionClosed, codec: ClientCodec) -> Broken:
     return Broken('the connection closed')
+
+
+def _idle_s(event: h11.Response) -> float | None:
+    """Return how long an idle connection is kept, if the answer says."""
+    for name, content in event.headers:
+        if name == b'keep-alive':
+            found = _KEPT.search(content)
+            return float(found.group(1)) if found else None
+    return None
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -73,10 +73,25 @@
 
 @attrs.frozen
 class Head:
-    """The head of an answer; `headers` are the end-to-end ones."""
+    """The head of an answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The end-to-end headers, in order.
+        idle_s: How long the target keeps the idle connection, in seconds;
+            None if it doesn't say.
+    """
 
     status: int
     headers: Headers
+    idle_s: float | None = None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of a lower-case name, None if none is."""
+        for key, content in self.headers:
+            if key.lower() == name:
+                return content
+        return None
 
 
 @attrs.frozen
@@ -116,8 +131,16 @@
     return kept + lengths[:1]
 
 
-def end_to_end(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Drop hop-by-hop headers, those that `Connection` names, and our own."""
+def end_to_end(
+    raw: Iterable[tuple[bytes, bytes]],
+    reserved: frozenset[bytes] = frozenset(),
+) -> Headers:
+    """Drop hop-by-hop headers, those that `Connection` names, and our own.
+
+    Args:
+        raw: All headers, in order.
+        reserved: Further names to drop, in small letters.
+    """
     headers = list(raw)
     named = {
         token.strip().lower()
@@ -125,7 +148,7 @@
         if name.lower() == b'connection'
         for token in content.split(b',')
     }
-    dropped = _HOP_BY_HOP | named
+    dropped = _HOP_BY_HOP | named | reserved
     return tuple(
         (bytes(name), bytes(content))
         for name, content in headers
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -23,8 +23,18 @@
 class ServerCodec:
     """The server's side of one connection: one request at a time, in order."""
 
-    def __init__(self, body_limit_bytes: int) -> None:
-        """Start before the first request."""
+    def __init__(
+        self,
+        body_limit_bytes: int,
+        reserved: frozenset[bytes] = frozenset(),
+    ) -> None:
+        """Start before the first request.
+
+        Args:
+            body_limit_bytes: The longest body that is taken.
+            reserved: Headers that are dropped, in small letters.
+        """
+        self._reserved = reserved
         self._limit = body_limit_bytes
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -168,7 +178,7 @@
         return Request(
             method=bytes(request.method),
             path=bytes(request.target),
-            headers=end_to_end(request.headers.raw_items()),
+            headers=end_to_end(request.headers.raw_items(), self._reserved),
             body=b''.join(self._body),
             context=_context_of(request),
         )
--- a/daisyline/protocol/refusals.py
+++ b/daisyline/protocol/refusals.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from daisyline.coordination.messages import Headers
+from daisyline.protocol.dialect import Dialect
 from daisyline.state.failures import Failure, Outcome, Reason
 
 _STATUSES = types.MappingProxyType(
@@ -22,9 +23,25 @@
 )
 
 
-def status_of(failure: Failure) -> int:
-    """Return the HTTP status of a refusal; overload and the like are 503."""
-    return _STATUSES.get(failure.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+# Statuses that promise nothing, so that callers can't tell if a call ran.
+_UNKNOWN = frozenset((HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT))
+
+
+def status_of(failure: Failure, dialect: Dialect) -> int:
+    """Return the HTTP status of a refusal.
+
+    Overload and the like are 503, and so is every failure of a call that has
+    not run, as callers may then send it again. Whatever may have run is 502
+    or 504.
+    """
+    status = dialect.statuses.get(failure.reason) or _STATUSES.get(
+        failure.reason, HTTPStatus.SERVICE_UNAVAILABLE
+    )
+    if failure.outcome == Outcome.NOT_RUN:
+        return HTTPStatus.SERVICE_UNAVAILABLE if status in _UNKNOWN else status
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return HTTPStatus.BAD_GATEWAY
+    return status
 
 
 def headers_of(failure: Failure, call: str) -> Headers:
--- a/daisyline/state/limits.py
+++ b/daisyline/state/limits.py
@@ -14,6 +14,9 @@
 DEFAULT_PROBE_BUDGET_MS_PER_S = 10
 DEFAULT_COLD_START_MS = 10_000
 DEFAULT_ZONE_RETURN_MS = 30_000
+DEFAULT_RETRY_RESERVE = 20
+DEFAULT_COLD_CALLS_PER_S = 0
+DEFAULT_SLOTS_USED_PERCENT = 100
 
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 10_000
@@ -27,6 +30,9 @@
 MAX_PROBE_BUDGET_MS_PER_S = 1000
 MAX_COLD_START_MS = 600_000
 MAX_ZONE_RETURN_MS = 3_600_000
+MAX_RETRY_RESERVE = 100_000
+MAX_COLD_CALLS_PER_S = 100_000
+MIN_SLOTS_USED_PERCENT = 10
 
 LEAST = 'least'
 MOST = 'most'
@@ -56,6 +62,12 @@
         cold_start_ms: How long a target takes to warm up, in milliseconds.
         zone_return_ms: Over how long a zone's share grows after its return,
             in milliseconds.
+        retry_reserve: Retries that all nodes together may save up beside
+            `retry_percent`.
+        cold_calls_per_s: Calls that a cold target bears in any second; 0 if
+            one at a time is all that is known.
+        slots_used_percent: The part of the slots that is used, for targets
+            that slow down when they are nearly full.
     """
 
     slots_per_upstream: int = _number(DEFAULT_SLOTS, 1, MAX_SLOTS)
@@ -80,6 +92,13 @@
     )
     cold_start_ms: int = _number(DEFAULT_COLD_START_MS, 0, MAX_COLD_START_MS)
     zone_return_ms: int = _number(DEFAULT_ZONE_RETURN_MS, 0, MAX_ZONE_RETURN_MS)
+    retry_reserve: int = _number(DEFAULT_RETRY_RESERVE, 0, MAX_RETRY_RESERVE)
+    cold_calls_per_s: int = _number(
+        DEFAULT_COLD_CALLS_PER_S, 0, MAX_COLD_CALLS_PER_S
+    )
+    slots_used_percent: int = _number(
+        DEFAULT_SLOTS_USED_PERCENT, MIN_SLOTS_USED_PERCENT, PERCENT
+    )
 
 
 LIMIT_NAMES = tuple(field.name for field in attrs.fields(Limits))
--- /dev/null
+++ b/daisyline/state/orders.py
@@ -0,0 +1,83 @@
+"""Orders of operators that stand beside the settings tree."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from daisyline.state.facts import Fact
+from daisyline.state.rollout_plan import RolloutPlan
+
+ZONE_ORDER = 'zone-order'
+ROLLOUT_ORDER = 'rollout-order'
+ORDER_KINDS = (ZONE_ORDER, ROLLOUT_ORDER)
+# An order holds until it is withdrawn: ten years, in milliseconds.
+_ORDER_TTL_MS = 315_360_000_000
+
+_OUT = 'out'
+
+
+@attrs.frozen
+class Order:
+    """An order as the platform holds it.
+
+    Attributes:
+        kind: One of `ORDER_KINDS`.
+        name: The zone or the service that it is about.
+        revision: The store's revision at which it was given or withdrawn.
+        payload: The order; empty if it was withdrawn.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    payload: tuple[Any, ...] = ()
+
+    def to_fact(self) -> Fact:
+        """Return the fact that spreads the order."""
+        return Fact(
+            self.kind, self.name, self.revision, self.payload, _ORDER_TTL_MS
+        )
+
+
+def zone_out(zone: str, revision: int) -> Order:
+    """Return the order to send nothing to the targets of a zone."""
+    return Order(ZONE_ORDER, zone, revision, (_OUT,))
+
+
+def rollout_to(plan: RolloutPlan, revision: int) -> Order:
+    """Return the order to move a service to another version."""
+    payload = (
+        plan.id,
+        plan.old,
+        plan.new,
+        plan.finish_in_s,
+        str(plan.state),
+        plan.exposed_percent,
+    )
+    return Order(ROLLOUT_ORDER, plan.service, revision, payload)
+
+
+@attrs.frozen
+class Orders:
+    """The orders in force.
+
+    Attributes:
+        zones_out: Zones whose targets get nothing.
+        rollouts: The rollout wanted for each service.
+    """
+
+    zones_out: frozenset[str] = frozenset()
+    rollouts: Mapping[str, RolloutPlan] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_facts(cls, facts: Mapping[tuple[str, str], Fact]) -> 'Orders':
+        """Read the orders among the facts that a node holds."""
+        rollouts = {}
+        zones = set()
+        for (kind, name), fact in facts.items():
+            if kind == ZONE_ORDER and fact.payload:
+                zones.add(name)
+            if kind == ROLLOUT_ORDER and fact.payload:
+                rollouts[name] = RolloutPlan(name, *fact.payload)
+        return cls(frozenset(zones), rollouts)
--- a/daisyline/state/rollout_plan.py
+++ b/daisyline/state/rollout_plan.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+FULL_PERCENT = 100
+
 
 class PlanState(enum.StrEnum):
     """What operators want of a rollout now."""
@@ -21,10 +23,12 @@
     Attributes:
         service: The service whose version changes.
         id: Names this rollout; a new start has a new one.
-        old: The version that traffic leaves.
+        old: The version that traffic leaves; empty for all but the new one.
         new: The version that traffic moves to.
         finish_in_s: Seconds from the start until the move has to be done.
         state: Moving, or stopped by operators.
+        exposed_percent: The most of the traffic that the new version may get
+            before it has been judged, in percent.
     """
 
     service: str
@@ -35,6 +39,13 @@
     state: PlanState = attrs.field(
         default=PlanState.MOVING, converter=PlanState
     )
+    exposed_percent: int = FULL_PERCENT
+
+    def leaves(self, version: str) -> bool:
+        """Return whether traffic leaves a version."""
+        if self.old:
+            return version == self.old
+        return version != self.new
 
     @classmethod
     def from_fields(
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -8,7 +8,9 @@
 
 from daisyline.state.failures import Finding
 from daisyline.state.limits import LIMIT_NAMES, Limits
+from daisyline.state.orders import Orders
 from daisyline.state.rollout_plan import RolloutPlan
+from daisyline.state.routes import RouteTable
 from daisyline.state.settings_history import StoredSettings
 
 DEFAULT_WEIGHT = 1
@@ -46,10 +48,12 @@
     Attributes:
         version: The platform's version of the tree; a larger one is newer.
         tree: The tree as the operators wrote it.
+        orders: Orders that stand beside the tree and go before it.
     """
 
     version: int = 0
     tree: dict[str, Any] = attrs.field(factory=dict)
+    orders: Orders = attrs.field(factory=Orders)
     _cache: dict[tuple[str, str], Limits] = attrs.field(
         factory=dict, init=False, eq=False, repr=False
     )
@@ -83,6 +87,21 @@
             for host in entry.get('hosts', ())
         }
 
+    @functools.cached_property
+    def routes(self) -> RouteTable:
+        """Return the routes that the tree lists."""
+        return RouteTable.from_tree(self._section('routes'))
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Return the zones that operators have taken out."""
+        of_tree = (
+            zone
+            for zone, entry in self._section(_ZONES).items()
+            if entry.get('state') == 'out'
+        )
+        return self.orders.zones_out.union(of_tree)
+
     def limits_for(self, service: str, zone: str) -> Limits:
         """Return the limits of a service's upstreams in a zone."""
         key = (service, zone)
@@ -104,7 +123,7 @@
 
     def zone_is_out(self, zone: str) -> bool:
         """Return whether operators have taken a zone out."""
-        return self._section(_ZONES).get(zone, {}).get('state') == 'out'
+        return zone in self.zones_out
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -129,7 +148,7 @@
         """Return the rollout that operators want for a service."""
         fields = self._section('rollouts').get(service)
         if fields is None:
-            return None
+            return self.orders.rollouts.get(service)
         return RolloutPlan(service=service, **fields)
 
     def _section(self, name: str) -> Mapping[str, Any]:
--- a/daisyline/state/settings_check.py
+++ b/daisyline/state/settings_check.py
@@ -8,8 +8,19 @@
 import attrs
 
 from daisyline.state.failures import Finding
-from daisyline.state.limits import LEAST, MOST, Limits
+from daisyline.state.limits import (
+    LEAST,
+    MAX_DEADLINE_MS,
+    MOST,
+    PERCENT,
+    Limits,
+)
 from daisyline.state.rollout_plan import PlanState
+from daisyline.state.routes import (
+    MAX_PRIORITY,
+    MAX_ROUTE_WEIGHT,
+    MAX_TARGETS,
+)
 from daisyline.state.settings_rules import (
     ListOf,
     Named,
@@ -17,6 +28,7 @@
     Section,
     Text,
     WholeNumber,
+    YesOrNo,
     below,
     findings_in,
     nearest,
@@ -44,6 +56,10 @@
     re.compile('[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?'),
     'a host name in small letters, without a port',
 )
+_PREFIX = Text(
+    re.compile(r'/|/[^\s?#]{1,1022}/'),
+    'a path that begins and ends with a slash',
+)
 _METHOD = Text(re.compile('[A-Z]{1,20}'), "a method's name in capitals")
 _HEADER = Text(
     re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'),
@@ -75,9 +91,24 @@
         'new': _WORD,
         'finish_in_s': WholeNumber(1, MAX_FINISH_IN_S),
         'state': OneOf(tuple(PlanState)),
+        'exposed_percent': WholeNumber(1, PERCENT),
     },
     needed=('id', 'old', 'new', 'finish_in_s'),
 )
+_ROUTE = Section(
+    {
+        'host': _HOST,
+        'prefix': _PREFIX,
+        _SERVICES: Named(_LABEL, WholeNumber(0, MAX_ROUTE_WEIGHT)),
+        'repeatable': YesOrNo(),
+        'bulky': YesOrNo(),
+        'targets': WholeNumber(1, MAX_TARGETS),
+        'priority': WholeNumber(0, MAX_PRIORITY),
+        'deadline_ms': WholeNumber(0, MAX_DEADLINE_MS),
+        'objective_ms': WholeNumber(0, MAX_DEADLINE_MS),
+    },
+    needed=('host', 'prefix', _SERVICES),
+)
 _TENANT = Section({'weight': WholeNumber(1, MAX_WEIGHT)})
 _TREE = Section(
     {
@@ -87,6 +118,7 @@
         _SERVICES: Named(_LABEL, _SERVICE),
         'tenants': Named(_WORD, _TENANT),
         'rollouts': Named(_LABEL, _ROLLOUT),
+        'routes': Named(_WORD, _ROUTE),
     },
     needed=('cluster',),
 )
@@ -103,6 +135,7 @@
         _unknown_names(tree),
         _hosts_twice(tree),
         _rollouts_to_nowhere(tree),
+        _routes_to_nowhere(tree),
     )
     return list(itertools.islice(found, MAX_FINDINGS))
 
@@ -155,3 +188,20 @@
         if entry['new'] == entry.get('old'):
             place = f'rollouts.{service}.new'
             yield Finding(place, 'is the old version as well')
+
+
+def _routes_to_nowhere(tree: Any) -> Iterator[Finding]:
+    """Find routes that lead to no service, or to one that isn't defined."""
+    services = _object_in(tree, _SERVICES)
+    for name, entry in _object_in(tree, 'routes').items():
+        place = below('routes', name)
+        split = _object_in(entry, _SERVICES)
+        if not any(
+            isinstance(weight, int) and weight for weight in split.values()
+        ):
+            yield Finding(f'{place}.services', 'no service has a weight')
+        for service in split:
+            if service not in services:
+                hint = nearest(service, services)
+                inside = below(f'{place}.services', service)
+                yield Finding(inside, f'unknown service{hint}')
--- a/daisyline/state/settings_rules.py
+++ b/daisyline/state/settings_rules.py
@@ -31,6 +31,11 @@
     allowed: tuple[str, ...]
 
 
+@attrs.frozen
+class YesOrNo:
+    """True or false."""
+
+
 @attrs.frozen
 class Text:
     """A string of a form.
@@ -102,6 +107,12 @@
         yield Finding(place, f'{shown(content)} is none of {allowed}')
 
 
+@findings_in.register
+def _in_yes_or_no(rule: YesOrNo, place: str, content: Any) -> Iterator[Finding]:
+    if not isinstance(content, bool):
+        yield Finding(place, f'{shown(content)} is neither true nor false')
+
+
 @findings_in.register
 def _in_text(rule: Text, place: str, content: Any) -> Iterator[Finding]:
     if not isinstance(content, str) or not rule.form.fullmatch(content):
--- a/daisyline/state/targets.py
+++ b/daisyline/state/targets.py
@@ -24,6 +24,9 @@
         host: The IP number it listens on.
         port: The TCP port it listens on.
         phase: Cold, ready or leaving.
+        started_ms: When it started, in Unix milliseconds; 0 if it doesn't
+            say. An instance may start again under its name.
+        slots: Calls that it runs at once; 0 if the settings say.
     """
 
     service: str
@@ -32,6 +35,13 @@
     host: str
     port: int
     phase: Phase = attrs.field(default=Phase.READY, converter=Phase)
+    started_ms: int = 0
+    slots: int = 0
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Return what is new at each start of the target."""
+        return (self.instance, self.started_ms)
 
 
 @attrs.frozen
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -11,6 +11,7 @@
     RefuseCaller,
 )
 from daisyline.coordination.messages import Headers
+from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import (
     Continue,
     Malformed,
@@ -51,11 +52,13 @@
         body_limit_bytes: int,
         on_request: OnRequest,
         on_event: Callable[[Any], None],
+        dialect: Dialect | None = None,
     ) -> None:
         """Wait for the first request."""
+        self._dialect = dialect or Dialect()
         self._loop = loop
         self._connection = connection
-        self._codec = ServerCodec(body_limit_bytes)
+        self._codec = ServerCodec(body_limit_bytes, self._dialect.reserved)
         self._on_request = on_request
         self._on_event = on_event
         self._untaken = 0
@@ -128,13 +131,17 @@
 
     def refuse(self, refusal: RefuseCaller) -> None:
         """Send a refusal in place of an answer."""
-        self._refuse(refusal.failure, status_of(refusal.failure))
+        self._refuse(refusal.failure, status_of(refusal.failure, self._dialect))
 
     def cut(self) -> None:
         """Break the connection, so that the answer can't pass for whole."""
         self.call = ''
         self._connection.reset()
 
+    def say_last(self) -> None:
+        """Say with the next answer that no further request is taken."""
+        self._closing = True
+
     def finish(self) -> None:
         """Close after the call under way, or at once if there is none."""
         self._closing = True
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -11,11 +11,12 @@
 from daisyline.coordination import node_events
 from daisyline.coordination.call_events import Paused
 from daisyline.coordination.node_core import NodeCore
+from daisyline.protocol.front_end import FrontEnd
 from daisyline.state.members import Member
 from daisyline.transport.deadlines import Deadline
 from daisyline.transport.effects import Outlets, perform
 from daisyline.transport.loop import Loop
-from daisyline.transport.operators import listen_to_operators
+from daisyline.transport.operators import OperatorsPort
 from daisyline.transport.platform_client import PlatformClient
 from daisyline.transport.ports import Ports
 from daisyline.transport.stream import Identity
@@ -25,8 +26,6 @@
 _NS_PER_US = 1_000
 # Collections of the oldest objects take milliseconds, so they are made rare.
 _COLLECT_AT = (20_000, 50, 100)
-# A stop waits this long at most for calls in progress, in seconds.
-_STOP_S = 30.0
 _STOP_CHECK_S = 0.05
 # After it says that it leaves, a node takes calls from others for so long
 # that they have heard of it, in seconds.
@@ -47,6 +46,18 @@
     operators_port: int
     peers: tuple[tuple[str, int], ...]
 
+    @property
+    def target_host(self) -> str:
+        """Return the IP number that the target beside it calls."""
+
+    @property
+    def ready_port(self) -> int | None:
+        """Return the TCP port that is asked for readiness, if it has one."""
+
+    @property
+    def service(self) -> str:
+        """Return the service beside it, if that is known at the start."""
+
     @property
     def platform_address(self) -> tuple[str, int]:
         """Return the IP number and the TCP port of the platform."""
@@ -70,10 +81,13 @@
         core: Its decisions.
     """
 
-    def __init__(self, loop: Loop, core: NodeCore, outlets: Outlets) -> None:
+    def __init__(
+        self, loop: Loop, core: NodeCore, outlets: Outlets, front: FrontEnd
+    ) -> None:
         """Join the parts; nothing is listened on yet."""
         self._loop = loop
         self._outlets = outlets
+        self._front = front
         self._arming = False
         self._tick: Deadline | None = None
         self._tick_at = math.inf
@@ -81,34 +95,43 @@
         self.core = core
 
     @classmethod
-    def from_config(cls, config: NodeConfig, log: Any) -> 'Node':
+    def from_config(
+        cls, config: NodeConfig, log: Any, front: FrontEnd | None = None
+    ) -> 'Node':
         """Build a node that listens on the ports of its settings.
 
         Args:
             config: Its settings.
             log: A logger with loguru's methods.
+            front: How it speaks with callers, its target and the platform.
 
         Raises:
             OSError: If a port can't be bound.
         """
+        front = front or FrontEnd()
         loop = Loop.create()
         me = _member(config)
         rng = random.Random(f'{me.name}-{me.incarnation}')
         core = NodeCore.from_config(
-            me, config.cluster, config.peers, rng, loop.now()
+            me, config.cluster, config.peers, rng, loop.now(), front.sources
         )
+        core.lease_s = front.lease_s
         inlet = _Inlet()
         identity = Identity(config.cluster, me.name, me.incarnation)
         outlets = Outlets(
             streams=Streams(loop, identity, inlet),
-            platform=PlatformClient(loop, config.platform_address, inlet),
-            ports=Ports(loop, core, me.incarnation, inlet),
-            pool=TargetPool(loop, inlet),
+            platform=PlatformClient(
+                loop, config.platform_address, inlet, front.store
+            ),
+            ports=Ports(
+                loop, core, me.incarnation, inlet, front, config.service
+            ),
+            pool=TargetPool(loop, inlet, front.dialect),
             log=log,
         )
-        node = cls(loop, core, outlets)
+        node = cls(loop, core, outlets, front)
         inlet.take = node.take
-        node._listen(config)
+        node._listen(config, front.ready_path)
         return node
 
     def run(self) -> None:
@@ -128,13 +151,16 @@
         if self._stop_by is not None:
             return
         now = self._loop.now()
-        self._stop_by = now + _STOP_S
+        self._stop_by = now + self._front.stop_s
         self._outlets.log.info('Stopping once the calls in progress are done.')
-        self._carry_out(self.core.fleet.leave(now))
-        self._outlets.ports.stop_accepting()
-        self._loop.call_later(_LEAVE_S, self._refuse_peers)
-
-    def _listen(self, config: NodeConfig) -> None:
+        self.core.is_leaving = True
+        self._outlets.ports.say_last()
+        # Until callers have been sent elsewhere, the target is still of use.
+        notice_s = self._front.notice_s
+        self._loop.call_later(max(0, notice_s - _LEAVE_S), self._leave)
+        self._loop.call_later(notice_s, self._outlets.ports.stop_accepting)
+
+    def _listen(self, config: NodeConfig, ready_path: str) -> None:
         self._loop.poller.on_pause = self._paused
         self._loop.on_signal = self._signalled
         outlets = self._outlets
@@ -143,10 +169,10 @@
         outlets.streams.awaits = self._awaits
         outlets.streams.listen(config.host, config.peers_port)
         outlets.ports.listen_to_callers(config.host, config.callers_port)
-        outlets.ports.listen_to_target('127.0.0.1', config.target_port)
-        listen_to_operators(
-            self.core, self._loop, config.host, config.operators_port
-        )
+        outlets.ports.listen_to_target(config.target_host, config.target_port)
+        operators = OperatorsPort(self._loop, self.core, ready_path)
+        for port in {config.operators_port, config.ready_port} - {None}:
+            operators.listen(config.host, port)
 
     def _awaits(self, node: str) -> bool:
         return bool(self.core.entry.on_node(node))
@@ -189,6 +215,10 @@
         if number in {signal.SIGTERM, signal.SIGINT}:
             self.stop()
 
+    def _leave(self) -> None:
+        self._carry_out(self.core.fleet.leave(self._loop.now()))
+        self._loop.call_later(_LEAVE_S, self._refuse_peers)
+
     def _refuse_peers(self) -> None:
         self.core.owner.stopping = True
         self._finish_stop()
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -36,6 +36,7 @@
 
     kind: bytes
     body: bytes
+    status: HTTPStatus = HTTPStatus.OK
 
 
 class OperatorsPort:
@@ -46,7 +47,9 @@
     their size. The callers' port has a server that is safe from all three.
     """
 
-    def __init__(self, loop: Loop, core: NodeCore) -> None:
+    def __init__(
+        self, loop: Loop, core: NodeCore, ready_path: str = '/ready'
+    ) -> None:
         """Remember whose state is shown; nothing is listened on."""
         self._loop = loop
         self._core = core
@@ -56,6 +59,7 @@
             '/explain': self._explain,
             '/histograms': self._histograms,
             '/metrics': self._metrics,
+            ready_path: self._ready,
         }
 
     def listen(self, host: str, port: int) -> None:
@@ -97,9 +101,15 @@
         page = view(dict(urls.parse_qsl(query)))
         headers = ((b'Content-Type', page.kind), (b'Connection', b'close'))
         client.answer(
-            AnswerCaller('', HTTPStatus.OK, headers, page.body, last=True)
+            AnswerCaller('', page.status, headers, page.body, last=True)
         )
 
+    def _ready(self, _query: Query) -> _Page:
+        ready = self._core.is_ready
+        page = _as_json({'ready': ready})
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return attrs.evolve(page, status=status)
+
     def _status(self, _query: Query) -> _Page:
         return _as_json(operator_views.status(self._core))
 
@@ -117,17 +127,6 @@
         return _Page(_TEXT, operator_views.metrics(self._core))
 
 
-def listen_to_operators(
-    core: NodeCore, loop: Loop, host: str, port: int
-) -> None:
-    """Serve the operators' port on the loop.
-
-    Raises:
-        OSError: If the port can't be bound.
-    """
-    OperatorsPort(loop, core).listen(host, port)
-
-
 def _as_json(shown: object) -> _Page:
     return _Page(_JSON, json.dumps(shown).encode())
 
--- a/daisyline/transport/platform_client.py
+++ b/daisyline/transport/platform_client.py
@@ -4,14 +4,11 @@
 from typing import Any
 
 from daisyline.coordination.effects import PlatformWatch
+from daisyline.protocol import platform as object_api
+from daisyline.protocol.front_end import StoreCodec
 from daisyline.protocol.http_client import ClientCodec
 from daisyline.protocol.http_messages import Broken, End, Head, Part
-from daisyline.protocol.platform import (
-    NO_ANSWER,
-    PlatformCall,
-    reply_of,
-    request_of,
-)
+from daisyline.protocol.platform import NO_ANSWER, PlatformCall
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 
@@ -25,9 +22,14 @@
     """One call on the platform, on a connection of its own."""
 
     def __init__(
-        self, loop: Loop, connection: Connection, effect: PlatformCall
+        self,
+        loop: Loop,
+        connection: Connection,
+        effect: PlatformCall,
+        store: StoreCodec,
     ) -> None:
         """Send the call once the connection is made."""
+        self._store = store
         self._connection = connection
         self._effect = effect
         self._codec = ClientCodec()
@@ -42,7 +44,7 @@
 
     def send(self, host: str) -> None:
         """Write the request."""
-        request = request_of(self._effect, host)
+        request = self._store.request_of(self._effect, host)
         self._connection.write(self._codec.request(request))
 
     def opened(self) -> None:
@@ -82,7 +84,7 @@
         # What came of an answer that isn't whole says nothing.
         body = b'' if status == NO_ANSWER else bytes(self._body)
         self._connection.abort()
-        on_reply(reply_of(self._effect, status, body))
+        on_reply(self._store.reply_of(self._effect, status, body))
 
 
 class PlatformClient:
@@ -93,8 +95,10 @@
         loop: Loop,
         address: tuple[str, int],
         on_event: Callable[[Any], None],
+        store: StoreCodec = object_api,
     ) -> None:
-        """Remember where the platform is."""
+        """Remember where the platform is and how it is spoken to."""
+        self._store = store
         self._loop = loop
         self._address = address
         self._on_event = on_event
@@ -108,9 +112,11 @@
             connection = Connection.dial(self._loop, host, port)
         except OSError:
             # The process has no descriptor left.
-            lost = reply_of(effect, NO_ANSWER, b'')
+            lost = self._store.reply_of(effect, NO_ANSWER, b'')
             self._loop.defer(lambda: self._on_event(lost))
             return
-        exchange = _PlatformExchange(self._loop, connection, effect)
+        exchange = _PlatformExchange(
+            self._loop, connection, effect, self._store
+        )
         exchange.on_reply = self._on_event
         exchange.send(f'{host}:{port}')
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -5,13 +5,18 @@
 from typing import Any
 
 from daisyline.coordination.call_events import StartTarget, TargetFailed
+from daisyline.protocol.dialect import Dialect
 from daisyline.state.targets import Target
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 from daisyline.transport.target_exchange import Exchange
 
-# A connection that has been idle for longer is not used again, in seconds.
-_IDLE_S = 20.0
+# A target may close an idle connection while a call is on its way; so one is
+# used only well before that, in seconds.
+_CLOSING_S = 1.0
+# A call that may not be repeated would be lost then; it takes a connection
+# that was used within this time, in seconds.
+_SURE_S = 0.5
 
 Handler = Callable[[Any], None]
 
@@ -19,8 +24,11 @@
 class TargetPool:
     """The connections to the one target beside this node."""
 
-    def __init__(self, loop: Loop, on_event: Handler) -> None:
+    def __init__(
+        self, loop: Loop, on_event: Handler, dialect: Dialect | None = None
+    ) -> None:
         """Start without a target."""
+        self.dialect = dialect or Dialect()
         self.loop = loop
         self.on_event = on_event
         self._target: Target | None = None
@@ -51,11 +59,16 @@
             self._fail_unsent(start.call)
             return
         while self._idle:
-            exchange = self._idle.pop()
+            exchange = self._idle[-1]
             if exchange.reusable and self._is_fresh(exchange):
+                if not start.run.repeatable and not self._is_sure(exchange):
+                    break
+                self._idle.pop()
                 self._send(exchange, start)
                 return
+            self._idle.pop()
             exchange.close()
+        self._make_room()
         if self.connections >= self.limit():
             self._pending.append(start)
         else:
@@ -147,10 +160,22 @@
                 self._busy.pop(call)
 
     def _is_fresh(self, exchange: Exchange) -> bool:
-        return self.loop.now() - exchange.idle_since < _IDLE_S
+        idle_s = self.loop.now() - exchange.idle_since
+        return idle_s < exchange.kept_s - _CLOSING_S
+
+    def _is_sure(self, exchange: Exchange) -> bool:
+        return self.loop.now() - exchange.idle_since < _SURE_S
+
+    def _make_room(self) -> None:
+        """Close the connection idle longest if there can't be another."""
+        if self._idle and self.connections >= self.limit():
+            self._idle[0].close()
 
     def _leads_to_target(self, exchange: Exchange) -> bool:
         """Return whether a connection is one to the target as it is now."""
         target = self._target
-        place = (exchange.target.instance, exchange.target.port)
-        return target is not None and place == (target.instance, target.port)
+        place = (*exchange.target.incarnation, exchange.target.port)
+        return target is not None and place == (
+            *target.incarnation,
+            target.port,
+        )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -17,6 +17,8 @@
         'retried': False,
         'may_move': False,
         'settings_version': 1,
+        'priority': 1,
+        'objective_ms': 0,
         'method': b'GET',
         'path': b'/',
         'headers': (),
