Place calls by the pace that targets say, and overlap a caller's safe requests

Cause: a noisy neighbour slows a host four times for a quarter of the time, and an entry's report of it is old; each fourth call took 480 ms in place of 120.

A target's node asks its target for the pace where a call may still move, and sends it on when work takes 160% or more; entries draw from their own zone and from others, by expected wait with the last pace. ServerCodec hands each answer to a codec of its own, so that repeatable requests of one connection run at once and are answered in order.

Ruled out: asking on a timer (30 probes a second and target in place of one a call); moving large answers to other zones (their bytes cost more than being late).

--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/call_events.py
@@ -132,6 +132,8 @@
         headers: End-to-end headers, in order.
         body: The body's first part.
         last: Whether the answer is whole; its slot is then free.
+        pace_percent: How long work takes at the target now; 0 if it doesn't
+            say.
     """
 
     call: str
@@ -139,6 +141,29 @@
     headers: Headers
     body: bytes
     last: bool
+    pace_percent: int = 0
+
+
+@attrs.frozen
+class TargetPaced:
+    """The target said how long work takes there now.
+
+    Attributes:
+        percent: 100 is usual.
+    """
+
+    percent: int
+
+
+@attrs.frozen
+class ProbeTarget:
+    """Ask the target how long work takes there now.
+
+    Attributes:
+        path: Where it is asked.
+    """
+
+    path: str
 
 
 @attrs.frozen
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -24,8 +24,9 @@
     run_of,
 )
 from daisyline.coordination.messages import Cancel
-from daisyline.coordination.policies import ExpectedWait, Policy
+from daisyline.coordination.policies import ExpectedWait, NearWait, Policy
 from daisyline.coordination.retries import (
+    MAX_TRIES,
     Attempt,
     RetryBudget,
     decide_retry,
@@ -40,6 +41,7 @@
 # The target's node ends a call at its deadline and says whether it ran; the
 # entry waits this much longer to hear it, in seconds.
 _GRACE_S = 0.1
+_MS_PER_S = 1000
 
 Effects = list[Any]
 
@@ -50,6 +52,7 @@
 
     _me: str
     _rng: random.Random
+    _zone: str = ''
     _policy: Policy = attrs.field(factory=ExpectedWait)
     _settings: Settings = attrs.field(factory=Settings)
     _calls: dict[str, EntryCall] = attrs.field(factory=dict)
@@ -64,10 +67,12 @@
 
     @classmethod
     def from_config(
-        cls, me: str, rng: random.Random, events: log.EventLog
+        cls, me: str, rng: random.Random, events: log.EventLog, zone: str = ''
     ) -> 'Entry':
-        """Build the entry's side of a node."""
-        return cls(me=me, rng=rng, events=events)
+        """Build the entry's side of a node that stands in a zone."""
+        return cls(
+            me=me, rng=rng, events=events, zone=zone, policy=NearWait(zone)
+        )
 
     @property
     def calls(self) -> Mapping[str, EntryCall]:
@@ -108,7 +113,8 @@
             node = pick_by_key(call, known, self.shares(arrived.service))
         else:
             node = self._pick(call, candidates, now)
-        if isinstance(node, Failure) and may_go_back(call):
+        went_back = isinstance(node, Failure) and may_go_back(call)
+        if went_back:
             # Nobody new is left, but one that refused may have room by now.
             call.tried = call.lost_on
             node = self._pick(call, candidates, now)
@@ -118,8 +124,11 @@
         call.tried |= {node}
         call.asking = False
         router = self.router(arrived.service)
-        call.may_move = not call.keyed and router.may_move(
-            candidates, call.tried
+        call.may_move = (
+            not call.keyed
+            and not went_back
+            and call.attempt < MAX_TRIES
+            and router.may_move(candidates, call.tried)
         )
         router.sent(node, now)
         self.events.add(
@@ -263,7 +272,9 @@
     def router(self, service: str) -> Router:
         """Return the router of a service."""
         if service not in self._routers:
-            self._routers[service] = Router.from_config(self._policy, self._rng)
+            self._routers[service] = Router.from_config(
+                self._policy, self._rng, zone=self._zone
+            )
         return self._routers[service]
 
     def repeatable(self, call: EntryCall) -> bool:
@@ -293,6 +304,12 @@
     def _pick(
         self, call: EntryCall, candidates: tuple[Candidate, ...], now: float
     ) -> str | Failure:
-        return self.router(call.arrived.service).pick(
-            candidates, now, call.tried
+        arrived = call.arrived
+        limits = self._settings.limits_for(arrived.service, '')
+        route = arrived.route
+        far_ms = limits.zone_preference_ms
+        if route is not None and route.bulky:
+            far_ms = limits.bulky_zone_preference_ms
+        return self.router(arrived.service).pick(
+            candidates, now, call.tried, far_ms / _MS_PER_S
         )
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -96,6 +96,7 @@
         key=arrived.key,
         retried=call.retried,
         may_move=call.may_move,
+        stays_if_slow=route is not None and route.bulky,
         settings_version=settings_version,
         priority=DEFAULT_PRIORITY if route is None else route.priority,
         objective_ms=max(0, int((arrived.objective - now) * _MS_PER_S)),
--- a/daisyline/coordination/entry_events.py
+++ b/daisyline/coordination/entry_events.py
@@ -196,5 +196,9 @@
 
 def _load(message: msg.Answer | msg.Refused) -> LoadReport:
     return LoadReport(
-        message.running, message.waiting, message.limit, message.service_us
+        message.running,
+        message.waiting,
+        message.limit,
+        message.service_us,
+        message.pace_percent,
     )
--- a/daisyline/coordination/messages.py
+++ b/daisyline/coordination/messages.py
@@ -50,6 +50,7 @@
         key: The caller's idempotency key, or empty.
         retried: Whether this call, or one above it, is a retry.
         may_move: Whether the sender can still offer it to another target.
+        stays_if_slow: Whether a slow target is better than another one.
         settings_version: The newest settings that the sender holds.
         priority: Its rank when the target has no room for all; 0 goes first.
         objective_ms: Milliseconds left until the time within which an answer
@@ -69,6 +70,7 @@
     key: str
     retried: bool
     may_move: bool
+    stays_if_slow: bool
     settings_version: int
     priority: int
     objective_ms: int
@@ -93,6 +95,7 @@
         limit: Load of the target, see `LoadReport`.
         service_us: Load of the target, see `LoadReport`.
         retried: Whether a retry was spent on this call or below it.
+        pace_percent: Load of the target, see `LoadReport`.
     """
 
     call: str
@@ -105,6 +108,7 @@
     limit: int
     service_us: int
     retried: bool = False
+    pace_percent: int = 100
 
 
 @attrs.frozen
@@ -131,6 +135,7 @@
         retried: Whether a retry was spent on this call or below it.
         reached: Whether the target was handed the call, which it may have
             turned away.
+        pace_percent: Load of the target, see `LoadReport`.
     """
 
     call: str
@@ -142,6 +147,7 @@
     service_us: int = 0
     retried: bool = False
     reached: bool = False
+    pace_percent: int = 100
 
 
 @attrs.frozen
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -74,7 +74,7 @@
         events = log.EventLog.from_config()
         core = cls(
             name=me.name,
-            entry=Entry.from_config(me.name, rng, events),
+            entry=Entry.from_config(me.name, rng, events, me.zone),
             owner=Owner.from_config(me.name, me.zone, events),
             fleet=Fleet.from_config(me, cluster, peers, rng, now, sources),
             rollouts=Rollouts.from_config(me.name, rng, now, events),
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -18,6 +18,7 @@
 from daisyline.coordination.entry_call import SENT_ON_REASONS
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.jobs import Job
+from daisyline.coordination.pace import Pace
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.limits import Limits
 from daisyline.state.settings import Settings
@@ -50,6 +51,8 @@
     stale_peers: dict[str, int] = attrs.field(factory=dict)
     screen: Screen = attrs.field(default=lambda _run, _now: None)
     peers: set[str] = attrs.field(factory=set)
+    pace: Pace = attrs.field(factory=Pace)
+    _unweighed: list[str] = attrs.field(factory=list)
     stopping: bool = False
 
     @classmethod
@@ -65,7 +68,10 @@
     @property
     def load(self) -> LoadReport:
         """Return the target's load."""
-        return LoadReport() if self._admission is None else self._admission.load
+        if self._admission is None:
+            return LoadReport()
+        percent = self.pace.percent
+        return attrs.evolve(self._admission.load, pace_percent=percent)
 
     def use_settings(self, settings: Settings, now: float) -> Effects:
         """Follow a change of settings."""
@@ -101,15 +107,63 @@
             return [self._turned_away(peer, run, failure, now)]
         assert self._admission is not None
         deadline = now + run.budget_ms / MS_PER_S
-        self.jobs[run.call] = Job(run, peer, deadline)
+        job = Job(run, peer, deadline)
+        self.jobs[run.call] = job
+        heapq.heappush(self._deadlines, (deadline, run.call))
+        path = self._pace_path()
+        if not path or not may_go_elsewhere(run):
+            return self._admit(job, now)
+        if self.pace.is_fresh(now):
+            return self._weigh(job, now)
+        self._unweighed.append(run.call)
+        if self.pace.asked_at < math.inf:
+            return []
+        self.pace.asked_at = now
+        return [ev.ProbeTarget(path)]
+
+    def paced(self, percent: int, now: float) -> Effects:
+        """Go on with the calls that waited to hear the target's pace.
+
+        Args:
+            percent: What it has said; 0 if it stayed silent.
+            now: Monotonic seconds.
+        """
+        self.pace.asked_at = math.inf
+        if percent:
+            self.pace.note(percent, now)
+        waiting, self._unweighed = self._unweighed, []
+        effects: Effects = []
+        for call in waiting:
+            job = self.jobs.get(call)
+            if job is None or job.started_at is not None:
+                continue
+            failure = self._closed_to(job.peer)
+            if failure is not None:
+                effects.append(self._turn_away(job, failure, now))
+            elif percent:
+                effects += self._weigh(job, now)
+            else:
+                effects += self._admit(job, now)
+        return effects
+
+    def _weigh(self, job: Job, now: float) -> Effects:
+        """Send a call on that a slow target would take too long for."""
+        if self.pace.is_slow:
+            detail = f'work takes {self.pace.percent}% of the usual time'
+            failure = Failure(Reason.SLOW, detail=detail)
+            return [self._turn_away(job, failure, now)]
+        return self._admit(job, now)
+
+    def _admit(self, job: Job, now: float) -> Effects:
+        """Let a call start or wait, or turn it away."""
+        run = job.run
+        assert self._admission is not None
         ticket = Ticket(
-            run.call, run.tenant, deadline, run.may_move, run.priority
+            run.call, run.tenant, job.deadline, run.may_move, run.priority
         )
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
-            self.jobs.pop(run.call)
-            return [self._turned_away(peer, run, decision, now)]
-        heapq.heappush(self._deadlines, (deadline, run.call))
+            return [self._turn_away(job, decision, now)]
         if isinstance(decision, Admitted):
             return [self._start(run.call, now)]
         self._events.add(
@@ -186,6 +240,7 @@
             waiting=load.waiting,
             limit=load.limit,
             service_us=load.service_us,
+            pace_percent=load.pace_percent,
             retried=retried,
             reached=failure.reached,
         )
@@ -196,6 +251,7 @@
         while self._deadlines and self._deadlines[0][1] not in self.jobs:
             heapq.heappop(self._deadlines)
         first = self._deadlines[0][0] if self._deadlines else math.inf
+        first = min(first, self.pace.overdue_at)
         if self._admission is None:
             return first
         return min(first, self._admission.next_at())
@@ -203,6 +259,8 @@
     def tick(self, now: float) -> Effects:
         """End what has waited or run for too long."""
         effects: Effects = []
+        if self.pace.overdue_at <= now:
+            effects += self.paced(0, now)
         if self._admission is not None:
             refused = self._admission.expire(now)
             started = self._admission.resume(now)
@@ -237,6 +295,17 @@
             return Failure(Reason.DUPLICATE, detail='it was given up')
         return self._closed_to(peer) or self.screen(run, now)
 
+    def _turn_away(self, job: Job, failure: Failure, now: float) -> ev.Reply:
+        """Refuse a call that was taken on and has not started."""
+        self.jobs.pop(job.run.call)
+        return self._turned_away(job.peer, job.run, failure, now)
+
+    def _pace_path(self) -> str:
+        """Return where the target says how fast it works, if it does now."""
+        if self._target is None or self._target.phase != Phase.READY:
+            return ''
+        return self._limits_of(self._target).pace_path
+
     def _turned_away(
         self, peer: str, run: msg.Run, failure: Failure, now: float
     ) -> ev.Reply:
@@ -315,3 +384,8 @@
             failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
             effects.append(self.refused(job.peer, job.run.call, failure, now))
         return effects
+
+
+def may_go_elsewhere(run: msg.Run) -> bool:
+    """Return whether a call is better taken elsewhere by a slow target."""
+    return run.may_move and not run.stays_if_slow
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -60,6 +60,8 @@
 @handle.register
 def _(event: ev.TargetHead, owner: Owner, now: float) -> Effects:
     job = owner.jobs[event.call]
+    if event.pace_percent:
+        owner.pace.note(event.pace_percent, now)
     load = owner.load
     answer = msg.Answer(
         call=event.call,
@@ -71,6 +73,7 @@
         waiting=load.waiting,
         limit=load.limit,
         service_us=load.service_us,
+        pace_percent=load.pace_percent,
         retried=job.retry_spent,
     )
     job.keep_head(answer)
@@ -82,6 +85,11 @@
     return effects
 
 
+@handle.register
+def _(event: ev.TargetPaced, owner: Owner, now: float) -> Effects:
+    return owner.paced(event.percent, now)
+
+
 @handle.register
 def _(event: ev.TargetPart, owner: Owner, now: float) -> Effects:
     job = owner.jobs[event.call]
--- a/daisyline/coordination/policies.py
+++ b/daisyline/coordination/policies.py
@@ -69,7 +69,22 @@
     draws: int = 3
 
 
-Policy = WeightedRandom | LeastOutstanding | PowerOfTwo | ExpectedWait
+@attrs.frozen
+class NearWait:
+    """Draw some of the own zone and some others; take the shortest wait.
+
+    Attributes:
+        zone: The own zone.
+        draws: How many are drawn of each.
+    """
+
+    zone: str
+    draws: int = 4
+
+
+Policy = (
+    WeightedRandom | LeastOutstanding | PowerOfTwo | ExpectedWait | NearWait
+)
 
 
 @functools.singledispatch
@@ -135,6 +150,24 @@
     return min(drawn, key=lambda candidate: estimate(candidate).wait_s)
 
 
+@choose.register
+def _near_wait(
+    policy: NearWait,
+    candidates: Sequence[Candidate],
+    estimate: Estimator,
+    rng: random.Random,
+) -> Candidate:
+    near = [one for one in candidates if one.zone == policy.zone]
+    far = [one for one in candidates if one.zone != policy.zone]
+    drawn = [
+        candidate
+        for group in (near, far)
+        if group
+        for candidate in _draw_some(group, policy.draws, rng)
+    ]
+    return min(drawn, key=lambda candidate: estimate(candidate).wait_s)
+
+
 def _draw(candidates: Sequence[Candidate], rng: random.Random) -> Candidate:
     """Draw one by weight."""
     weights = [candidate.weight for candidate in candidates]
--- a/daisyline/coordination/retries.py
+++ b/daisyline/coordination/retries.py
@@ -7,7 +7,7 @@
 
 PERCENT = 100
 #: Nodes that one call is offered to at most, while all refuse it as not run.
-MAX_TRIES = 4
+MAX_TRIES = 5
 #: With less time than this left a call isn't sent again, in seconds.
 MIN_LEFT_S = 0.001
 
@@ -15,6 +15,7 @@
 _ELSEWHERE = frozenset(
     (
         Reason.OVERLOADED,
+        Reason.SLOW,
         Reason.QUEUE_TIMEOUT,
         Reason.LEAVING,
         Reason.NO_SETTINGS,
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from daisyline.coordination.pace import USUAL_PERCENT
 from daisyline.coordination.policies import (
     Candidate,
     Estimate,
@@ -19,6 +20,8 @@
 US_PER_S = 1_000_000
 #: After this time a report counts for about a third, in seconds.
 REPORT_DECAY_S = 0.1
+#: After this time a target's pace counts for about a third, in seconds.
+PACE_DECAY_S = 0.15
 #: What a target that has just refused seems to take longer, in seconds.
 REFUSED_WAIT_S = 0.1
 #: Weight of the newest call in the smoothed part that is refused.
@@ -46,6 +49,8 @@
     def estimate(self, now: float, service_s: float, way_s: float) -> Estimate:
         """Return the target's load as it probably is now.
 
+        A pace that a target has said holds for a moment only.
+
         Args:
             now: Monotonic seconds.
             service_s: The service time to take if there is no report.
@@ -56,6 +61,9 @@
         if self.report is not None:
             load /= self.report.limit
             service_s = self.report.service_us / US_PER_S
+            pace = self.report.pace_percent / USUAL_PERCENT - 1
+            paced = math.exp((self.report_at - now) / PACE_DECAY_S)
+            service_s *= 1 + pace * paced
         penalty_s = REFUSED_WAIT_S * math.exp(
             (self.refused_at - now) / REPORT_DECAY_S
         )
@@ -108,6 +116,7 @@
         candidates: Sequence[Candidate],
         now: float,
         tried: frozenset[str],
+        far_s: float | None = None,
     ) -> str | Failure:
         """Return the node to send a call to.
 
@@ -115,13 +124,17 @@
             candidates: The targets that the call may go to.
             now: Monotonic seconds.
             tried: Nodes that have refused this call.
+            far_s: How much longer it may take in the own zone than in
+                another, in seconds; None for the router's usual.
         """
+        further_s = self._far_s if far_s is None else far_s
+
         open_candidates = untried(candidates, tried)
         if not open_candidates:
             return Failure(Reason.NO_TARGET, detail='no target is left')
 
         def estimate(candidate: Candidate) -> Estimate:
-            way_s = 0 if candidate.zone == self._zone else self._far_s
+            way_s = 0 if candidate.zone == self._zone else further_s
             view = self._view(candidate.node)
             return view.estimate(now, self._service_s, way_s)
 
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -13,6 +13,9 @@
 _BULKY_KIND = 'download'
 # Upstreams slow down when more than this part of their slots is busy.
 _SLOTS_USED_PERCENT = 80
+# Bytes between zones have a price; large answers cost more than lateness.
+_ZONE_PREFERENCE_MS = 30
+_BULKY_ZONE_PREFERENCE_MS = 400
 # The part of the retries allowed that is used: a call made for a retried one
 # counts as a retry too, where it arrives.
 _RETRY_PART = 0.6
@@ -46,6 +49,8 @@
         'retry_percent': int(boot.retry_share * _RETRY_PART * PERCENT),
         'retry_reserve': int(boot.retry_slack * _RETRY_PART),
         'slots_used_percent': _SLOTS_USED_PERCENT,
+        'zone_preference_ms': _ZONE_PREFERENCE_MS,
+        'bulky_zone_preference_ms': _BULKY_ZONE_PREFERENCE_MS,
         # Targets say themselves when they are cold.
         'zone_return_ms': 0,
     }
@@ -72,6 +77,8 @@
     translated: dict[str, Any] = {}
     if 'maxConnections' in entry:
         translated['connections_per_server'] = entry['maxConnections']
+    if 'healthCheckPath' in entry:
+        translated['pace_path'] = entry['healthCheckPath']
     if 'coldStartS' in entry:
         translated['cold_start_ms'] = _ms(entry['coldStartS'])
     if 'coldPerS' in entry:
--- a/daisyline/protocol/dialect.py
+++ b/daisyline/protocol/dialect.py
@@ -5,8 +5,13 @@
 
 import attrs
 
+from daisyline.protocol.http_messages import Head
 from daisyline.state.failures import Reason
 
+_LOAD_FIGURES = 4
+_MAX_DIGITS = 9
+_MOST_PERCENT = 100_000
+
 
 @attrs.frozen
 class Dialect:
@@ -49,3 +54,19 @@
     needs_route: bool = False
     held_bytes: int = 0
     closing_stops: bool = False
+
+
+def pace_from(head: Head, dialect: Dialect) -> int:
+    """Return how long work takes at a target now, in percent of the usual.
+
+    Its load stands in the answer as `running,waiting,slots,percent`; 0 means
+    that it doesn't say, or not in this form.
+    """
+    said = head.header(dialect.load) if dialect.load else None
+    if said is None:
+        return 0
+    figures = said.split(b',')
+    pace = figures[-1].strip()
+    if len(figures) != _LOAD_FIGURES or not pace.isdigit():
+        return 0
+    return min(int(pace[:_MAX_DIGITS]), _MOST_PERCENT)
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -18,9 +18,84 @@
 _CONTEXT_HEADER = b'daisyline-call'
 _BODILESS = frozenset((204, 304))
 _LENGTH = b'content-length'
+_EMPTY = [(b'Content-Length', b'0')]
 
 
-class ServerCodec:
+class AnswerCodec:
+    """The answer to one request."""
+
+    def __init__(self) -> None:
+        """Start before the request."""
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._request: h11.Request | None = None
+
+    @classmethod
+    def for_request(cls, request: h11.Request) -> 'AnswerCodec':
+        """Build the codec for the answer to a request that was read."""
+        codec = cls()
+        kept = [
+            b'%s: %s\r\n' % pair
+            for pair in request.headers
+            if pair[0] == b'connection'
+        ]
+        codec._connection.receive_data(
+            b'%s / HTTP/%s\r\nhost: caller\r\n%s\r\n'
+            % (request.method, request.http_version, b''.join(kept))
+        )
+        codec._request = request
+        codec._connection.next_event()
+        codec._connection.next_event()
+        return codec
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another request may follow the answer."""
+        return (
+            self._connection.our_state is h11.DONE
+            and self._connection.their_state is h11.DONE
+        )
+
+    def head(
+        self, status: int, headers: Headers, length: int | None
+    ) -> bytes | None:
+        """Return the bytes of an answer's head; None if it can't be sent.
+
+        Args:
+            status: The HTTP status.
+            headers: End-to-end headers, in order.
+            length: The body's length if it is known, in bytes.
+        """
+        sent = list(headers)
+        if status == HTTPStatus.NO_CONTENT:
+            sent = [pair for pair in sent if pair[0].lower() != _LENGTH]
+        if length is not None and self._has_body(status):
+            sent.append((b'Content-Length', str(length).encode()))
+        return self._sent(h11.Response(status_code=status, headers=sent))
+
+    def part(self, body: bytes) -> bytes | None:
+        """Return the bytes of a part of a body; None if it is too long."""
+        return self._sent(h11.Data(data=body)) if body else b''
+
+    def end(self) -> bytes | None:
+        """Return the bytes that end an answer; None if it isn't whole."""
+        return self._sent(h11.EndOfMessage())
+
+    def _has_body(self, status: int) -> bool:
+        """Return whether an answer of this status has a body of its own."""
+        request = self._request
+        of_head = request is not None and request.method == b'HEAD'
+        return not of_head and status not in _BODILESS
+
+    def _sent(self, event: h11.Event) -> bytes | None:
+        try:
+            return self._connection.send(event) or b''
+        except h11.LocalProtocolError:
+            return None
+
+
+class ServerCodec(AnswerCodec):
     """The server's side of one connection: one request at a time, in order."""
 
     def __init__(
@@ -35,14 +110,17 @@
             reserved: Headers that are dropped, in small letters.
         """
         self._reserved = reserved
+        super().__init__()
         self._limit = body_limit_bytes
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        self._request: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._continued = False
+        self._over = False
+
+    @property
+    def over(self) -> bool:
+        """Return whether the caller has said that no request follows."""
+        return self._over
 
     @property
     def idle(self) -> bool:
@@ -50,14 +128,6 @@
         trailing, _closed = self._connection.trailing_data
         return self._request is None and not trailing
 
-    @property
-    def reusable(self) -> bool:
-        """Return whether another request may follow the answer."""
-        return (
-            self._connection.our_state is h11.DONE
-            and self._connection.their_state is h11.DONE
-        )
-
     def feed(self, octets: bytes) -> None:
         """Take bytes; empty bytes mean that the caller sends no more."""
         if self._connection.their_state is not h11.ERROR:
@@ -79,6 +149,23 @@
         self._body_bytes = 0
         self._continued = False
 
+    def detach(self) -> AnswerCodec:
+        """Return what answers this request, and go on to the next one.
+
+        The connection's own answer to it is left out, so that further
+        requests can be read before there is an answer.
+        """
+        request = self._request
+        assert request is not None
+        answers = AnswerCodec.for_request(request)
+        self._sent(h11.Response(status_code=HTTPStatus.OK, headers=_EMPTY))
+        self._sent(h11.EndOfMessage())
+        if self.reusable:
+            self.next_cycle()
+        else:
+            self._over = True
+        return answers
+
     def add_body(self, body: bytes) -> Malformed | None:
         """Keep a part of the body, unless it has grown too long."""
         self._body.append(body)
@@ -117,31 +204,6 @@
         event = h11.InformationalResponse(status_code=100, headers=[])
         return self._sent(event) or b''
 
-    def head(
-        self, status: int, headers: Headers, length: int | None
-    ) -> bytes | None:
-        """Return the bytes of an answer's head; None if it can't be sent.
-
-        Args:
-            status: The HTTP status.
-            headers: End-to-end headers, in order.
-            length: The body's length if it is known, in bytes.
-        """
-        sent = list(headers)
-        if status == HTTPStatus.NO_CONTENT:
-            sent = [pair for pair in sent if pair[0].lower() != _LENGTH]
-        if length is not None and self._has_body(status):
-            sent.append((b'Content-Length', str(length).encode()))
-        return self._sent(h11.Response(status_code=status, headers=sent))
-
-    def part(self, body: bytes) -> bytes | None:
-        """Return the bytes of a part of a body; None if it is too long."""
-        return self._sent(h11.Data(data=body)) if body else b''
-
-    def end(self) -> bytes | None:
-        """Return the bytes that end an answer; None if it isn't whole."""
-        return self._sent(h11.EndOfMessage())
-
     def _next_event(self) -> Request | Continue | Malformed | None:
         while True:
             event = self._connection.next_event()
@@ -166,12 +228,6 @@
                 return Continue()
         return None
 
-    def _has_body(self, status: int) -> bool:
-        """Return whether an answer of this status has a body of its own."""
-        request = self._request
-        of_head = request is not None and request.method == b'HEAD'
-        return not of_head and status not in _BODILESS
-
     def _finished(self) -> Request:
         request = self._request
         assert request is not None
@@ -183,12 +239,6 @@
             context=_context_of(request),
         )
 
-    def _sent(self, event: h11.Event) -> bytes | None:
-        try:
-            return self._connection.send(event) or b''
-        except h11.LocalProtocolError:
-            return None
-
 
 @functools.singledispatch
 def _take_part(event: object, codec: ServerCodec) -> Malformed | None:
--- a/daisyline/state/failures.py
+++ b/daisyline/state/failures.py
@@ -14,6 +14,7 @@
     NO_SETTINGS = 'no-settings'
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
+    SLOW = 'slow'
     QUEUE_TIMEOUT = 'queue-timeout'
     DEADLINE = 'deadline'
     LEAVING = 'leaving'
--- a/daisyline/state/limits.py
+++ b/daisyline/state/limits.py
@@ -17,6 +17,7 @@
 DEFAULT_RETRY_RESERVE = 20
 DEFAULT_COLD_CALLS_PER_S = 0
 DEFAULT_SLOTS_USED_PERCENT = 100
+DEFAULT_ZONE_PREFERENCE_MS = 0
 
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 10_000
@@ -33,9 +34,11 @@
 MAX_RETRY_RESERVE = 100_000
 MAX_COLD_CALLS_PER_S = 100_000
 MIN_SLOTS_USED_PERCENT = 10
+MAX_ZONE_PREFERENCE_MS = 60_000
 
 LEAST = 'least'
 MOST = 'most'
+PATH = 'path'
 
 
 def _number(default: int, least: int, most: int) -> Any:
@@ -68,6 +71,10 @@
             one at a time is all that is known.
         slots_used_percent: The part of the slots that is used, for targets
             that slow down when they are nearly full.
+        zone_preference_ms: How much longer a call may take in the zone where
+            it came in before it goes to another, in milliseconds.
+        bulky_zone_preference_ms: The same for calls with large answers.
+        pace_path: Where a target says how fast it works; empty if it doesn't.
     """
 
     slots_per_upstream: int = _number(DEFAULT_SLOTS, 1, MAX_SLOTS)
@@ -99,6 +106,13 @@
     slots_used_percent: int = _number(
         DEFAULT_SLOTS_USED_PERCENT, MIN_SLOTS_USED_PERCENT, PERCENT
     )
+    zone_preference_ms: int = _number(
+        DEFAULT_ZONE_PREFERENCE_MS, 0, MAX_ZONE_PREFERENCE_MS
+    )
+    bulky_zone_preference_ms: int = _number(
+        DEFAULT_ZONE_PREFERENCE_MS, 0, MAX_ZONE_PREFERENCE_MS
+    )
+    pace_path: str = attrs.field(default='', metadata={PATH: True})
 
 
 LIMIT_NAMES = tuple(field.name for field in attrs.fields(Limits))
--- a/daisyline/state/settings_check.py
+++ b/daisyline/state/settings_check.py
@@ -12,6 +12,7 @@
     LEAST,
     MAX_DEADLINE_MS,
     MOST,
+    PATH,
     PERCENT,
     Limits,
 )
@@ -60,6 +61,7 @@
     re.compile(r'/|/[^\s?#]{1,1022}/'),
     'a path that begins and ends with a slash',
 )
+_PATH = Text(re.compile(r'(/[^\s#]{0,1023})?'), 'a path, or empty for none')
 _METHOD = Text(re.compile('[A-Z]{1,20}'), "a method's name in capitals")
 _HEADER = Text(
     re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'),
@@ -71,6 +73,8 @@
     least = field.metadata.get(LEAST)
     if least is not None:
         return WholeNumber(least, field.metadata[MOST])
+    if PATH in field.metadata:
+        return _PATH
     return ListOf(_METHOD) if field.type == tuple[str, ...] else _HEADER
 
 
--- a/daisyline/state/targets.py
+++ b/daisyline/state/targets.py
@@ -53,9 +53,11 @@
         waiting: Calls in the queue.
         limit: Slots that may be used now, at most the contract's.
         service_us: Smoothed service time of one call, in microseconds.
+        pace_percent: How long work takes there now; 100 is usual.
     """
 
     running: int = 0
     waiting: int = 0
     limit: int = 1
     service_us: int = 0
+    pace_percent: int = 100
--- a/daisyline/transport/effects.py
+++ b/daisyline/transport/effects.py
@@ -111,6 +111,11 @@
     outlets.pool.start(effect)
 
 
+@perform.register
+def _(effect: ev.ProbeTarget, outlets: Outlets) -> None:
+    outlets.pool.probe(effect.path)
+
+
 @perform.register
 def _(effect: ev.AbortTarget, outlets: Outlets) -> None:
     outlets.pool.abort(effect.call)
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -134,11 +134,18 @@
             self._event,
             self._front.dialect,
         )
+        caller.may_overlap = self._may_overlap
         if self._leaving:
             caller.say_last()
         caller.on_gone = self._connections.discard
         self._connections.add(caller)
 
+    def _may_overlap(self, request: Request) -> bool:
+        """Return whether a request may run beside others of its caller."""
+        settings = self._core.fleet.settings
+        route = settings.routes.find(_host_of(request), request.path)
+        return route is not None and route.repeatable
+
     def _event(self, event: Any) -> None:
         if isinstance(event, CallerLost):
             self._waiting.pop(event.call, None)
--- a/daisyline/transport/target_exchange.py
+++ b/daisyline/transport/target_exchange.py
@@ -11,7 +11,7 @@
 )
 from daisyline.coordination.messages import Headers
 from daisyline.protocol.answer_check import Verdict, judge_head
-from daisyline.protocol.dialect import Dialect
+from daisyline.protocol.dialect import Dialect, pace_from
 from daisyline.protocol.http_client import ClientCodec
 from daisyline.protocol.http_messages import (
     Broken,
@@ -233,7 +233,10 @@
         body = b''.join(self._held)
         self._held = []
         self._answered = True
-        return TargetHead(self.call, head.status, head.headers, body, last)
+        pace = pace_from(head, self._pool.dialect)
+        return TargetHead(
+            self.call, head.status, head.headers, body, last, pace
+        )
 
     def _report(self, event: TargetHead | TargetPart | None) -> None:
         if event is not None:
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -10,6 +10,7 @@
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 from daisyline.transport.target_exchange import Exchange
+from daisyline.transport.target_probe import TargetProbe
 
 # A target may close an idle connection while a call is on its way; so one is
 # used only well before that, in seconds.
@@ -36,6 +37,7 @@
         self._idle: list[Exchange] = []
         self._busy: dict[str, Exchange] = {}
         self._pending: deque[StartTarget] = deque()
+        self._prober = TargetProbe(loop, on_event, self.dialect)
         self.limit: Callable[[], int] = lambda: 1
 
     @property
@@ -74,6 +76,11 @@
         else:
             self._dial(self._target, start)
 
+    def probe(self, path: str) -> None:
+        """Ask the target how fast it works."""
+        if self._target is not None:
+            self._prober.ask(self._target, path)
+
     def abort(self, call: str) -> None:
         """Tell the target to stop a call."""
         exchange = self._busy.get(call)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,7 @@
         'key': '',
         'retried': False,
         'may_move': False,
+        'stays_if_slow': False,
         'settings_version': 1,
         'priority': 1,
         'objective_ms': 0,
