Write decisions as JSON lines, find silent nodes sooner, send nothing to a stranger

A call was written to the stream before the other end had named itself, so its outcome counted as unknown: 448 answers of 502. A dead node was found after 3 s. A node that restarted while the store was away knew nobody (145 refusals).

Streams hold messages back until the peer has named itself; they are then truly undelivered. Silence shows after 0.7 s, and a target with calls that says nothing for 0.25 s is avoided before that; suspects are avoided. A newer node at an address ends the older one. Members that left are called again for a minute.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -63,6 +63,7 @@
     table: TargetTable = attrs.field(factory=TargetTable)
     shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
     suspects: Callable[[ev.Arrived], bool] = attrs.field(default=no_suspect)
+    doubted: Callable[[], Iterable[str]] = attrs.field(default=tuple)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
 
     @classmethod
@@ -102,6 +103,17 @@
             self._gives_up, (arrived.deadline + _GRACE_S, arrived.call)
         )
         budget.earned(now)
+        self.events.add(
+            log.Received(
+                at=now,
+                call=arrived.call,
+                service=arrived.service,
+                route='' if arrived.route is None else arrived.route.name,
+                parent=arrived.parent,
+                left_ms=int((arrived.deadline - now) * _MS_PER_S),
+                settings_version=self._settings.version,
+            )
+        )
         return self.place(call, now)
 
     def place(self, call: EntryCall, now: float) -> Effects:
@@ -131,6 +143,7 @@
             and router.may_move(candidates, call.tried)
         )
         router.sent(node, now)
+        report = router.report_of(node)
         self.events.add(
             log.Picked(
                 at=now,
@@ -138,6 +151,11 @@
                 service=arrived.service,
                 target=node,
                 attempt=call.attempt,
+                running=report.running,
+                limit=report.limit,
+                pace_percent=report.pace_percent,
+                report_age_ms=router.report_age_ms(node, now),
+                may_move=call.may_move,
                 candidates=len(candidates),
             )
         )
@@ -310,6 +328,10 @@
         far_ms = limits.zone_preference_ms
         if route is not None and route.bulky:
             far_ms = limits.bulky_zone_preference_ms
-        return self.router(arrived.service).pick(
-            candidates, now, call.tried, far_ms / _MS_PER_S
-        )
+        router = self.router(arrived.service)
+        doubted = call.tried.union(self.doubted())
+        far_s = far_ms / _MS_PER_S
+        sure = router.pick(candidates, now, doubted, far_s)
+        if isinstance(sure, Failure):
+            return router.pick(candidates, now, call.tried, far_s)
+        return sure
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -24,6 +24,17 @@
     call: str = ''
 
 
+@attrs.frozen(slots=True)
+class Received(Event):
+    """An entry node took a call on."""
+
+    service: str = ''
+    route: str = ''
+    parent: str = ''
+    left_ms: int = 0
+    settings_version: int = 0
+
+
 @attrs.frozen(slots=True)
 class Picked(Event):
     """An entry node chose a target for a call."""
@@ -34,6 +45,9 @@
     attempt: int = 1
     running: int = 0
     limit: int = 0
+    pace_percent: int = 0
+    report_age_ms: int = -1
+    may_move: bool = False
     candidates: int = 0
 
 
@@ -122,6 +136,27 @@
     state: str = ''
 
 
+@attrs.frozen(slots=True)
+class TargetChanged(Event):
+    """The target beside this node is new, has changed or has lapsed."""
+
+    target: str = ''
+    version: str = ''
+    phase: str = ''
+    cold_s: float = 0
+    slots: int = 0
+
+
+@attrs.frozen(slots=True)
+class PlatformRead(Event):
+    """The platform became readable for this node, or ceased to be."""
+
+    kind: str = ''
+    state: str = ''
+    status: int = 0
+    failures: int = 0
+
+
 @attrs.frozen(slots=True)
 class SettingsChanged(Event):
     """New settings came into force here."""
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -41,6 +41,8 @@
 NUDGE_S = 0.5
 RETRY_S_PER_MEMBER = 0.5
 RETRY_MIN_S = 1.0
+# A node that has left is likely to be back at its address within this time.
+RETURN_S = 60.0
 _NEVER = float('inf')
 
 
@@ -280,6 +282,7 @@
             tombstone.record.member
             for tombstone in self.members.tombstones.values()
             if tombstone.record.standing is Standing.SUSPECT
+            or now < tombstone.removed_at + RETURN_S
         ]
         if not failed:
             return []
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -149,6 +149,7 @@
         if held is not None and _order(record) <= _order(held):
             return Merge.OLD
         self._apply(record, now)
+        self._displace(record.member, now)
         return Merge.NEWS
 
     def suspect(self, name: str, now: float) -> MemberRecord | None:
@@ -227,6 +228,7 @@
             return Merge.DISPUTED if alive else Merge.OLD
         self._tombstones.pop(record.member.name)
         self._apply(record, now)
+        self._displace(record.member, now)
         return Merge.NEWS
 
     def _apply(self, record: MemberRecord, now: float) -> None:
@@ -243,6 +245,19 @@
         else:
             self._suspects.pop(name, None)
 
+    def _displace(self, member: Member, now: float) -> None:
+        """Remove the node that stood at the address of a newer one."""
+        place = (member.host, member.port)
+        older = [
+            other
+            for other in self._live.values()
+            if (other.host, other.port) == place
+            and other.incarnation < member.incarnation
+            and other.name not in {member.name, self._me.name}
+        ]
+        for other in older:
+            self._bury(MemberRecord(other, Standing.LEFT), now)
+
     def _bury(self, record: MemberRecord, now: float) -> None:
         name = record.member.name
         held = self._live.pop(name, None)
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -84,6 +84,7 @@
         )
         core.entry.shares = core.rollouts.shares
         core.entry.suspects = core.suspects
+        core.entry.doubted = lambda: core.fleet.suspects
         core.owner.screen = core.screen
         core.entry.table.use_members(core.fleet.members.values(), now)
         return core
@@ -159,6 +160,7 @@
         known = self.owner.target
         if target == known:
             return []
+        self.events.add(_target_event(target, self.warm_at - now, now))
         effects: Effects = []
         if target is not None and known is not None:
             if target.incarnation != known.incarnation:
@@ -247,3 +249,18 @@
     first = path.strip('/').partition('/')[0]
     method = run.method.decode('latin-1')
     return f'{method} /{first}'
+
+
+def _target_event(
+    target: Target | None, cold_s: float, now: float
+) -> log.TargetChanged:
+    if target is None:
+        return log.TargetChanged(now, phase='lapsed')
+    return log.TargetChanged(
+        now,
+        target=target.instance,
+        version=target.version,
+        phase=target.phase,
+        cold_s=0 if math.isinf(cold_s) else round(cold_s, 2),
+        slots=target.slots,
+    )
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -18,8 +18,15 @@
 from daisyline.state.targets import LoadReport
 
 US_PER_S = 1_000_000
+MS_PER_S = 1000
 #: After this time a report counts for about a third, in seconds.
 REPORT_DECAY_S = 0.1
+#: A target with calls that has said nothing for so long may be gone, in
+#: seconds and in service times, whichever is more.
+SILENT_S = 0.25
+SILENT_SERVICES = 4
+#: What it then seems to take longer, in seconds.
+SILENT_WAIT_S = 2.0
 #: After this time a target's pace counts for about a third, in seconds.
 PACE_DECAY_S = 0.15
 #: What a target that has just refused seems to take longer, in seconds.
@@ -39,6 +46,7 @@
     others: float = 0
     report_at: float = -math.inf
     refused_at: float = -math.inf
+    unheard_since: float = math.inf
 
     def take(self, report: LoadReport, now: float) -> None:
         """Keep a report, less the calls that are our own."""
@@ -67,6 +75,10 @@
         penalty_s = REFUSED_WAIT_S * math.exp(
             (self.refused_at - now) / REPORT_DECAY_S
         )
+        if now - self.unheard_since > max(
+            SILENT_S, SILENT_SERVICES * service_s
+        ):
+            penalty_s += SILENT_WAIT_S
         return Estimate(
             outstanding=self.outstanding,
             load=load,
@@ -161,7 +173,10 @@
 
     def sent(self, node: str, now: float) -> None:
         """Count a call that went to a node."""
-        self._view(node).outstanding += 1
+        view = self._view(node)
+        if not view.outstanding:
+            view.unheard_since = now
+        view.outstanding += 1
 
     def done(
         self,
@@ -174,6 +189,10 @@
         """Count a call that ended, with the report that came, if any."""
         view = self._view(node)
         view.outstanding = max(0, view.outstanding - 1)
+        if report is not None:
+            view.unheard_since = now
+        if not view.outstanding:
+            view.unheard_since = math.inf
         if refused:
             view.refused_at = now
         self._refused_part += REFUSED_SMOOTHING * (refused - self._refused_part)
@@ -185,6 +204,11 @@
         """Return the last load report of a node."""
         return self._view(node).report or LoadReport()
 
+    def report_age_ms(self, node: str, now: float) -> int:
+        """Return how old the last load report is; -1 if there is none."""
+        age_s = now - self._view(node).report_at
+        return -1 if math.isinf(age_s) else int(age_s * MS_PER_S)
+
     def forget(self, node: str) -> None:
         """Drop what is known of a node that is gone."""
         self._views.pop(node, None)
--- a/daisyline/platform/__main__.py
+++ b/daisyline/platform/__main__.py
@@ -17,13 +17,14 @@
 def main() -> None:
     """Run a node until it is told to stop."""
     boot = _read_boot()
-    logs.configure('INFO', json=True)
     log = logs.logger_for('node')
     try:
         node = Node.from_config(boot, log, front_end(boot))
     except OSError as error:
         sys.stderr.write(f'daisyline: a port is not free: {error}\n')
         sys.exit(_EXIT_FAILED)
+    if node.decisions is not None:
+        logs.send_to(node.decisions.message)
     log.info(f'Ready as {boot.name} in {boot.zone}.')
     node.run()
 
--- a/daisyline/programs/logs.py
+++ b/daisyline/programs/logs.py
@@ -1,7 +1,8 @@
 """Set logging up: short sentences on stderr, a fixed prefix for each part."""
 
 import sys
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -33,6 +34,18 @@
     )
 
 
+def send_to(write: Callable[[str, str], None]) -> None:
+    """Hand each record's level and sentence to a function, and to no other."""
+
+    def sink(message: Any) -> None:
+        record = message.record
+        write(record['level'].name, record['message'])
+
+    logger.remove()
+    logger.configure(extra={_PART: 'node'})
+    logger.add(sink, level='INFO', format='{message}', catch=True)
+
+
 def logger_for(part: str) -> 'Logger':
     """Return the logger whose lines begin with the part's name."""
     return logger.bind(**{_PART: part})
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -61,6 +61,7 @@
         ready_path: Where the platform asks if the node takes callers.
         notice_s: How long callers may take to hear that a node stops, during
             which it goes on to serve them, in seconds.
+        logs_decisions: Whether decisions are written to standard output.
         stop_s: The longest that a stop waits for calls in progress, in
             seconds.
     """
@@ -74,3 +75,4 @@
     ready_path: str = '/ready'
     notice_s: float = 0
     stop_s: float = 30.0
+    logs_decisions: bool = False
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -131,16 +131,8 @@
     return kept + lengths[:1]
 
 
-def end_to_end(
-    raw: Iterable[tuple[bytes, bytes]],
-    reserved: frozenset[bytes] = frozenset(),
-) -> Headers:
-    """Drop hop-by-hop headers, those that `Connection` names, and our own.
-
-    Args:
-        raw: All headers, in order.
-        reserved: Further names to drop, in small letters.
-    """
+def end_to_end(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Drop hop-by-hop headers, those that `Connection` names, and our own."""
     headers = list(raw)
     named = {
         token.strip().lower()
@@ -148,7 +140,7 @@
         if name.lower() == b'connection'
         for token in content.split(b',')
     }
-    dropped = _HOP_BY_HOP | named | reserved
+    dropped = _HOP_BY_HOP | named
     return tuple(
         (bytes(name), bytes(content))
         for name, content in headers
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -98,18 +98,8 @@
 class ServerCodec(AnswerCodec):
     """The server's side of one connection: one request at a time, in order."""
 
-    def __init__(
-        self,
-        body_limit_bytes: int,
-        reserved: frozenset[bytes] = frozenset(),
-    ) -> None:
-        """Start before the first request.
-
-        Args:
-            body_limit_bytes: The longest body that is taken.
-            reserved: Headers that are dropped, in small letters.
-        """
-        self._reserved = reserved
+    def __init__(self, body_limit_bytes: int) -> None:
+        """Start before the first request."""
         super().__init__()
         self._limit = body_limit_bytes
         self._body: list[bytes] = []
@@ -234,7 +224,7 @@
         return Request(
             method=bytes(request.method),
             path=bytes(request.target),
-            headers=end_to_end(request.headers.raw_items(), self._reserved),
+            headers=end_to_end(request.headers.raw_items()),
             body=b''.join(self._body),
             context=_context_of(request),
         )
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -91,7 +91,7 @@
         self._dialect = dialect or Dialect()
         self._loop = loop
         self._connection = connection
-        self._codec = ServerCodec(body_limit_bytes, self._dialect.reserved)
+        self._codec = ServerCodec(body_limit_bytes)
         self._on_request = on_request
         self._on_event = on_event
         self._answers: deque[_Answer] = deque()
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -15,6 +15,7 @@
 from daisyline.state.members import Member
 from daisyline.transport.deadlines import Deadline
 from daisyline.transport.effects import Outlets, perform
+from daisyline.transport.log_lines import DecisionLog, LineWriter
 from daisyline.transport.loop import Loop
 from daisyline.transport.operators import OperatorsPort
 from daisyline.transport.platform_client import PlatformClient
@@ -79,6 +80,7 @@
 
     Attributes:
         core: Its decisions.
+        decisions: Where they are written; None if they are only kept.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self._tick_at = math.inf
         self._stop_by: float | None = None
         self.core = core
+        self.decisions: DecisionLog | None = None
 
     @classmethod
     def from_config(
@@ -130,6 +133,9 @@
             log=log,
         )
         node = cls(loop, core, outlets, front)
+        if front.logs_decisions:
+            node.decisions = DecisionLog(LineWriter(loop), me.name)
+            core.events.add_sink(node.decisions.take)
         inlet.take = node.take
         node._listen(config, front.ready_path)
         return node
@@ -141,6 +147,8 @@
         gc.set_threshold(*_COLLECT_AT)
         self._run_tick()
         self._loop.run()
+        if self.decisions is not None:
+            self.decisions.flush()
 
     def take(self, event: Any) -> None:
         """Hand an event to the decisions and carry out what follows."""
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -253,10 +253,16 @@
         return Failure(Reason.NO_SERVICE, detail='no route leads there')
 
     def _headers_of(self, request: Request) -> Headers:
-        origin = self._front.dialect.origin
-        if not origin or not self._origin:
+        """Return the headers that go along, without those only for us."""
+        dialect = self._front.dialect
+        if not dialect.reserved:
             return request.headers
-        return (*request.headers, (origin, self._origin))
+        kept = tuple(
+            (name, content)
+            for name, content in request.headers
+            if name.lower() not in dialect.reserved
+        )
+        return (*kept, (dialect.origin, self._origin))
 
     def _service_of(self, host: str, route: Route | None) -> str:
         """Return the service that a request is for.
@@ -305,8 +311,11 @@
 
 def _budget_s(asked: bytes, most_ms: int) -> float:
     """Return how long a caller waits; it may ask for less than the limit."""
-    is_read = asked.isdigit() and len(asked) <= _MAX_DIGITS
-    wanted_ms = int(asked) if is_read else most_ms
+    whole, _, fraction = asked.partition(b'.')
+    is_read = whole.isdigit() and len(whole) <= _MAX_DIGITS
+    # A part of a millisecond is no more time to give away.
+    is_read = is_read and (not fraction or fraction.isdigit())
+    wanted_ms = int(whole) if is_read else most_ms
     return min(wanted_ms, most_ms) / _MS_PER_S
 
 
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -17,10 +17,14 @@
 
 # A node that waits for an answer asks for a sign of life after so much
 # silence, and gives the stream up after so much more, in seconds.
-QUIET_S = 1.0
-SILENT_S = 2.0
-OPENING_S = 2.0
+QUIET_S = 0.2
+SILENT_S = 0.5
+OPENING_S = 0.7
 _IDLE_PING_S = 10.0
+# A stream on which nothing is awaited is looked at this often, in seconds.
+_IDLE_CHECK_S = 0.4
+# A check that is this late shows that the process stood still, in seconds.
+_STOOD_STILL_S = 1.0
 # A peer that reads this slowly costs its stream, not this node's memory.
 _MAX_BUFFERED_BYTES = 67_108_864
 
@@ -75,7 +79,6 @@
         self.peer = ''
         self.key = ''
         self.expected = ''
-        self.opened_once = not connection.opening
         self.awaited: Callable[[], bool] = bool
         connection.handler = self
         self._write(identity.hello())
@@ -84,13 +87,23 @@
     @property
     def unsent(self) -> list[Any]:
         """Return messages that were never handed to the network."""
-        return [] if self.opened_once else self._unsent
+        return self._unsent
+
+    @property
+    def opened_once(self) -> bool:
+        """Return whether the other end has said who it is."""
+        return bool(self.peer)
 
     def send(self, message: Any) -> None:
-        """Send a message; those of one turn of the loop go out together."""
-        if self._connection.opening:
+        """Send a message; those of one turn of the loop go out together.
+
+        Until the other end has named itself they are held back: another
+        node may stand at the address by now.
+        """
+        if self.peer:
+            self._write(message)
+        else:
             self._unsent.append(message)
-        self._write(message)
 
     def close(self) -> None:
         """Give the stream up."""
@@ -98,8 +111,6 @@
 
     def opened(self) -> None:
         """Note that the connection is made."""
-        self.opened_once = True
-        self._unsent = []
         self._heard_at = self._loop.now()
         self._began_at = self._heard_at
 
@@ -141,6 +152,9 @@
         is_meant = self.expected in {'', hello.node}
         if is_mine and is_meant and not self.peer:
             self.peer = hello.node
+            held, self._unsent = self._unsent, []
+            for message in held:
+                self._write(message)
             self._on_message(self, hello)
         else:
             self.close()
@@ -160,7 +174,7 @@
     def _check_silence(self) -> None:
         """Ping a quiet peer, and give up one that has stayed silent."""
         now = self._loop.now()
-        if now - self._checked_at > QUIET_S:
+        if now - self._checked_at > _STOOD_STILL_S:
             # This process stood still: what came meanwhile is still unread.
             self._grant(now)
         self._checked_at = now
@@ -170,7 +184,8 @@
         if self._is_quiet(now):
             self._pinged_at = now
             self._write(Ping(int(now), 0))
-        self._check = self._loop.call_later(QUIET_S / 2, self._check_silence)
+        pause_s = QUIET_S / 2 if self.awaited() else _IDLE_CHECK_S
+        self._check = self._loop.call_later(pause_s, self._check_silence)
 
     def _grant(self, now: float) -> None:
         """Count silence from now on."""
