--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -170,7 +170,7 @@
                 self._refuse_all(Reason.OVERLOADED, movable_only=True)
             if self._breaker.observe(now, succeeded=succeeded):
                 self._refuse_all(Reason.OVERLOADED)
-        return self._fill(now)
+        return self.resume(now)
 
     def withdraw(self, call: str, now: float) -> bool:
         """Take out a call that nobody waits for; return whether it waited."""
@@ -191,13 +191,10 @@
         """Return when `expire` or `resume` has something to do."""
         if self._refused:
             return -math.inf
-        if self._queue and self._is_cold and self._has_slot():
-            return min(self._waits.next_at(), self._cold_rate.next_at())
-        return self._waits.next_at()
-
-    def resume(self, now: float) -> list[str]:
-        """Return waiting calls that start now that a cold target bears more."""
-        return self._fill(now)
+        next_at = self._waits.next_at()
+        if self._queue and self.running < self._concurrency.limit:
+            return min(next_at, self._cold_rate.next_at())
+        return next_at
 
     def set_limits(self, limits: Limits, now: float) -> Change:
         """Follow a change of settings."""
@@ -207,7 +204,7 @@
         dropped = self._queue.set_capacity(limits.queue_per_upstream)
         for ticket in dropped:
             self._refuse(ticket, Reason.OVERLOADED)
-        return Change(started=self._fill(now), refused=self.expire(now))
+        return Change(started=self.resume(now), refused=self.expire(now))
 
     def set_phase(self, phase: Phase, now: float) -> Change:
         """Follow what the target says of itself; repeats change nothing."""
@@ -216,9 +213,10 @@
         self._announced = phase
         by_slots = not self._contract.cold_calls_per_s
         self._concurrency.hold(phase == Phase.COLD and by_slots)
+        self._cold_rate.holds = phase == Phase.COLD and not by_slots
         if phase == Phase.LEAVING:
             self._refuse_all(Reason.LEAVING)
-        return Change(started=self._fill(now), refused=self.expire(now))
+        return Change(started=self.resume(now), refused=self.expire(now))
 
     def turned_cold(self, now: float) -> None:
         """Go back to one slot, as for a new instance; running calls go on."""
@@ -264,17 +262,9 @@
             wait_s = min(wait_s, move_wait_s)
         return min(now + wait_s, ticket.give_up_at - service_s)
 
-    @property
-    def _is_cold(self) -> bool:
-        return self._announced == Phase.COLD and self._cold_rate.per_s > 0
-
-    def _has_slot(self) -> bool:
-        return self.running < self._concurrency.limit
-
     def _has_room(self, now: float) -> bool:
-        if self._is_cold and not self._cold_rate.allows(now):
-            return False
-        return self._has_slot()
+        has_slot = self.running < self._concurrency.limit
+        return has_slot and self._cold_rate.allows(now)
 
     def _start(self, ticket: Ticket, now: float) -> None:
         assert self.running < self._contract.slots_per_upstream
@@ -283,8 +273,8 @@
         # Counted also while it is warm, as it may turn out to have been cold.
         self._cold_rate.started(now)
 
-    def _fill(self, now: float) -> list[str]:
-        """Start waiting calls while there are slots."""
+    def resume(self, now: float) -> list[str]:
+        """Start waiting calls while there is room; return which."""
         started = []
         while self._has_room(now):
             ticket = self._queue.pop()
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -8,7 +8,6 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.fact_events import FactChanged
 from daisyline.coordination.fleet_events import (
     FromPeer,
     MembersChanged,
@@ -18,14 +17,11 @@
 from daisyline.coordination.gossip import Gossip
 from daisyline.coordination.gossip_handlers import receive
 from daisyline.coordination.gossip_records import (
-    FactRecord,
     MemberRecord,
     Standing,
 )
-from daisyline.coordination.order_reading import orders_in
 from daisyline.coordination.outbox import messages_to, shortened
-from daisyline.coordination.reader import Finding, Found
-from daisyline.coordination.readers import SETTINGS_KIND, SETTINGS_NAME
+from daisyline.coordination.platform_reading import Sources, learn
 from daisyline.coordination.seeds import Seeds
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
@@ -36,20 +32,6 @@
 PAUSE_NOTED_S = 1.0
 
 
-@attrs.frozen
-class Sources:
-    """What is read of the platform.
-
-    Attributes:
-        kinds: The kinds of objects that are followed.
-        current: Whether a list is never older than the call for it, so that
-            a node may serve what it has read without asking others.
-    """
-
-    kinds: tuple[str, ...] = (SETTINGS_KIND,)
-    current: bool = False
-
-
 @attrs.define
 class Fleet:
     """Find members, notice failures, and spread settings and facts.
@@ -167,11 +149,11 @@
 
     def put_fact(self, fact: Fact, now: float) -> list[Any]:
         """Hold a fact and spread it, if it is news."""
-        record = FactRecord(fact, fact.ttl_ms)
-        if not self._gossip.facts.merge(record, now):
-            return []
-        self._gossip.tell(record, '', now)
-        return [FactChanged(fact)]
+        return self._gossip.put_fact(fact, now)
+
+    def follow_orders(self, now: float) -> list[Any]:
+        """Put the orders among the facts in force."""
+        return self._gossip.settings.follow(Orders.from_facts(self.facts))
 
     def leave(self, now: float) -> list[Any]:
         """Tell the fleet that this node stops; it takes no part any more."""
@@ -202,7 +184,7 @@
         effects: list[Any] = []
         finding = gossip.readers.replied(event, len(self.members), now)
         if finding is not None:
-            effects.extend(self._learn(finding, now))
+            effects.extend(learn(finding, gossip, self._sources, now))
         live = self.members.values()
         for address in self._seeds.replied(event, live, now):
             effects.append(gossip.contact(*address))
@@ -215,26 +197,6 @@
     ) -> list[Any]:
         return self._gossip.detector.probe(event.node, now)
 
-    def follow_orders(self, now: float) -> list[Any]:
-        """Put the orders among the facts in force."""
-        return self._gossip.settings.follow(Orders.from_facts(self.facts))
-
-    def _learn(self, finding: Finding, now: float) -> list[Any]:
-        """Take over what a read of the platform has brought."""
-        gossip = self._gossip
-        neighbours = gossip.members.overlay.neighbours()
-        effects: list[Any] = []
-        if finding.kind == SETTINGS_KIND and self._sources.current:
-            gossip.settings.trust(now)
-        for found in finding.objects:
-            if finding.kind == SETTINGS_KIND and _is_tree(found):
-                effects += gossip.settings.adopt(
-                    found.version, found.content, neighbours, now
-                )
-        for order in orders_in(finding, self.facts):
-            effects += self.put_fact(order.to_fact(), now)
-        return effects
-
     def _note_pause(self, now: float) -> None:
         """Notice that the process was paused; each pause counts once."""
         late = now - max(self.next_at(), self._called_at)
@@ -254,7 +216,3 @@
             effects.append(MembersChanged(changed, removed))
         gossip.holders.watch(now)
         return effects
-
-
-def _is_tree(found: Found) -> bool:
-    return found.name == SETTINGS_NAME and found.content is not None
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -149,7 +149,6 @@
         if held is not None and _order(record) <= _order(held):
             return Merge.OLD
         self._apply(record, now)
-        self._displace(record.member, now)
         return Merge.NEWS
 
     def suspect(self, name: str, now: float) -> MemberRecord | None:
@@ -228,7 +227,6 @@
             return Merge.DISPUTED if alive else Merge.OLD
         self._tombstones.pop(record.member.name)
         self._apply(record, now)
-        self._displace(record.member, now)
         return Merge.NEWS
 
     def _apply(self, record: MemberRecord, now: float) -> None:
@@ -240,24 +238,13 @@
             return
         if self._live.get(name) != record.member:
             self.put_live(record.member)
+            for other in _displaced(self._live, record.member):
+                self._bury(MemberRecord(other, Standing.LEFT), now)
         if record.standing is Standing.SUSPECT:
             self._suspects[name] = now + SUSPICION_S
         else:
             self._suspects.pop(name, None)
 
-    def _displace(self, member: Member, now: float) -> None:
-        """Remove the node that stood at the address of a newer one."""
-        place = (member.host, member.port)
-        older = [
-            other
-            for other in self._live.values()
-            if (other.host, other.port) == place
-            and other.incarnation < member.incarnation
-            and other.name not in {member.name, self._me.name}
-        ]
-        for other in older:
-            self._bury(MemberRecord(other, Standing.LEFT), now)
-
     def _bury(self, record: MemberRecord, now: float) -> None:
         name = record.member.name
         held = self._live.pop(name, None)
@@ -275,3 +262,15 @@
 
 def _order(record: MemberRecord) -> tuple[int, int, int]:
     return (*record.member.stamp, record.standing)
+
+
+def _displaced(live: Mapping[str, Member], newer: Member) -> tuple[Member, ...]:
+    """Return the members that stood at the address of a newer one."""
+    place = (newer.host, newer.port)
+    return tuple(
+        other
+        for other in live.values()
+        if (other.host, other.port) == place
+        and other.incarnation < newer.incarnation
+        and other.name != newer.name
+    )
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -12,8 +12,9 @@
 from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.entry import Entry
-from daisyline.coordination.fleet import Fleet, Sources
+from daisyline.coordination.fleet import Fleet
 from daisyline.coordination.owner import Owner
+from daisyline.coordination.platform_reading import Sources
 from daisyline.coordination.quarantine import Quarantine, fingerprint
 from daisyline.coordination.registration import Registration
 from daisyline.coordination.rollout import Rollouts
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -53,7 +53,9 @@
         effects += core.announced(None, now)
     if core.warm_at <= now:
         effects += core.warmed(now)
-    for part in (core.entry, core.owner, core.fleet, core.rollouts):
+    if core.owner.next_at() <= now:
+        effects += owner_events.tick(core.owner, now)
+    for part in (core.entry, core.fleet, core.rollouts):
         if part.next_at() <= now:
             effects += part.tick(now)
     return _settle(effects, core, now)
--- a/daisyline/coordination/order_reading.py
+++ b/daisyline/coordination/order_reading.py
@@ -30,13 +30,10 @@
     kind = _order_kind(finding.kind)
     if kind is None:
         return []
-    orders = [
-        order
-        for order in (_order(kind, found) for found in finding.objects)
-        if order is not None
-    ]
+    read = [_order(kind, found) for found in finding.found]
+    orders = [order for order in read if order is not None]
     if finding.whole:
-        listed = {found.name for found in finding.objects}
+        listed = {found.name for found in finding.found}
         orders += _withdrawn(kind, listed, finding.revision, held)
     return orders
 
@@ -52,13 +49,14 @@
     held: Mapping[tuple[str, str], Fact],
 ) -> list[Order]:
     """Return the end of each order that was held and isn't there any more."""
-    gone = [
-        fact.name
-        for fact in held.values()
-        if fact.kind == kind and fact.payload and fact.rank <= revision
+    kept = set(listed)
+    in_force = [
+        fact for fact in held.values() if fact.kind == kind and fact.payload
     ]
     return [
-        Order(kind, name, revision) for name in gone if name not in set(listed)
+        Order(kind, fact.name, revision)
+        for fact in in_force
+        if fact.rank <= revision and fact.name not in kept
     ]
 
 
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -52,7 +52,7 @@
     screen: Screen = attrs.field(default=lambda _run, _now: None)
     peers: set[str] = attrs.field(factory=set)
     pace: Pace = attrs.field(factory=Pace)
-    _unweighed: list[str] = attrs.field(factory=list)
+    unweighed: list[str] = attrs.field(factory=list)
     stopping: bool = False
 
     @classmethod
@@ -78,7 +78,7 @@
         self._settings = settings
         if self._admission is None or self._target is None:
             return []
-        limits = self._limits_of(self._target)
+        limits = self.limits_of(self._target)
         self._admission.set_weights(settings.tenant_weights)
         change = self._admission.set_limits(limits, now)
         return self.follow(change.started, change.refused, now)
@@ -90,7 +90,7 @@
         if target is None:
             return []
         if self._admission is None:
-            limits = self._limits_of(target)
+            limits = self.limits_of(target)
             self._admission = Admission.from_limits(
                 limits, now, candid=target.slots > 0
             )
@@ -100,61 +100,19 @@
         change = self._admission.set_phase(target.phase, now)
         return self.follow(change.started, change.refused, now)
 
-    def offer(self, peer: str, run: msg.Run, now: float) -> Effects:
-        """Take a call, let it wait, or refuse it as not run."""
+    def take(self, peer: str, run: msg.Run, now: float) -> Job | ev.Reply:
+        """Take a call on, or refuse it as not run."""
         failure = self.refusal(peer, run, now)
         if failure is not None:
-            return [self._turned_away(peer, run, failure, now)]
+            return self._turned_away(peer, run, failure, now)
         assert self._admission is not None
         deadline = now + run.budget_ms / MS_PER_S
         job = Job(run, peer, deadline)
         self.jobs[run.call] = job
         heapq.heappush(self._deadlines, (deadline, run.call))
-        path = self._pace_path()
-        if not path or not may_go_elsewhere(run):
-            return self._admit(job, now)
-        if self.pace.is_fresh(now):
-            return self._weigh(job, now)
-        self._unweighed.append(run.call)
-        if self.pace.asked_at < math.inf:
-            return []
-        self.pace.asked_at = now
-        return [ev.ProbeTarget(path)]
-
-    def paced(self, percent: int, now: float) -> Effects:
-        """Go on with the calls that waited to hear the target's pace.
-
-        Args:
-            percent: What it has said; 0 if it stayed silent.
-            now: Monotonic seconds.
-        """
-        self.pace.asked_at = math.inf
-        if percent:
-            self.pace.note(percent, now)
-        waiting, self._unweighed = self._unweighed, []
-        effects: Effects = []
-        for call in waiting:
-            job = self.jobs.get(call)
-            if job is None or job.started_at is not None:
-                continue
-            failure = self._closed_to(job.peer)
-            if failure is not None:
-                effects.append(self._turn_away(job, failure, now))
-            elif percent:
-                effects += self._weigh(job, now)
-            else:
-                effects += self._admit(job, now)
-        return effects
-
-    def _weigh(self, job: Job, now: float) -> Effects:
-        """Send a call on that a slow target would take too long for."""
-        if self.pace.is_slow:
-            detail = f'work takes {self.pace.percent}% of the usual time'
-            failure = Failure(Reason.SLOW, detail=detail)
-            return [self._turn_away(job, failure, now)]
-        return self._admit(job, now)
+        return job
 
-    def _admit(self, job: Job, now: float) -> Effects:
+    def admit(self, job: Job, now: float) -> Effects:
         """Let a call start or wait, or turn it away."""
         run = job.run
         assert self._admission is not None
@@ -163,7 +121,7 @@
         )
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
-            return [self._turn_away(job, decision, now)]
+            return [self.turn_away(job, decision, now)]
         if isinstance(decision, Admitted):
             return [self._start(run.call, now)]
         self._events.add(
@@ -259,8 +217,6 @@
     def tick(self, now: float) -> Effects:
         """End what has waited or run for too long."""
         effects: Effects = []
-        if self.pace.overdue_at <= now:
-            effects += self.paced(0, now)
         if self._admission is not None:
             refused = self._admission.expire(now)
             started = self._admission.resume(now)
@@ -293,19 +249,13 @@
             return Failure(Reason.DUPLICATE, Outcome.UNKNOWN)
         if self.records.get(run.call, now) is not None:
             return Failure(Reason.DUPLICATE, detail='it was given up')
-        return self._closed_to(peer) or self.screen(run, now)
+        return self.closed_to(peer) or self.screen(run, now)
 
-    def _turn_away(self, job: Job, failure: Failure, now: float) -> ev.Reply:
+    def turn_away(self, job: Job, failure: Failure, now: float) -> ev.Reply:
         """Refuse a call that was taken on and has not started."""
         self.jobs.pop(job.run.call)
         return self._turned_away(job.peer, job.run, failure, now)
 
-    def _pace_path(self) -> str:
-        """Return where the target says how fast it works, if it does now."""
-        if self._target is None or self._target.phase != Phase.READY:
-            return ''
-        return self._limits_of(self._target).pace_path
-
     def _turned_away(
         self, peer: str, run: msg.Run, failure: Failure, now: float
     ) -> ev.Reply:
@@ -313,7 +263,7 @@
             self.records.note_sent_on(run, now)
         return self.refused(peer, run.call, failure, now)
 
-    def _closed_to(self, peer: str) -> Failure | None:
+    def closed_to(self, peer: str) -> Failure | None:
         """Return why this node takes no new call from a peer, if so."""
         if peer in self.stale_peers:
             return Failure(Reason.PAUSED, detail='the node stood still')
@@ -350,9 +300,9 @@
         """Return the contract's slots; a lowered one holds for new calls."""
         if self._target is None:
             return math.inf
-        return self._limits_of(self._target).slots_per_upstream
+        return self.limits_of(self._target).slots_per_upstream
 
-    def _limits_of(self, target: Target) -> Limits:
+    def limits_of(self, target: Target) -> Limits:
         """Return the target's limits; it may say how many slots it has."""
         limits = self._settings.limits_for(target.service, self._zone)
         if not target.slots:
@@ -384,8 +334,3 @@
             failure = Failure(Reason.DEADLINE, Outcome.UNKNOWN)
             effects.append(self.refused(job.peer, job.run.call, failure, now))
         return effects
-
-
-def may_go_elsewhere(run: msg.Run) -> bool:
-    """Return whether a call is better taken elsewhere by a slow target."""
-    return run.may_move and not run.stays_if_slow
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -7,6 +7,7 @@
 
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import messages as msg
+from daisyline.coordination import weighing
 from daisyline.coordination.answer_records import (
     RECORD_S,
     Record,
@@ -18,6 +19,22 @@
 from daisyline.state.failures import Failure, Outcome, Reason
 
 
+def offer(peer: str, run: msg.Run, owner: Owner, now: float) -> Effects:
+    """Take a call, let it wait, or refuse it as not run."""
+    taken = owner.take(peer, run, now)
+    if isinstance(taken, Job):
+        return weighing.take(taken, owner, now)
+    return [taken]
+
+
+def tick(owner: Owner, now: float) -> Effects:
+    """Do what is due."""
+    effects: Effects = []
+    if owner.pace.overdue_at <= now:
+        effects += weighing.paced(0, owner, now)
+    return effects + owner.tick(now)
+
+
 @functools.singledispatch
 def handle(event: Any, owner: Owner, now: float) -> Effects:
     """Return what the target's side does about an event."""
@@ -87,7 +104,7 @@
 
 @handle.register
 def _(event: ev.TargetPaced, owner: Owner, now: float) -> Effects:
-    return owner.paced(event.percent, now)
+    return weighing.paced(event.percent, owner, now)
 
 
 @handle.register
@@ -148,7 +165,7 @@
     known = _by_key(owner, peer, message, now)
     if known is not None:
         return [ev.Reply(peer, known)]
-    return owner.offer(peer, message, now)
+    return offer(peer, message, owner, now)
 
 
 @_take.register
--- a/daisyline/coordination/rate_limit.py
+++ b/daisyline/coordination/rate_limit.py
@@ -1,5 +1,6 @@
 """A bound on how many calls start in any second."""
 
+import math
 from collections import deque
 
 import attrs
@@ -15,15 +16,17 @@
 
     Attributes:
         per_s: The most starts in any second.
+        holds: Whether the bound holds now; starts are counted in any case.
     """
 
     per_s: int
+    holds: bool = False
     _starts: deque[float] = attrs.field(factory=deque)
 
     def allows(self, now: float) -> bool:
         """Return whether one more call may start now, in monotonic seconds."""
         self._drop(now)
-        return len(self._starts) < self.per_s
+        return not self.holds or len(self._starts) < self.per_s
 
     def started(self, now: float) -> None:
         """Count a call that starts."""
@@ -32,6 +35,8 @@
 
     def next_at(self) -> float:
         """Return when the oldest start leaves the window."""
+        if not self.holds:
+            return math.inf
         return self._starts[0] + WINDOW_S if self._starts else 0
 
     def _drop(self, now: float) -> None:
--- a/daisyline/coordination/reader.py
+++ b/daisyline/coordination/reader.py
@@ -47,13 +47,13 @@
         kind: The kind.
         revision: The store's revision that the answer holds for.
         whole: Whether these are all the objects of the kind.
-        objects: The objects, or those that changed.
+        found: The objects, or those that changed.
     """
 
     kind: str
     revision: int
     whole: bool
-    objects: tuple[Found, ...] = ()
+    found: tuple[Found, ...] = ()
 
 
 @attrs.define
--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -1,7 +1,7 @@
 """The front end by which a node speaks with the users' platform."""
 
-from daisyline.coordination.fleet import Sources
 from daisyline.coordination.order_reading import ROLLOUTS_KIND, ZONES_KIND
+from daisyline.coordination.platform_reading import Sources
 from daisyline.coordination.readers import SETTINGS_KIND
 from daisyline.platform import wire
 from daisyline.platform.boot import Boot
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -6,8 +6,8 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.fleet import Sources
 from daisyline.coordination.node_core import TARGET_LEASE_S
+from daisyline.coordination.platform_reading import Sources
 from daisyline.coordination.registration import Announcement
 from daisyline.protocol import announcements
 from daisyline.protocol import platform as object_api
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -1,42 +1,28 @@
 """The two ports of a node that speak HTTP: for callers and for its target."""
 
-import hashlib
-import itertools
-import random
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
 from daisyline.coordination.call_events import (
     AnswerCaller,
-    Arrived,
     CallerLost,
     RefuseCaller,
     TargetAnnounced,
     TargetLeaves,
-    Unroutable,
 )
-from daisyline.coordination.messages import Headers
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.registration import Announcement
 from daisyline.protocol.front_end import FrontEnd, Leaving, Notice
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
-from daisyline.state.routes import Route
+from daisyline.transport.arrivals import Arrivals, Parent
 from daisyline.transport.callers import CallerConnection
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection, Listener
 
-_MS_PER_S = 1000
-# Digits of the longest deadline that is read, in milliseconds.
-_MAX_DIGITS = 9
-_MAX_TENANT = 128
-_KEY_BYTES = 16
 # Each takes as many connections as are accepted in one turn of the loop.
 _LAST_ACCEPTS = 16
-_MAX_REQUEST_ID = 64
-_KEY_HEADER = b'idempotency-key'
-_DEFAULT_TENANT = 'default'
 
 
 class Ports:
@@ -65,10 +51,8 @@
         self._core = core
         self._on_event = on_event
         self._front = front or FrontEnd()
-        self._origin = origin.encode()
-        self._rng = random.Random(incarnation)
-        self._prefix = f'{core.name}-{incarnation:x}'
-        self._counter = itertools.count(1)
+        dialect = self._front.dialect
+        self._arrivals = Arrivals(core, dialect, incarnation, origin)
         self._waiting: dict[str, CallerConnection] = {}
         self._connections: set[CallerConnection] = set()
         self._listeners: list[Listener] = []
@@ -123,7 +107,7 @@
         self._listeners.append(listener)
 
     def _accept(self, connection: Connection, on_request: Any) -> None:
-        service = self._own_service()
+        service = self._arrivals.own_service()
         settings = self._core.fleet.settings
         limit = settings.limits_for(service, '').body_limit_bytes
         caller = CallerConnection(
@@ -142,8 +126,7 @@
 
     def _may_overlap(self, request: Request) -> bool:
         """Return whether a request may run beside others of its caller."""
-        settings = self._core.fleet.settings
-        route = settings.routes.find(_host_of(request), request.path)
+        route = self._arrivals.route_of(request)
         return route is not None and route.repeatable
 
     def _event(self, event: Any) -> None:
@@ -152,7 +135,7 @@
         self._on_event(event)
 
     def _from_outside(self, caller: CallerConnection, request: Request) -> None:
-        self._begin(caller, request, '', retried=False)
+        self._begin(caller, request, Parent())
 
     def _from_target(self, caller: CallerConnection, request: Request) -> None:
         """Take an announcement, or a call that the target makes in turn.
@@ -165,16 +148,11 @@
             self._noticed(caller, notice)
             return
         job = self._core.owner.jobs.get(request.context)
-        if job is None:
-            self._begin(caller, request, '', retried=False)
-            return
-        self._begin(
-            caller,
-            request,
-            request.context,
-            retried=job.run.retried or job.retry_spent,
-            deadline=job.deadline,
-        )
+        parent = Parent()
+        if job is not None:
+            retried = job.run.retried or job.retry_spent
+            parent = Parent(request.context, retried, job.deadline)
+        self._begin(caller, request, parent)
 
     def _noticed(self, caller: CallerConnection, notice: Notice) -> None:
         """Take a notice of the target; what it says holds once answered."""
@@ -188,104 +166,12 @@
         caller.answer(AnswerCaller('', HTTPStatus.OK, kind, body, last=True))
 
     def _begin(
-        self,
-        caller: CallerConnection,
-        request: Request,
-        parent: str,
-        *,
-        retried: bool,
-        deadline: float | None = None,
+        self, caller: CallerConnection, request: Request, parent: Parent
     ) -> None:
-        settings = self._core.fleet.settings
-        host = _host_of(request)
-        route = settings.routes.find(host, request.path)
-        service = self._service_of(host, route)
-        limits = settings.limits_for(service, '')
-        dialect = self._front.dialect
-        now = self._loop.now()
-        request_id = request.header(dialect.request_id).decode('latin-1')
-        call = self._call_id(request_id)
-        most_ms = limits.deadline_ms
-        if route is not None and route.deadline_ms:
-            most_ms = route.deadline_ms
-        asked = request.header(dialect.caller_deadline_ms)
-        given_up_at = now + _budget_s(asked, most_ms)
-        if deadline is not None:
-            given_up_at = min(given_up_at, deadline)
-        tenant = _tenant_of(request, limits.tenant_header)
-        caller.call = call
-        self._waiting[call] = caller
-        failure = self._unroutable(route)
-        if failure is not None:
-            self._on_event(Unroutable(call, failure))
-            return
-        arrived = Arrived(
-            call=call,
-            service=service,
-            tenant=tenant,
-            method=request.method,
-            path=request.path,
-            headers=self._headers_of(request),
-            body=request.body,
-            key=_key_of(request, tenant),
-            deadline=given_up_at,
-            parent=parent,
-            retried=retried,
-            route=route,
-            objective=_objective(route, now),
-        )
-        self._on_event(arrived)
-
-    def _call_id(self, request_id: str) -> str:
-        """Return a new id that leads from the caller's id to the call."""
-        number = next(self._counter)
-        if not request_id:
-            return f'{self._prefix}-{number}'
-        return f'{request_id[:_MAX_REQUEST_ID]}~{self._prefix}-{number}'
-
-    def _unroutable(self, route: Route | None) -> Failure | None:
-        """Return why a request leads nowhere, if that is so."""
-        settings = self._core.fleet.settings
-        if not self._front.dialect.needs_route or route is not None:
-            return None
-        if settings.version == 0:
-            return Failure(Reason.NO_SETTINGS, detail='no settings yet')
-        return Failure(Reason.NO_SERVICE, detail='no route leads there')
-
-    def _headers_of(self, request: Request) -> Headers:
-        """Return the headers that go along, without those only for us."""
-        dialect = self._front.dialect
-        if not dialect.reserved:
-            return request.headers
-        kept = tuple(
-            (name, content)
-            for name, content in request.headers
-            if name.lower() not in dialect.reserved
-        )
-        return (*kept, (dialect.origin, self._origin))
-
-    def _service_of(self, host: str, route: Route | None) -> str:
-        """Return the service that a request is for.
-
-        That is one that its route leads to, else the one that its host names,
-        else this node's own.
-        """
-        if route is not None:
-            names, weights = zip(*route.split, strict=True)
-            return str(self._rng.choices(names, weights)[0])
-        return self._named_service(host) or self._own_service()
-
-    def _named_service(self, host: str) -> str:
-        """Return the service that a host name stands for, if any does."""
-        settings = self._core.fleet.settings
-        label = host.split('.')[0]
-        if settings.has_service(label):
-            return settings.hosts.get(host, label)
-        return settings.hosts.get(host, '')
-
-    def _own_service(self) -> str:
-        target = self._core.owner.target
-        return '' if target is None else target.service
+        event = self._arrivals.read(request, parent, self._loop.now())
+        caller.call = event.call
+        self._waiting[event.call] = caller
+        self._on_event(event)
 
 
 def event_of(notice: Notice) -> TargetAnnounced | TargetLeaves | Failure:
@@ -296,42 +182,3 @@
         return TargetLeaves(notice.instance, notice.started_ms)
     detail = '; '.join(str(finding) for finding in notice)
     return Failure(Reason.BAD_REQUEST, detail=detail)
-
-
-def _host_of(request: Request) -> str:
-    host = request.header(b'host').decode('latin-1').lower()
-    return host.split(':')[0]
-
-
-def _objective(route: Route | None, now: float) -> float:
-    if route is None or not route.objective_ms:
-        return 0
-    return now + route.objective_ms / _MS_PER_S
-
-
-def _budget_s(asked: bytes, most_ms: int) -> float:
-    """Return how long a caller waits; it may ask for less than the limit."""
-    whole, _, fraction = asked.partition(b'.')
-    is_read = whole.isdigit() and len(whole) <= _MAX_DIGITS
-    # A part of a millisecond is no more time to give away.
-    is_read = is_read and (not fraction or fraction.isdigit())
-    wanted_ms = int(whole) if is_read else most_ms
-    return min(wanted_ms, most_ms) / _MS_PER_S
-
-
-def _tenant_of(request: Request, header: str) -> str:
-    """Return the tenant that a request names, in bounded length."""
-    named = request.header(header.lower().encode())
-    return named[:_MAX_TENANT].decode('latin-1') or _DEFAULT_TENANT
-
-
-def _key_of(request: Request, tenant: str) -> str:
-    """Return a name for the idempotency key, of its tenant alone.
-
-    One tenant must not get the answer of another that chose the same key.
-    """
-    key = request.header(_KEY_HEADER)
-    if not key:
-        return ''
-    scoped = b'%s\0%s' % (tenant.encode(), key)
-    return hashlib.blake2b(scoped, digest_size=_KEY_BYTES).hexdigest()
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -152,7 +152,8 @@
         is_meant = self.expected in {'', hello.node}
         if is_mine and is_meant and not self.peer:
             self.peer = hello.node
-            held, self._unsent = self._unsent, []
+            held = tuple(self._unsent)
+            self._unsent.clear()
             for message in held:
                 self._write(message)
             self._on_message(self, hello)
--- a/tests/coordination/test_pace.py
+++ b/tests/coordination/test_pace.py
@@ -8,7 +8,7 @@
 from daisyline.coordination import messages as msg
 from daisyline.coordination.events import EventLog
 from daisyline.coordination.owner import Owner
-from daisyline.coordination.owner_events import handle
+from daisyline.coordination.owner_events import handle, offer, tick
 from daisyline.coordination.pace import ANSWER_S, FRESH_S, SLOW_PERCENT
 from daisyline.state.failures import Reason
 from daisyline.state.settings import Settings
@@ -34,7 +34,7 @@
 
 def _offer(owner: Owner, call: str, now: float, **changes: Any) -> list[Any]:
     run = run_message(call, **MOVABLE | changes)
-    return owner.offer('n0', run, now)
+    return offer('n0', run, owner, now)
 
 
 def _started(effects: list[Any]) -> list[str]:
@@ -81,7 +81,7 @@
 def test_a_target_that_doesnt_answer_holds_no_call_up(owner: Owner) -> None:
     _offer(owner, 'a', 0)
     assert owner.next_at() <= ANSWER_S
-    assert _started(owner.tick(ANSWER_S)) == ['a']
+    assert _started(tick(owner, ANSWER_S)) == ['a']
 
 
 def test_a_call_that_was_cancelled_meanwhile_never_starts(
@@ -111,8 +111,8 @@
     now = 0.0
     for number in range(200):
         now += 0.02
-        effects = side.offer('n0', run_message(f'c{number}'), now)
-        effects += side.tick(now)
+        effects = offer('n0', run_message(f'c{number}'), side, now)
+        effects += tick(side, now)
         for call in _started(effects):
             starts.append(now)
             head = ev.TargetHead(call, 200, (), b'', last=True)
--- a/tests/coordination/test_ranked_queue.py
+++ b/tests/coordination/test_ranked_queue.py
@@ -65,7 +65,7 @@
 def test_no_second_sees_more_starts_than_its_rate(
     per_s: int, pauses: list[float]
 ) -> None:
-    rate = RateLimit(per_s)
+    rate = RateLimit(per_s, holds=True)
     now = 0.0
     starts = []
     for pause in pauses:
--- a/tests/coordination/test_reader.py
+++ b/tests/coordination/test_reader.py
@@ -67,4 +67,4 @@
     )
     assert finding is not None
     assert not finding.whole
-    assert finding.objects[0].content is None
+    assert finding.found[0].content is None
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -331,3 +331,63 @@
     door.caller.finish()
     far.until_end()
     assert not far.broken
+
+
+def test_a_caller_that_leaves_is_noticed_also_after_its_last_request(
+    turning: Turning, door: Door
+) -> None:
+    last = b'GET / HTTP/1.1\r\nHost: docs\r\nConnection: close\r\n\r\n'
+    far = door.call(last)
+    far.sock.close()
+    turning.until(lambda: turning.of(CallerLost))
+    assert turning.of(CallerLost) == [CallerLost('c1')]
+
+
+def test_safe_requests_sent_ahead_run_at_once_and_are_answered_in_order(
+    turning: Turning, door: Door
+) -> None:
+    far = turning.connect(door.port)
+    turning.until(lambda: door.connections)
+    door.caller.may_overlap = lambda request: request.method == b'GET'
+    far.send(_get(1) + _get(2))
+    door.until_requests(2)
+    second = AnswerCaller('c2', 200, (), b'second', last=True)
+    door.caller.answer(second)
+    turning.turn_for(0.05)
+    assert not far.came
+    door.caller.answer(AnswerCaller('c1', 200, (), b'first', last=True))
+    came = far.until(b'second')
+    assert came.index(b'first') < came.index(b'second')
+
+
+def test_a_request_that_may_not_overlap_waits_for_the_answers_before_it(
+    turning: Turning, door: Door
+) -> None:
+    far = turning.connect(door.port)
+    turning.until(lambda: door.connections)
+    door.caller.may_overlap = lambda request: request.path != b'/2'
+    far.send(_get(1) + _get(2) + _get(3))
+    door.until_requests(1)
+    turning.turn_for(0.05)
+    assert len(door.requests) == 1
+    door.caller.answer(AnswerCaller('c1', 200, (), b'', last=True))
+    door.until_requests(2)
+    turning.turn_for(0.05)
+    assert len(door.requests) == 2
+
+
+def test_an_answer_cut_behind_another_breaks_the_connection_after_it(
+    turning: Turning, door: Door
+) -> None:
+    far = turning.connect(door.port)
+    turning.until(lambda: door.connections)
+    door.caller.may_overlap = lambda _request: True
+    far.send(_get(1) + _get(2))
+    door.until_requests(2)
+    door.caller.cut('c2')
+    turning.turn_for(0.05)
+    assert not far.broken
+    door.caller.answer(AnswerCaller('c1', 200, (), b'first', last=True))
+    came = far.until_end()
+    assert came.endswith(b'first')
+    assert far.broken
