Clear a guarded rollout before it gets all calls

A rollout that may not expose its version before the verdict is now ended by fiftyfold evidence, and at its end it is done only if less than twofold evidence speaks against it over 12 compared calls; calls on a host that a neighbour slows are left out on both sides. Done is decided at 0.9 of the time, so that the status is written in it.

Ruled out: a larger share (a tenth is the bound).

--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -235,7 +235,8 @@
             route=_route_of(event.run),
             ok=bool(event.status) and event.status < _SERVER_ERROR,
             service_us=int(event.service_s * _US_PER_S),
-            cold=target.phase == Phase.COLD,
+            # A neighbour that slows the host says nothing of the version.
+            cold=target.phase == Phase.COLD or self.owner.pace.is_slow,
             suspect=event.crashed,
         )
 
--- a/daisyline/coordination/rollout_judge.py
+++ b/daisyline/coordination/rollout_judge.py
@@ -22,6 +22,13 @@
 from daisyline.state.rollout_plan import RolloutPlan
 
 ALPHA = 0.001
+# A guarded rollout sees few calls before all go over at once, so that a bad
+# version costs far more than a good one that has to be ordered again.
+GUARDED_ALPHA = 0.02
+# Calls compared with fewer than this say nothing for a version.
+LEAST_JUDGED = 12
+# Evidence from here on is too much for a guarded rollout to be done.
+DOUBT = 2.0
 # Evidence from here on holds the share back, far short of a verdict.
 SUSPICION = 20.0
 # Quarantine stops a request that crashes targets after so many crashes.
@@ -42,17 +49,24 @@
         seen: Calls of the new version in all, cold ones too.
         judged: Warm calls of the new version that were compared.
         why: The route and numbers that weigh most.
+        limit: The evidence from which on the version is rolled back.
     """
 
     evidence: float = 0
     seen: int = 0
     judged: int = 0
     why: str = ''
+    limit: float = 1 / ALPHA
 
     @property
     def bad(self) -> bool:
         """Return whether the new version is to be rolled back."""
-        return self.evidence >= 1 / ALPHA
+        return self.evidence >= self.limit
+
+    @property
+    def doubtful(self) -> bool:
+        """Return whether too little is known to give it all calls at once."""
+        return self.evidence >= DOUBT or self.judged < LEAST_JUDGED
 
     @property
     def suspicious(self) -> bool:
@@ -109,8 +123,9 @@
             for block in counts.take_blocks():
                 parts.append(self._compare(route, block))
         self._overall.add(product_of(parts))
+        alpha = GUARDED_ALPHA if self._plan.is_guarded else ALPHA
         return Judgement(
-            self._evidence(), self._seen, self._judged, self._why()
+            self._evidence(), self._seen, self._judged, self._why(), 1 / alpha
         )
 
     def _compare(self, route: str, block: Block) -> Gains:
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -12,8 +12,8 @@
 from daisyline.coordination.rollout_judge import Judge
 from daisyline.coordination.rollout_record import Record
 from daisyline.coordination.rollout_schedule import (
-    DONE_DUE,
     decide,
+    done_due,
     settle_s,
 )
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
@@ -206,7 +206,8 @@
     def _next_evaluation(self, bench: Bench, now: float) -> float:
         """Return when to judge next: not past the time of the last step."""
         usual = now + bench.interval_s
-        last_step_at = self._started_at + DONE_DUE * self.plan.finish_in_s
+        due_s = done_due(self.plan) * self.plan.finish_in_s
+        last_step_at = self._started_at + due_s
         return min(usual, last_step_at) if last_step_at > now else usual
 
     def _repeat(self, now: float) -> PutFact:
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollout_schedule.py
@@ -11,6 +11,8 @@
 SHARES_DUE = (0, 0.15, 0.3, 0.45, 0.6, 0.75)
 # The rest is kept for the last verdict to spread before the set time.
 DONE_DUE = 0.95
+# A guarded rollout is short, and its verdict has to be written in time too.
+GUARDED_DONE_DUE = 0.9
 # Without enough calls a step waits for so much longer.
 QUIET_DELAY = 0.15
 # After so much of the set time a version that isn't cleared is taken back.
@@ -53,8 +55,11 @@
     index = standing.step + 1
     if index < len(SHARES) and _may_grow(plan, index):
         return _grown(index, part, elapsed_s, calls_at_step)
-    if part < DONE_DUE:
+    if part < done_due(plan):
         return None
+    if judgement.doubtful and plan.is_guarded:
+        why = f'not cleared at a small share; {judgement.why}'
+        return _ended(Stage.ROLLED_BACK, elapsed_s, why)
     return _ended(
         Stage.DONE,
         elapsed_s,
@@ -62,6 +67,11 @@
     )
 
 
+def done_due(plan: RolloutPlan) -> float:
+    """Return the part of the set time after which a rollout is done."""
+    return GUARDED_DONE_DUE if plan.is_guarded else DONE_DUE
+
+
 def _may_grow(plan: RolloutPlan, index: int) -> bool:
     return SHARES[index] * FULL_PERCENT <= plan.exposed_percent
 
--- a/daisyline/state/rollout_plan.py
+++ b/daisyline/state/rollout_plan.py
@@ -41,6 +41,11 @@
     )
     exposed_percent: int = FULL_PERCENT
 
+    @property
+    def is_guarded(self) -> bool:
+        """Return whether it goes from a small share to all calls at once."""
+        return self.exposed_percent < FULL_PERCENT
+
     def leaves(self, version: str) -> bool:
         """Return whether traffic leaves a version."""
         if self.old:
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import attrs
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -15,7 +16,13 @@
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
-from daisyline.coordination.rollout_schedule import settle_s
+from daisyline.coordination.rollout_judge import (
+    DOUBT,
+    GUARDED_ALPHA,
+    LEAST_JUDGED,
+    Judgement,
+)
+from daisyline.coordination.rollout_schedule import decide, settle_s
 from daisyline.state.facts import Fact
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
@@ -316,3 +323,39 @@
             derandomize=True, max_examples=60, stateful_step_count=25
         ),
     )
+
+
+GUARDED = attrs.evolve(PLAN, old='', finish_in_s=12, exposed_percent=10)
+
+
+def _decided(judgement: Judgement, elapsed_s: float) -> Standing | None:
+    standing = Standing(Stage.MOVING, 1, 0.1)
+    return decide(GUARDED, standing, judgement, elapsed_s, judgement.judged)
+
+
+def test_a_guarded_rollout_never_exceeds_its_share_before_the_verdict() -> None:
+    clear = Judgement(evidence=0, seen=500, judged=500)
+    for tenths in range(1, 108):
+        assert _decided(clear, tenths / 10) is None
+    done = _decided(clear, 10.8)
+    assert done is not None
+    assert done.stage is Stage.DONE
+
+
+def test_a_guarded_rollout_that_isnt_cleared_is_taken_back() -> None:
+    for judgement in (
+        Judgement(evidence=DOUBT, seen=500, judged=500),
+        Judgement(evidence=0, seen=500, judged=LEAST_JUDGED - 1),
+    ):
+        assert _decided(judgement, 10) is None
+        ended = _decided(judgement, 10.8)
+        assert ended is not None
+        assert ended.stage is Stage.ROLLED_BACK
+
+
+def test_a_guarded_rollout_is_ended_by_less_evidence() -> None:
+    limit = 1 / GUARDED_ALPHA
+    found = Judgement(evidence=limit, seen=50, judged=50, limit=limit)
+    ended = _decided(found, 3)
+    assert ended is not None
+    assert ended.stage is Stage.ROLLED_BACK
