--- a/daisyline/coordination/rollout_judge.py
+++ b/daisyline/coordination/rollout_judge.py
@@ -172,10 +172,13 @@
         return self._counts[route]
 
     def _evidence(self) -> float:
-        """Return the evidence that no one group of targets accounts for."""
+        """Return the evidence that no one group of targets accounts for.
+
+        A guarded rollout has too few calls to leave some of them out.
+        """
         groups = set(self._groups.values())
         left_out: list[Group | None] = [None]
-        if len(groups) > 1:
+        if len(groups) > 1 and not self._plan.is_guarded:
             left_out = list(groups)
         every = (self._overall, *self._routes.values())
         return min(
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -14,12 +14,14 @@
 
 from bench import rollout as faults
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
+from daisyline.coordination.evidence_messages import Evidence, EvidenceRow
 from daisyline.coordination.fact_events import FactChanged, PutFact
 from daisyline.coordination.rollout import Rollouts
 from daisyline.coordination.rollout_judge import (
     DOUBT,
     GUARDED_ALPHA,
     LEAST_JUDGED,
+    Judge,
     Judgement,
 )
 from daisyline.coordination.rollout_schedule import decide, settle_s
@@ -359,3 +361,27 @@
     ended = _decided(found, 3)
     assert ended is not None
     assert ended.stage is Stage.ROLLED_BACK
+
+
+def _evidence_against(plan: RolloutPlan) -> float:
+    """Return what speaks against a version of which one target of two fails."""
+    judge = Judge.from_plan(plan)
+    found: float = 0
+    for seq in range(1, 13):
+        for version, target, calls, failed in (
+            ('v1', 'old', 60, 1),
+            ('v2', 'good', 3, 0),
+            ('v2', 'bad', 3, 2),
+        ):
+            row = EvidenceRow('GET /', calls, failed, 0, 0, 0, ())
+            judge.add(
+                Evidence(SERVICE, plan.id, version, target, 1, seq, (row,))
+            )
+        found = judge.evaluate().evidence
+    return found
+
+
+def test_one_bad_target_of_two_ends_a_guarded_rollout_only() -> None:
+    whole = attrs.evolve(GUARDED, exposed_percent=100)
+    assert _evidence_against(GUARDED) >= 1 / GUARDED_ALPHA
+    assert _evidence_against(whole) < 1 / GUARDED_ALPHA
