Give a returning zone no more than its ramp although it is near

Cause: test_a_zone_that_is_out_gets_no_new_work_and_returns_gradually failed beside load. Targets were drawn from the own zone apart from the others, so that a light one, alone in its zone, was always among the drawn and, being near and idle, always taken: ramps of returning zones and of new targets had no effect on the entries of their zone.

One target is now drawn by weight over all, and none lighter than it is drawn beside it. Ruled out: the load of the machine (the test of the policy alone fails without the change and passes with it).

--- a/daisyline/coordination/policies.py
+++ b/daisyline/coordination/policies.py
@@ -73,6 +73,9 @@
 class NearWait:
     """Draw some of the own zone and some others; take the shortest wait.
 
+    One is drawn by weight, and none that is lighter beside it, so that a
+    light candidate gets no more than its share however near and idle it is.
+
     Attributes:
         zone: The own zone.
         draws: How many are drawn of each.
@@ -157,13 +160,14 @@
     estimate: Estimator,
     rng: random.Random,
 ) -> Candidate:
-    near = [one for one in candidates if one.zone == policy.zone]
-    far = [one for one in candidates if one.zone != policy.zone]
+    first = _draw(candidates, rng)
+    heavy = [one for one in candidates if one.weight >= first.weight]
+    near = [one for one in heavy if one.zone == policy.zone]
+    far = [one for one in heavy if one.zone != policy.zone]
     drawn = [
-        candidate
-        for group in (near, far)
-        if group
-        for candidate in _draw_some(group, policy.draws, rng)
+        first,
+        *rng.sample(near, min(len(near), policy.draws)),
+        *rng.sample(far, min(len(far), policy.draws)),
     ]
     return min(drawn, key=lambda candidate: estimate(candidate).wait_s)
 
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/test_routing.py
@@ -10,6 +10,7 @@
     Candidate,
     ExpectedWait,
     LeastOutstanding,
+    NearWait,
     PowerOfTwo,
     WeightedRandom,
 )
@@ -182,3 +183,15 @@
     assert ramp(first, ramp_ms) <= ramp(second, ramp_ms) <= 1
     assert ramp(first, ramp_ms) > 0
     assert ramp(ramp_ms / 1000, ramp_ms) == 1
+
+
+def test_a_near_and_idle_target_gets_no_more_than_its_light_share() -> None:
+    candidates = [
+        Candidate('near', '', 'here', 0.1),
+        Candidate('far', '', 'there', 1),
+        Candidate('other', '', 'there', 1),
+    ]
+    router = _router(NearWait('here'), far_ms=500)
+    _report(router, near=IDLE, far=IDLE, other=IDLE)
+    picks = [router.pick(candidates, 0, frozenset()) for _ in range(2000)]
+    assert picks.count('near') < 2000 * 0.1 / 2.1 * 1.5
