Keep a soak's logs, hand used keys over at a planned stop, and mend two checks

Change: nodes write decisions to standard output by default; a soak with a violation keeps them. A node that stops tells the nodes asked next about each key. Both checks now look at starts within the sending that is judged; a call that was begun there and then is judged as before.

Ruled out: load; each trace shows the pause or the stop at that second.

--- a/daisyline/coordination/answer_records.py
+++ b/daisyline/coordination/answer_records.py
@@ -12,6 +12,7 @@
 MAX_RECORD_BYTES = 65_536
 MAX_RECORDS = 4_096
 MAX_TOTAL_BYTES = 4_194_304
+_KEY_PREFIX = 'key:'
 
 
 @attrs.frozen
@@ -77,6 +78,20 @@
         record = Record(None, now + KEY_RECORD_S, request_of(run), sent_on=True)
         self.put(_key_name(run), record, now)
 
+    def note_used(self, key: str, request: str, now: float) -> None:
+        """Note that a call under a key may have run at another node."""
+        name = f'{_KEY_PREFIX}{key}'
+        if self.get(name, now) is None:
+            self.put(name, Record(None, now + KEY_RECORD_S, request), now)
+
+    def keys_used(self, now: float) -> list[tuple[str, str]]:
+        """Return the keys that are known, each with its request."""
+        return [
+            (name.removeprefix(_KEY_PREFIX), record.request)
+            for name, record in self._records.items()
+            if name.startswith(_KEY_PREFIX) and record.until > now
+        ]
+
     def of_key(self, run: Run, now: float) -> Record | None:
         """Return how the first call under a call's key ended, if known."""
         return self.get(_key_name(run), now)
@@ -106,4 +121,4 @@
 
 
 def _key_name(run: Run) -> str:
-    return f'key:{run.key}'
+    return f'{_KEY_PREFIX}{run.key}'
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -19,7 +19,7 @@
     may_be_crash,
     may_go_back,
     no_suspect,
-    pick_by_key,
+    node_of_key,
     retried_event,
     run_of,
 )
@@ -122,7 +122,8 @@
         known = self.table.candidates(arrived.service, now)
         candidates = by_share(known, self.shares(arrived.service))
         if call.keyed:
-            node = pick_by_key(call, known, self.shares(arrived.service))
+            shares = self.shares(arrived.service)
+            node = node_of_key(arrived.key, known, shares, call.tried)
         else:
             node = self._pick(call, candidates, now)
         went_back = isinstance(node, Failure) and may_go_back(call)
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -142,8 +142,11 @@
     )
 
 
-def pick_by_key(
-    call: EntryCall, known: Sequence[Candidate], shares: Shares
+def node_of_key(
+    key: str,
+    known: Sequence[Candidate],
+    shares: Shares,
+    tried: frozenset[str],
 ) -> str | Failure:
     """Pick by rendezvous hashing, so that a re-sent call meets its first.
 
@@ -153,17 +156,17 @@
     all entries must come to the same order, and ramps differ between them.
 
     Args:
-        call: The call, with its key.
+        key: The idempotency key.
         known: All targets of the service.
         shares: Each version's share of calls; None if none is moving.
+        tried: Nodes that are passed over.
     """
     equal = [attrs.evolve(one, weight=1) for one in known if one.weight > 0]
     weights = {one.node: one.weight for one in by_share(equal, shares)}
-    untried = [one.node for one in known if one.node not in call.tried]
+    untried = [one.node for one in known if one.node not in tried]
     if not weights or not untried:
         return Failure(Reason.NO_TARGET, detail='no target is left')
     usual = sum(weights.values()) / len(weights)
-    key = call.arrived.key
     return min(
         untried,
         key=lambda node: _distance(key, node) / weights.get(node, usual),
--- a/daisyline/coordination/messages.py
+++ b/daisyline/coordination/messages.py
@@ -1,5 +1,7 @@
 """Messages that nodes exchange about calls."""
 
+from typing import Any
+
 import attrs
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -150,6 +152,24 @@
     pace_percent: int = 100
 
 
+def _are_texts(_owner: Any, _field: Any, keys: Any) -> None:
+    for used in keys:
+        key, request = used
+        if not isinstance(key, str) or not isinstance(request, str):
+            raise TypeError('a key and a fingerprint are texts')
+
+
+@attrs.frozen
+class KeysUsed:
+    """Say which idempotency keys were used at a node that stops.
+
+    Attributes:
+        keys: Each key with the fingerprint of the request that used it.
+    """
+
+    keys: tuple[tuple[str, str], ...] = attrs.field(validator=_are_texts)
+
+
 @attrs.frozen
 class Cancel:
     """Say that nobody waits for a call any more."""
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -10,6 +10,7 @@
     entry_events,
     fleet_events,
     inward,
+    key_handover,
     owner_events,
 )
 from daisyline.coordination import events as log
@@ -37,6 +38,7 @@
     msg.Ask,
     msg.Running,
     msg.Pong,
+    msg.KeysUsed,
 )
 
 
@@ -61,6 +63,12 @@
     return _settle(effects, core, now)
 
 
+def leave(core: NodeCore, now: float) -> Effects:
+    """Tell the other nodes what they need once this one has stopped."""
+    used = key_handover.hand_over(core.name, core.owner, core.entry, now)
+    return _settle([*used, *core.fleet.leave(now)], core, now)
+
+
 def _settle(effects: Effects, core: NodeCore, now: float) -> Effects:
     """Carry out the effects that concern this node itself."""
     outward: Effects = []
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -12,9 +12,7 @@
 from daisyline.coordination import inward
 from daisyline.coordination import messages as msg
 from daisyline.coordination.admission import Admission, Admitted
-from daisyline.coordination.answer_records import (
-    AnswerRecords,
-)
+from daisyline.coordination.answer_records import AnswerRecords
 from daisyline.coordination.entry_call import SENT_ON_REASONS
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.jobs import Job
--- a/daisyline/coordination/owner_events.py
+++ b/daisyline/coordination/owner_events.py
@@ -195,6 +195,13 @@
     return []
 
 
+@_take.register
+def _(message: msg.KeysUsed, owner: Owner, peer: str, now: float) -> Effects:
+    for key, request in message.keys:
+        owner.records.note_used(key, request, now)
+    return []
+
+
 @_take.register
 def _(message: msg.Ask, owner: Owner, peer: str, now: float) -> Effects:
     """Say what became of a call; one never seen is refused from now on."""
--- a/daisyline/programs/node.py
+++ b/daisyline/programs/node.py
@@ -5,6 +5,7 @@
 
 from daisyline.programs import logs
 from daisyline.programs.node_settings import read_node
+from daisyline.protocol.front_end import FrontEnd
 from daisyline.transport.node import Node
 
 _EXIT_FAILED = 1
@@ -15,8 +16,9 @@
     config = read_node(sys.argv[1:], os.environ)
     logs.configure(config.log_level, config.log_json)
     log = logs.logger_for('node')
+    front = FrontEnd(logs_decisions=config.log_decisions)
     try:
-        node = Node.from_config(config, log)
+        node = Node.from_config(config, log, front)
     except OSError as error:
         sys.stderr.write(f'daisyline-node: a port is not free: {error}\n')
         sys.exit(_EXIT_FAILED)
--- a/daisyline/programs/node_settings.py
+++ b/daisyline/programs/node_settings.py
@@ -54,6 +54,7 @@
         peers: Addresses of nodes that are tried before the platform.
         log_level: The least level that is logged.
         log_json: Whether log lines are JSON objects.
+        log_decisions: Whether decisions are written to standard output.
     """
 
     name: str
@@ -69,6 +70,7 @@
     peers: PeerAddresses = ()
     log_level: str = 'INFO'
     log_json: bool = False
+    log_decisions: bool = True
 
     @property
     def target_host(self) -> str:
@@ -109,6 +111,7 @@
     peers: str | None = None
     log_level: str | None = None
     log_json: bool | None = None
+    log_decisions: bool | None = None
 
 
 def read_node(argv: Sequence[str], env: Mapping[str, str]) -> NodeSettings:
@@ -235,6 +238,7 @@
         'peers': peers_from,
         'log_level': _level,
         'log_json': _yes_or_no,
+        'log_decisions': _yes_or_no,
     }
     return checks.get(field.name, _plain_name)(place, word)
 
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -12,7 +12,7 @@
 from daisyline.coordination import gossip_messages as gossip
 from daisyline.coordination import messages
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 8_388_608
 # The decoder makes room for as many elements as an array claims to have.
 _MAX_ELEMENTS = 16_384
@@ -49,6 +49,7 @@
     gossip.SettingsContent,
     gossip.Holders,
     evidence.Evidence,
+    messages.KeysUsed,
 )
 
 
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -211,7 +211,7 @@
             self.stop()
 
     def _leave(self) -> None:
-        self._carry_out(self.core.fleet.leave(self._loop.now()))
+        self._carry_out(node_events.leave(self.core, self._loop.now()))
         self._loop.call_later(_LEAVE_S, self._refuse_peers)
 
     def _refuse_peers(self) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -65,8 +65,9 @@
 
         Args:
             loop: The launcher's loop.
-            log_folder: Where each child's stderr goes, to `NAME.log`; without
-                one it is the launcher's own.
+            log_folder: Where each child's stderr goes, to `NAME.log`, and its
+                stdout, to `NAME.out`; without one stderr is the launcher's
+                own.
         """
         self.on_exit: Callable[[str, int], None] = _ignore_exit
         self._loop = loop
@@ -91,17 +92,19 @@
                 command.extend((f'--{dashed}', str(setting)))
         # A session of its own keeps a Ctrl-C for the launcher to pass on.
         self._ending.discard(name)
-        log = self._log_of(name)
+        log = self._log_of(f'{name}.log')
+        out = self._log_of(f'{name}.out')
         self._children[name] = subprocess.Popen(
             command,
             stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL if out is None else out,
             stderr=log,
             env={'DAISYLINE_LOG_LEVEL': 'ERROR', **os.environ},
             start_new_session=True,
         )
-        if log is not None:
-            os.close(log)
+        for opened in (log, out):
+            if opened is not None:
+                os.close(opened)
 
     def pid(self, name: str) -> int:
         """Return a child's process id."""
@@ -128,10 +131,10 @@
             self.signal(name, signal.SIGKILL)
 
     def _log_of(self, name: str) -> int | None:
-        """Return the descriptor of a child's log, which `start` closes."""
+        """Return the descriptor of a log file, which `start` closes."""
         if self._log_folder is None:
             return None
-        path = self._log_folder / f'{name}.log'
+        path = self._log_folder / name
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         return os.open(path, flags)
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,6 +1,7 @@
 """Run a small fleet under faults drawn from a seed, and check what was seen."""
 
 import pathlib
+import shutil
 import sys
 import tempfile
 
@@ -12,13 +13,26 @@
 
 
 def run(seed: int, duration_s: float) -> Verdict:
-    """Run once and return the verdict."""
+    """Run once and return the verdict.
+
+    The processes' logs stay in a folder that the verdict names if something
+    was violated.
+    """
     loop = Loop.create()
-    with tempfile.TemporaryDirectory(prefix='daisyline-soak-') as folder:
-        soak = Soak(loop, seed, duration_s, pathlib.Path(folder))
-        soak.start()
-        loop.run()
-        return soak.verdict()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'daisyline-soak-{seed}-'))
+    soak = Soak(loop, seed, duration_s, folder)
+    soak.start()
+    loop.run()
+    verdict = soak.verdict()
+    if verdict.violations:
+        attempts = '\n'.join(map(str, soak.journal.attempts))
+        (folder / 'attempts.txt').write_text(attempts)
+        windows = '\n'.join(map(str, soak.journal.windows))
+        (folder / 'faults.txt').write_text(windows)
+        verdict.lines.append(f'logs of all processes: {folder}')
+    else:
+        shutil.rmtree(folder)
+    return verdict
 
 
 def main(*, seed: int = 1, duration: float = 60) -> int:
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -127,7 +127,13 @@
     for attempt in journal.attempts:
         if not is_judged_loss(attempt, journal, starts[attempt.call_id]):
             continue
-        ran = [start.place for start in starts[attempt.call_id]]
+        # Where it ran when it was sent again doesn't tell where this sending
+        # went.
+        ran = [
+            start.place
+            for start in starts[attempt.call_id]
+            if attempt.sent_at <= start.at <= attempt.ended_at
+        ]
         if not any(touches(window, attempt, ran) for window in journal.windows):
             where = f'by {attempt.entry}, ran at {ran}'
             when = f'{attempt.sent_at:.3f} to {attempt.ended_at:.3f}'
--- a/standins/soak_losses.py
+++ b/standins/soak_losses.py
@@ -30,7 +30,14 @@
 
     One that a target had begun by then was in progress for certain.
     """
-    begun_at = min((start.at for start in starts), default=float('inf'))
+    begun_at = min(
+        (
+            start.at
+            for start in starts
+            if attempt.sent_at <= start.at <= attempt.ended_at
+        ),
+        default=float('inf'),
+    )
     return any(
         absence.place == attempt.entry
         and begun_at > absence.begins_at
--- a/tests/coordination/test_entry_call.py
+++ b/tests/coordination/test_entry_call.py
@@ -2,8 +2,7 @@
 
 import itertools
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination.entry_call import EntryCall, pick_by_key
+from daisyline.coordination.entry_call import node_of_key
 from daisyline.coordination.policies import Candidate
 from tests.support import function_tests
 
@@ -12,11 +11,6 @@
 KEYS = 200
 
 
-def _call(key: str) -> EntryCall:
-    arrived = ev.Arrived('c', 'docs', 't', b'POST', b'/', (), b'', key, 5)
-    return EntryCall(arrived, 0)
-
-
 def _targets(*weights: float) -> list[Candidate]:
     return [
         Candidate(f'n{number}', version, 'z', weight)
@@ -30,16 +24,16 @@
     met_together = _targets(1, 1, 1, 1)
     met_later = _targets(1, 0.2, 1, 0.05)
     for number in range(KEYS):
-        call = _call(f'k{number}')
-        picked = pick_by_key(call, met_together, None)
-        assert pick_by_key(call, met_later, None) == picked
+        key = f'k{number}'
+        picked = node_of_key(key, met_together, None, frozenset())
+        assert node_of_key(key, met_later, None, frozenset()) == picked
 
 
 def test_keys_follow_the_shares_of_versions() -> None:
     targets = _targets(1, 1, 1, 1)
     shares = {'v0': 0.95, 'v1': 0.05}
     picked = [
-        pick_by_key(_call(f'k{number}'), targets, shares)
+        node_of_key(f'k{number}', targets, shares, frozenset())
         for number in range(KEYS)
     ]
     to_new = sum(node in {'n1', 'n3'} for node in picked)
--- a/tests/coordination/test_owner.py
+++ b/tests/coordination/test_owner.py
@@ -7,7 +7,7 @@
 import attrs
 
 from daisyline.coordination import call_events as ev
-from daisyline.coordination import entry_events, owner_events
+from daisyline.coordination import entry_events, key_handover, owner_events
 from daisyline.coordination import messages as msg
 from daisyline.coordination.effects import Send
 from daisyline.coordination.entry import Entry
@@ -176,3 +176,27 @@
 
 def _member(name: str) -> Member:
     return Member(name, '127.0.0.1', 1, name, 'r', 1, 0, _target(name))
+
+
+def test_a_key_used_at_a_node_that_stops_does_not_run_elsewhere(
+    ready_owner: Owner,
+) -> None:
+    ended, running = b'goggles', b'gloves'
+    owner_events.handle(_order('c1', ended), ready_owner, 1)
+    head = ev.TargetHead('c1', 200, (), b'sold', last=True)
+    owner_events.handle(head, ready_owner, 2)
+    second = attrs.evolve(_order('c2', running).message, key='k2')
+    owner_events.handle(ev.FromNode('e', second), ready_owner, 2)
+    entry = Entry.from_config('n', random.Random(1), EventLog.from_config())
+    entry.table.use_members(map(_member, ('n', 'other')), 0)
+    told = key_handover.hand_over('n', ready_owner, entry, 3)
+    heir = Owner.from_config('other', 'z', EventLog.from_config())
+    heir.use_settings(Settings.from_tree(1, {'services': {'docs': {}}}), 0)
+    heir.use_target(Target('docs', 'v1', 'j', '127.0.0.1', 2), 0)
+    assert {effect.node for effect in told} == {'other'}
+    for effect in told:
+        owner_events.handle(ev.FromNode('n', effect.message), heir, 3)
+    for call in (_order('c3', ended).message, attrs.evolve(second, call='c4')):
+        reply = _only(owner_events.handle(ev.FromNode('e', call), heir, 4))
+        assert reply.message.outcome == 'unknown'
+        assert reply.message.reason == 'duplicate'
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -194,6 +194,18 @@
     assert record.found() == ['cut', 'cut']
 
 
+def test_where_a_call_ran_later_does_not_tell_where_it_was_lost(
+    record: Record,
+) -> None:
+    record.journal.windows = [Window('PauseNode', 'c', 1, 5.1)]
+    record.attempt('x', 5, Ending.UNKNOWN)
+    record.attempt('x', 7, Ending.ANSWERED)
+    record.start('x', 7.5)
+    assert not record.found()
+    record.start('x', 5.5)
+    assert record.found() == ['cut']
+
+
 def test_a_silent_connection_excuses_just_what_waited(record: Record) -> None:
     record.journal.windows.append(Window('SilentTarget', 'b', 1, 30))
     record.attempt('x', 5, Ending.CUT)
@@ -214,6 +226,16 @@
     assert record.found() == ['cut', 'cut']
 
 
+def test_a_start_of_an_earlier_sending_does_not_undo_the_excuse(
+    record: Record,
+) -> None:
+    record.journal.absences.append(Absence('b', 5, 8))
+    record.attempt('x', 3, Ending.NOT_RUN)
+    record.start('x', 2.9)
+    record.attempt('x', 6, Ending.CUT)
+    assert not record.found()
+
+
 def test_a_fourth_crash_of_one_request_is_found(record: Record) -> None:
     for at in (1, 2, 3):
         record.attempt('p', at - 0.5, Ending.FAILED, path='/poison/p')
