Follow changes of the settings file; SIGHUP no longer ends a node

Cause: nothing handled SIGHUP, so its default action ended the process, with every call in it, and a settings file that changed was never read again.

Change: the loop takes SIGHUP as a signal; the file's times are looked at each second. What may change in a running process is used at once, the rest is logged as waiting for a restart. A file that can't be read changes nothing.

Ruled out: inotify, which the platform doesn't have; reading the file each second, as its times cost a system call only.

--- a/daisyline/platform/__main__.py
+++ b/daisyline/platform/__main__.py
@@ -4,8 +4,7 @@
 import sys
 from pathlib import Path
 
-from daisyline.platform.boot import Boot
-from daisyline.platform.front import front_end
+from daisyline.platform.settings_file import SettingsFile
 from daisyline.programs import logs
 from daisyline.transport.node import Node
 
@@ -16,10 +15,15 @@
 
 def main() -> None:
     """Run a node until it is told to stop."""
-    boot = _read_boot()
+    settings = SettingsFile.read(Path(os.environ.get(_SETTINGS_VARIABLE, '')))
+    if not isinstance(settings, SettingsFile):
+        for finding in settings:
+            sys.stderr.write(f'daisyline: {_SETTINGS_VARIABLE}: {finding}\n')
+        sys.exit(_EXIT_FINDINGS)
+    boot = settings.boot
     log = logs.logger_for('node')
     try:
-        node = Node.from_config(boot, log, front_end(boot))
+        node = Node.from_config(boot, log, settings.front_end())
     except OSError as error:
         sys.stderr.write(f'daisyline: a port is not free: {error}\n')
         sys.exit(_EXIT_FAILED)
@@ -29,20 +33,5 @@
     node.run()
 
 
-def _read_boot() -> Boot:
-    path = os.environ.get(_SETTINGS_VARIABLE, '')
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except OSError as error:
-        sys.stderr.write(f'daisyline: {_SETTINGS_VARIABLE}: {error}\n')
-        sys.exit(_EXIT_FINDINGS)
-    boot = Boot.from_text(text)
-    if isinstance(boot, Boot):
-        return boot
-    for finding in boot:
-        sys.stderr.write(f'daisyline: {finding}\n')
-    sys.exit(_EXIT_FINDINGS)
-
-
 if __name__ == '__main__':
     main()
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -46,6 +46,29 @@
         """Return the event for an answer; status 0 means that none came."""
 
 
+@attrs.frozen
+class Reload:
+    """What came of reading a node's own settings again.
+
+    Attributes:
+        front: The front end to use from now on; None to go on as before.
+        platform: The IP number and the TCP port of the platform from now on.
+        changed: The settings that differ.
+        findings: What can't be read, or isn't in force before a restart.
+    """
+
+    front: 'FrontEnd | None' = None
+    platform: tuple[str, int] = ('', 0)
+    changed: tuple[str, ...] = ()
+    findings: tuple[Finding, ...] = ()
+
+
+def _flags_stay() -> Reload:
+    """Read nothing: flags and environment hold until a process ends."""
+    finding = Finding('flags', 'they are read at the start only')
+    return Reload(findings=(finding,))
+
+
 @attrs.frozen
 class FrontEnd:
     """How a node speaks with callers, with its target and with the platform.
@@ -64,6 +87,8 @@
         logs_decisions: Whether decisions are written to standard output.
         stop_s: The longest that a stop waits for calls in progress, in
             seconds.
+        settings_path: The file that `reload` reads; empty if there is none.
+        reload: Reads the node's own settings again.
     """
 
     dialect: Dialect = attrs.field(factory=Dialect)
@@ -76,3 +101,5 @@
     notice_s: float = 0
     stop_s: float = 30.0
     logs_decisions: bool = False
+    settings_path: str = ''
+    reload: Callable[[], Reload] = _flags_stay
--- a/daisyline/transport/loop.py
+++ b/daisyline/transport/loop.py
@@ -1,5 +1,6 @@
 """The one loop of a process: circuits, a poller and a heap of deadlines."""
 
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -52,6 +53,10 @@
         """Call a function at the end of this turn of the loop."""
         self.poller.defer(function)
 
+    def hear_hangup(self) -> None:
+        """Take SIGHUP for a signal like the others, which would end us."""
+        signal.signal(signal.SIGHUP, self._signal_handler)
+
     @handler('exception', channel='*')
     def _on_exception(
         self,
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -17,6 +17,7 @@
 from daisyline.state.members import Member
 from daisyline.transport.deadlines import Deadline
 from daisyline.transport.effects import Outlets, perform
+from daisyline.transport.file_watch import FileWatch
 from daisyline.transport.log_lines import DecisionLog, LineWriter
 from daisyline.transport.loop import Loop
 from daisyline.transport.operators import OperatorsPort
@@ -132,6 +133,7 @@
         gc.freeze()
         gc.set_threshold(*_COLLECT_AT)
         self._run_tick()
+        self._loop.hear_hangup()
         self._loop.run()
         if self.decisions is not None:
             self.decisions.flush()
@@ -154,9 +156,24 @@
         self._loop.call_later(max(0, notice_s - _LEAVE_S), self._leave)
         self._loop.call_later(notice_s, self._outlets.ports.stop_accepting)
 
+    def reload(self) -> None:
+        """Read the node's own settings again and use what may change."""
+        answer = self._front.reload()
+        log = self._outlets.log
+        for finding in answer.findings:
+            log.warning(f'Settings of this node: {finding}.')
+        if answer.front is not None:
+            self._front = answer.front
+            self.core.lease_s = answer.front.lease_s
+            self._outlets.platform.use(answer.platform, answer.front.store)
+        changed = ', '.join(answer.changed) or 'nothing'
+        log.info(f'Settings of this node were read again; changed: {changed}.')
+
     def _listen(self, config: NodeConfig, ready_path: str) -> None:
         self._loop.poller.on_pause = self._paused
         self._loop.on_signal = self._signalled
+        if self._front.settings_path:
+            FileWatch(self._loop, self._front.settings_path, self.reload)
         outlets = self._outlets
         outlets.pool.limit = self._connections_per_server
         outlets.streams.members = lambda: self.core.fleet.members
@@ -209,6 +226,8 @@
     def _signalled(self, number: int) -> None:
         if number in {signal.SIGTERM, signal.SIGINT}:
             self.stop()
+        elif number == signal.SIGHUP:
+            self.reload()
 
     def _leave(self) -> None:
         self._carry_out(node_events.leave(self.core, self._loop.now()))
--- a/daisyline/transport/platform_client.py
+++ b/daisyline/transport/platform_client.py
@@ -104,6 +104,11 @@
         self._on_event = on_event
         self.calls = 0
 
+    def use(self, address: tuple[str, int], store: StoreCodec) -> None:
+        """Make further calls elsewhere, or in another way."""
+        self._address = address
+        self._store = store
+
     def call(self, effect: PlatformCall) -> None:
         """Make a call; a `PlatformReply` follows in any case."""
         self.calls += 1
--- a/tests/journeys/test_users_platform.py
+++ b/tests/journeys/test_users_platform.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from concurrent import futures
 
 from tests.fixtures import wait_until
 from tests.journeys.users_rig import UsersFleet, UsersPlace
@@ -114,5 +115,35 @@
     assert second.ask('/pages/1', 'after').status == 200
 
 
+def test_a_node_reads_its_settings_again_and_cuts_no_request(
+    users_fleet: UsersFleet,
+) -> None:
+    first, second = users_fleet.places
+    for place in users_fleet.places:
+        place.control(work_ms=300)
+    with futures.ThreadPoolExecutor() as pool:
+        under_way = [
+            pool.submit(first.ask, '/orders/1', f'h{number}', 'POST')
+            for number in range(4)
+        ]
+        users_fleet.change_settings(first.name, stop_s=4)
+        first.node.signal(signal.SIGHUP)
+        users_fleet.change_settings(second.name, heartbeat_s=2)
+        assert {asked.result().status for asked in under_way} == {200}
+    wait_until(lambda: _reloads(users_fleet) >= {'stop_s', 'heartbeat_s'})
+    assert first.ask('/pages/1', 'after').status == 200
+    assert first.node.popen.poll() is None
+
+
+def _reloads(fleet: UsersFleet) -> set[str]:
+    """Return the settings that nodes say have changed."""
+    said = ' '.join(
+        line['text'] for line in fleet.lines() if line['event'] == 'message'
+    )
+    return {
+        name for name in ('stop_s', 'heartbeat_s') if f'changed: {name}' in said
+    }
+
+
 def _wait_until_served(place: UsersPlace, path: str) -> None:
     wait_until(lambda: place.ask(path, 'x', 'POST').status == 200)
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -146,6 +146,12 @@
         path.write_text(json.dumps(said), encoding='utf-8')
         return self.run('daisyline.platform', DAISYLINE_SETTINGS=str(path))
 
+    def change_settings(self, name: str, **fields: Any) -> None:
+        """Replace the settings file of a node, without a signal."""
+        path = pathlib.Path(self.folder, f'{name}.json')
+        said = json.loads(path.read_text(encoding='utf-8'))
+        path.write_text(json.dumps({**said, **fields}), encoding='utf-8')
+
     def kill(self) -> None:
         """End every process that was started."""
         for process in self.processes:
