Hand reading over when the store turns a reader away; admit for the objective

Seen in the logs by the new PlatformRead lines. Now a node says in its member record that the store is lost to it, and the next of its zone reads at once; watches of the settings are 1 s long and a reply is waited for 0.5 s, doubled with each failure, so that a silent watch is found in 1.5 s (5.5 s before). Ruled out: history dropped (410 is listed at once), gossip (10 ms).

Cause 2 (seconds after a power-off): a target that announced itself before the settings came was held at one slot until it was warm, since the rate for cold targets came later. Now limits are applied to the phase again, starts of a cold target are spread over the second, and calls whose objective has passed wait behind the others; a caller that comes again is told by the time that it has left.

--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -20,6 +20,9 @@
 #: long, whichever is more.
 MOVE_WAIT_SERVICES = 2
 MOVE_WAIT_S = 0.004
+#: While starts are bounded by a rate, it waits for so many turns; the other
+#: targets are then probably cold too.
+MOVE_WAIT_TURNS = 4
 US_PER_S = 1_000_000
 
 
@@ -202,7 +205,7 @@
         """Start waiting calls while there is room; return which."""
         started = []
         while self._has_room(now):
-            ticket = self._queue.pop()
+            ticket = self._queue.pop(self._concurrency.ready_by(now))
             if ticket is None:
                 break
             if self._waits[ticket.call] <= now:
@@ -218,6 +221,7 @@
         self._contract = limits
         self._concurrency.set_limits(limits)
         self._cold_rate.per_s = limits.cold_calls_per_s
+        _bound_cold(self._concurrency, self._cold_rate, self._announced)
         dropped = self._queue.set_capacity(limits.queue_per_upstream)
         for ticket in dropped:
             self._refuse(ticket, Reason.OVERLOADED)
@@ -228,9 +232,7 @@
         if phase == self._announced:
             return Change()
         self._announced = phase
-        by_slots = not self._contract.cold_calls_per_s
-        self._concurrency.hold(phase == Phase.COLD and by_slots)
-        self._cold_rate.holds = phase == Phase.COLD and not by_slots
+        _bound_cold(self._concurrency, self._cold_rate, phase)
         if phase == Phase.LEAVING:
             self._refuse_all(Reason.LEAVING)
         return Change(started=self.resume(now), refused=self.expire(now))
@@ -258,11 +260,15 @@
 
     def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
         gives_up_at = self._gives_up_at(ticket, now)
-        turns = self._queue.ahead_of(ticket) + 1
-        wait_s = turns * self._concurrency.service_s / self._concurrency.limit
+        ready_by = self._concurrency.ready_by(now)
+        turns = self._queue.ahead_of(ticket, ready_by) + 1
+        wait_s = max(
+            turns * self._concurrency.turn_s,
+            self._cold_rate.wait_s(turns, now),
+        )
         if now + wait_s > gives_up_at:
             return Failure(Reason.OVERLOADED, detail='the wait is too long')
-        dropped = self._queue.push(ticket)
+        dropped = self._queue.push(ticket, ready_by)
         if ticket in dropped:
             return Failure(Reason.OVERLOADED, detail='the queue is full')
         for loser in dropped:
@@ -275,7 +281,11 @@
         service_s = self._concurrency.service_s
         wait_s = self._contract.queue_wait_ms / MS_PER_S
         if ticket.may_move:
-            move_wait_s = max(MOVE_WAIT_S, MOVE_WAIT_SERVICES * service_s)
+            move_wait_s = max(
+                MOVE_WAIT_S,
+                MOVE_WAIT_SERVICES * service_s,
+                MOVE_WAIT_TURNS * self._cold_rate.turn_s,
+            )
             wait_s = min(wait_s, move_wait_s)
         return min(now + wait_s, ticket.give_up_at - service_s)
 
@@ -286,7 +296,7 @@
     def _start(self, ticket: Ticket, now: float) -> None:
         assert self.running < self._contract.slots_per_upstream
         self._running.add(ticket.call)
-        self._queue.charge(ticket)
+        self._queue.charge(ticket, self._concurrency.ready_by(now))
         # Counted also while it is warm, as it may turn out to have been cold.
         self._cold_rate.started(now)
 
@@ -299,3 +309,12 @@
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
         self._waits.discard(ticket.call)
         self._refused.append((ticket.call, Failure(reason)))
+
+
+def _bound_cold(
+    concurrency: Concurrency, rate: RateLimit, phase: Phase
+) -> None:
+    """Bound a cold target by its rate, or by one slot if it has none."""
+    is_cold = phase == Phase.COLD
+    concurrency.hold(is_cold and not rate.per_s)
+    rate.holds = is_cold and rate.per_s > 0
--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/call_events.py
@@ -1,5 +1,6 @@
 """What happens to calls, and what is done about it."""
 
+import math
 from typing import Any
 
 import attrs
@@ -27,8 +28,8 @@
         parent: The call that a target was serving when it made this one.
         retried: Whether a retry was spent on a call above this one.
         route: The route that led it here, if the settings list routes.
-        objective: When an answer is wanted, in monotonic seconds; 0 if no
-            time is stated.
+        objective: When an answer is wanted, in monotonic seconds; infinity
+            if no time is stated.
     """
 
     call: str
@@ -43,7 +44,7 @@
     parent: str = ''
     retried: bool = False
     route: Route | None = None
-    objective: float = 0
+    objective: float = math.inf
 
 
 @attrs.frozen
--- a/daisyline/coordination/concurrency.py
+++ b/daisyline/coordination/concurrency.py
@@ -76,11 +76,20 @@
         """Return the smoothed service time of successes, in seconds."""
         return self._service_s
 
+    @property
+    def turn_s(self) -> float:
+        """Return the usual time from one free slot to the next, in seconds."""
+        return self._service_s / self.limit
+
     @property
     def is_growing(self) -> bool:
         """Return whether fewer slots are used than the contract allows."""
         return self._limit < self._slots
 
+    def ready_by(self, now: float) -> float:
+        """Return when a call that starts now probably has its answer."""
+        return now + self._service_s
+
     def set_limits(self, limits: Limits) -> None:
         """Follow a change of the contract's slots."""
         was_full = not self.is_growing
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/entry_call.py
@@ -9,7 +9,7 @@
 from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import inward
-from daisyline.coordination.messages import Run
+from daisyline.coordination.messages import NO_OBJECTIVE, Run
 from daisyline.coordination.policies import Candidate
 from daisyline.coordination.retries import MAX_TRIES, Retry
 from daisyline.coordination.target_table import Shares, by_share
@@ -99,7 +99,7 @@
         stays_if_slow=route is not None and route.bulky,
         settings_version=settings_version,
         priority=DEFAULT_PRIORITY if route is None else route.priority,
-        objective_ms=max(0, int((arrived.objective - now) * _MS_PER_S)),
+        objective_ms=_objective_ms(arrived, now),
         method=arrived.method,
         path=arrived.path,
         headers=arrived.headers,
@@ -107,6 +107,12 @@
     )
 
 
+def _objective_ms(arrived: ev.Arrived, now: float) -> int:
+    if math.isinf(arrived.objective):
+        return NO_OBJECTIVE
+    return max(0, int((arrived.objective - now) * _MS_PER_S))
+
+
 def may_be_crash(failure: Failure) -> bool:
     """Return whether a call may have crashed the target that it was lost on."""
     may_have_run = failure.outcome == Outcome.UNKNOWN
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -154,7 +154,6 @@
     kind: str = ''
     state: str = ''
     status: int = 0
-    failures: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -164,22 +163,6 @@
     version: int = 0
 
 
-@attrs.frozen(slots=True)
-class TargetCold(Event):
-    """A target turned cold; it gets no more than its limit."""
-
-    target: str = ''
-    limit: int = 0
-
-
-@attrs.frozen(slots=True)
-class TargetWarm(Event):
-    """A target is through its cold start."""
-
-    target: str = ''
-    limit: int = 0
-
-
 @attrs.frozen(slots=True)
 class MemberChanged(Event):
     """A node joined, left or was lost."""
--- a/daisyline/coordination/fair_queue.py
+++ b/daisyline/coordination/fair_queue.py
@@ -1,7 +1,7 @@
 """A bounded queue that tenants share by start-time fair queueing."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -22,6 +22,7 @@
         give_up_at: The call's deadline, in monotonic seconds.
         may_move: Whether its entry node can still offer it to another target.
         priority: Its rank; 0 goes first.
+        wanted_by: After this its answer is late, in monotonic seconds.
     """
 
     call: str
@@ -29,6 +30,7 @@
     give_up_at: float
     may_move: bool = False
     priority: int = DEFAULT_PRIORITY
+    wanted_by: float = math.inf
 
 
 @attrs.define
@@ -97,7 +99,7 @@
         newest call of the tenant that is furthest over its own.
         """
         tenant = ticket.tenant
-        if self._length(tenant) >= self._most_per_tenant():
+        if self._length(tenant) >= math.ceil(self._bound * TENANT_PART):
             return [ticket]
         dropped = []
         if len(self) >= self._bound:
@@ -105,11 +107,16 @@
             if not self._may_displace(tenant, longest):
                 return [ticket]
             dropped.append(self._drop_from(longest))
-        self._lines.setdefault(tenant, _Line()).calls[ticket.call] = ticket
-        self._tenants[ticket.call] = tenant
+        self.put_back(ticket)
         assert len(self) <= self._bound
         return dropped
 
+    def put_back(self, ticket: Ticket) -> None:
+        """Add a call that has a place already."""
+        line = self._lines.setdefault(ticket.tenant, _Line())
+        line.calls[ticket.call] = ticket
+        self._tenants[ticket.call] = ticket.tenant
+
     def pop(self) -> Ticket | None:
         """Take the call that starts next; count it as started."""
         if not self._lines:
@@ -132,13 +139,13 @@
         """Take a call out wherever it stands; return whether it waited."""
         return self._remove(call) is not None
 
-    def take_out(self, *, movable_only: bool) -> list[Ticket]:
-        """Take out all calls, or those that another target may take."""
+    def take_out(self, is_chosen: Callable[[Ticket], bool]) -> list[Ticket]:
+        """Take out the calls that a function chooses."""
         tickets = [
             ticket
             for line in self._lines.values()
             for ticket in line.calls.values()
-            if ticket.may_move or not movable_only
+            if is_chosen(ticket)
         ]
         for ticket in tickets:
             self._remove(ticket.call)
@@ -162,9 +169,6 @@
             self._lines.pop(tenant)
         return ticket
 
-    def _most_per_tenant(self) -> int:
-        return math.ceil(self._bound * TENANT_PART)
-
     def _may_displace(self, tenant: str, longest: str) -> bool:
         """Return whether one more call leaves a tenant under the longest.
 
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -139,7 +139,7 @@
         """Tell the fleet of the target beside this node, if it is news."""
         if target == self.me.target:
             return []
-        record = self._gossip.members.renew(target)
+        record = self._gossip.members.renew(target=target)
         self._gossip.tell(record, '', now)
         return self._report(now)
 
@@ -203,8 +203,11 @@
     def _report(self, now: float) -> list[Any]:
         """Return what changed among the members, and what follows from it."""
         gossip = self._gossip
+        if gossip.readers.is_cut_off != self.me.store_lost:
+            lost = gossip.readers.is_cut_off
+            gossip.tell(gossip.members.renew(store_lost=lost), '', now)
         changed, removed = gossip.members.take_changes()
-        effects: list[Any] = []
+        effects: list[Any] = list(gossip.readers.take_changes())
         for name in removed:
             effects.extend(gossip.forget(name, now))
         if changed or removed:
--- a/daisyline/coordination/fleet_events.py
+++ b/daisyline/coordination/fleet_events.py
@@ -70,6 +70,21 @@
     findings: tuple[Finding, ...]
 
 
+@attrs.frozen
+class PlatformChanged:
+    """A kind of the platform's objects is readable for this node, or not.
+
+    Attributes:
+        kind: The kind.
+        readable: Whether the last read was answered.
+        status: The status of that answer; 0 if none came.
+    """
+
+    kind: str
+    readable: bool
+    status: int
+
+
 @attrs.frozen
 class MembersChanged:
     """Members were added, changed or removed.
--- a/daisyline/coordination/jobs.py
+++ b/daisyline/coordination/jobs.py
@@ -1,5 +1,7 @@
 """A call as the node beside its target holds it."""
 
+import math
+
 import attrs
 
 from daisyline.coordination.answer_records import MAX_RECORD_BYTES
@@ -17,6 +19,7 @@
         run: What is run.
         peer: The node that answers for it.
         deadline: When it must have ended, in monotonic seconds.
+        wanted_by: After this its answer is late, in monotonic seconds.
         started_at: When it was handed to the target; None while it waits.
         attached: Whether anybody still waits for the answer.
         answered: Whether the head went out.
@@ -32,6 +35,7 @@
     run: Run
     peer: str
     deadline: float
+    wanted_by: float = math.inf
     started_at: float | None = None
     attached: bool = True
     answered: bool = False
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
@@ -12,7 +13,6 @@
 )
 from daisyline.coordination.overlay import Overlay
 from daisyline.state.members import Member
-from daisyline.state.targets import Target
 
 SUSPICION_S = 3.0
 TOMBSTONE_S = 14_400.0
@@ -122,9 +122,14 @@
         self._removed.clear()
         return taken
 
-    def renew(self, target: Target | None) -> MemberRecord:
-        """Say something new of this node itself."""
-        self._me = attrs.evolve(self._me, target=target, beat=self._me.beat + 1)
+    def renew(self, **changes: Any) -> MemberRecord:
+        """Say something new of this node itself.
+
+        Args:
+            changes: Fields of `Member` with what they are from now on.
+        """
+        beat = self._me.beat + 1
+        self._me = attrs.evolve(self._me, beat=beat, **changes)
         self.put_live(self._me)
         return MemberRecord(self._me)
 
--- a/daisyline/coordination/messages.py
+++ b/daisyline/coordination/messages.py
@@ -5,6 +5,8 @@
 import attrs
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# A call for which no time is stated within which its answer is wanted.
+NO_OBJECTIVE = -1
 
 
 @attrs.frozen
@@ -56,7 +58,7 @@
         settings_version: The newest settings that the sender holds.
         priority: Its rank when the target has no room for all; 0 goes first.
         objective_ms: Milliseconds left until the time within which an answer
-            is wanted; 0 if none is stated or it has passed.
+            is wanted; 0 if it has passed, `NO_OBJECTIVE` if none is stated.
         method: The request's method.
         path: The request's target, byte for byte.
         headers: End-to-end headers, in order.
--- a/daisyline/coordination/node_events.py
+++ b/daisyline/coordination/node_events.py
@@ -218,6 +218,19 @@
     ]
 
 
+@_apply.register
+def _(
+    effect: fleet_events.PlatformChanged, core: NodeCore, now: float
+) -> Effects:
+    state = 'regained' if effect.readable else 'lost'
+    core.events.add(
+        log.PlatformRead(
+            at=now, kind=effect.kind, state=state, status=effect.status
+        )
+    )
+    return []
+
+
 @_apply.register
 def _(effect: inward.RetrySpent, core: NodeCore, now: float) -> Effects:
     job = core.owner.jobs.get(effect.parent)
--- a/daisyline/coordination/owner.py
+++ b/daisyline/coordination/owner.py
@@ -103,6 +103,8 @@
     def take(self, peer: str, run: msg.Run, now: float) -> Job | ev.Reply:
         """Take a call on, or refuse it as not run."""
         job = Job(run, peer, now + run.budget_ms / MS_PER_S)
+        if run.objective_ms >= 0:
+            job.wanted_by = now + run.objective_ms / MS_PER_S
         failure = self.refusal(peer, run, now)
         if failure is not None:
             return self.turn_away(job, failure, now)
@@ -115,7 +117,12 @@
         run = job.run
         assert self._admission is not None
         ticket = Ticket(
-            run.call, run.tenant, job.deadline, run.may_move, run.priority
+            run.call,
+            run.tenant,
+            job.deadline,
+            run.may_move,
+            run.priority,
+            job.wanted_by,
         )
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
--- a/daisyline/coordination/reader.py
+++ b/daisyline/coordination/reader.py
@@ -12,10 +12,13 @@
 )
 from daisyline.coordination.jitter import jittered, new_nonce
 
-# A silent watch that a fault has cut off is found after this long, and the
-# bound on a change in force everywhere is 6 s.
-WATCH_MS = 4_000
-REPLY_GRACE_S = 1.5
+# A watch that a fault has silenced is found when it should have ended, so the
+# bound on a change in force sets how long it may be; a zone is out in 5 s.
+WATCH_MS = 3_000
+# A store in order answers in milliseconds. One that is slow is given twice as
+# long after each read that has failed, up to `MAX_GRACE_S`.
+REPLY_GRACE_S = 0.5
+MAX_GRACE_S = 3.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 3.0
 _MOST_DOUBLINGS = 8
@@ -63,17 +66,20 @@
     Attributes:
         kind: The kind that is read.
         next_read_at: When the next read is due, in monotonic seconds.
+        watch_ms: How long a watch may hear nothing, in milliseconds.
     """
 
     kind: str
     _rng: Random
     next_read_at: float
+    watch_ms: int = WATCH_MS
     _revision: int = 0
     _listed: bool = False
     _watching: bool = False
     _token: str = ''
     _token_until: float = float('inf')
     _failures: int = 0
+    _last_status: int = 0
 
     @property
     def failures(self) -> int:
@@ -85,6 +91,11 @@
         """Return whether nothing was ever read or tried."""
         return not self._listed and not self._failures
 
+    @property
+    def last_status(self) -> int:
+        """Return the status of the last answer; 0 if none came."""
+        return self._last_status
+
     def next_at(self) -> float:
         """Return when `tick` must be called next."""
         return self._token_until if self._token else self.next_read_at
@@ -99,6 +110,7 @@
         """Give up a read that has stayed silent; return whether one was."""
         if not self._token or now < self._token_until:
             return False
+        self._last_status = 0
         self._failed(now)
         return True
 
@@ -109,16 +121,20 @@
         nonce = new_nonce(self._rng)
         self._token = f'fleet-{self.kind}-{nonce}'
         self._watching = watch and self._listed
-        self._token_until = now + REPLY_GRACE_S
+        grace_s = REPLY_GRACE_S * 2 ** min(self._failures, _MOST_DOUBLINGS)
+        self._token_until = now + min(MAX_GRACE_S, grace_s)
         if not self._watching:
             return [PlatformList(self._token, self.kind)]
-        self._token_until += WATCH_MS / _MS_PER_S
-        return [PlatformWatch(self._token, self.kind, self._revision, WATCH_MS)]
+        self._token_until += self.watch_ms / _MS_PER_S
+        return [
+            PlatformWatch(self._token, self.kind, self._revision, self.watch_ms)
+        ]
 
     def replied(self, reply: PlatformReply, now: float) -> Finding | None:
         """Take the platform's answer; None if it says nothing."""
         if reply.token != self._token:
             return None
+        self._last_status = reply.status
         if reply.status != _OK:
             self._failed(now)
             if reply.status == _GONE:
--- a/daisyline/coordination/readers.py
+++ b/daisyline/coordination/readers.py
@@ -2,6 +2,7 @@
 
 import functools
 import heapq
+import math
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -9,6 +10,7 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
+from daisyline.coordination.fleet_events import PlatformChanged
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.overlay import stable_hash
 from daisyline.coordination.reader import Finding, Reader
@@ -16,6 +18,13 @@
 
 SETTINGS_KIND = 'settings'
 SETTINGS_NAME = 'tree'
+# Settings are in force in 2 s, also if a watch has fallen silent.
+SETTINGS_WATCH_MS = 1_000
+# With more nodes of a region cut off from the store than this, it is the store
+# that is away, and others would fare no better.
+MOST_CUT_OFF = 8
+# A reader reads on for so long after another has taken its place, in seconds.
+OVERLAP_S = 3.0
 # With one in each zone, no loss of a zone takes all of them.
 READERS_PER_ZONE = 1
 LEAST_READERS_PER_REGION = 2
@@ -26,11 +35,17 @@
 
 
 def readers_of(members: Iterable[Member], region: str) -> list[str]:
-    """Return the names of the members that read for a region."""
+    """Return the names of the members that read for a region.
+
+    Those that the store turns away are passed over.
+    """
     ranked = sorted(
         (member for member in members if member.region == region),
         key=lambda member: _rank(member.name),
     )
+    served = [member for member in ranked if not member.store_lost]
+    if served and len(ranked) - len(served) <= MOST_CUT_OFF:
+        ranked = served
     zones: dict[str, int] = {}
     chosen = []
     for member in ranked:
@@ -63,6 +78,8 @@
     _confirmed_at: float
     _confirmed: int = 0
     _reading: bool = False
+    _reading_until: float = 0
+    _unreadable: set[str] = attrs.field(factory=set)
 
     @classmethod
     def from_kinds(
@@ -73,14 +90,22 @@
         now: float,
     ) -> 'Readers':
         """Build the part of a node that has just started."""
-        readers = tuple(Reader(kind, rng, now) for kind in kinds)
-        return cls(me.region, me.name, rng, readers, now)
+        readers = [Reader(kind, rng, now) for kind in kinds]
+        for reader in readers:
+            if reader.kind == SETTINGS_KIND:
+                reader.watch_ms = SETTINGS_WATCH_MS
+        return cls(me.region, me.name, rng, tuple(readers), now)
 
     @property
     def confirmed(self) -> int:
         """Return the newest confirmation heard of."""
         return self._confirmed
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the last read of any kind has failed."""
+        return any(reader.failures for reader in self._kinds)
+
     def next_at(self) -> float:
         """Return when `tick` must be called next."""
         return min(reader.next_at() for reader in self._kinds)
@@ -97,17 +122,23 @@
         if chosen and not self._reading:
             for reader in self._kinds:
                 reader.list_soon(now)
-        self._reading = chosen
+        if chosen:
+            self._reading_until = math.inf
+        elif self._reading and math.isinf(self._reading_until):
+            self._reading_until = now + OVERLAP_S
+        self._reading = chosen or now < self._reading_until
 
     def tick(self, member_count: int, now: float) -> list[Any]:
         """Return the reads that are due."""
         effects: list[Any] = []
+        if now >= self._reading_until:
+            self._reading = False
         for reader in self._kinds:
             if reader.expire(now):
                 self._slow_down(reader, member_count, now)
             if now < reader.next_read_at:
                 continue
-            if self._reading or reader.is_fresh or self._is_overdue(now):
+            if self._must_read(reader, now):
                 effects += reader.tick(now, watch=self._reading)
             else:
                 self._wait_for_confirmation(reader)
@@ -127,6 +158,17 @@
                 self._slow_down(reader, member_count, now)
         return None
 
+    def take_changes(self) -> list[PlatformChanged]:
+        """Return the kinds that became readable or unreadable since last."""
+        changes = []
+        for reader in self._kinds:
+            readable = not reader.failures
+            if readable == (reader.kind in self._unreadable):
+                self._unreadable ^= {reader.kind}
+                status = reader.last_status
+                changes.append(PlatformChanged(reader.kind, readable, status))
+        return changes
+
     def _confirm(self, reader: Reader, now: float) -> None:
         if reader.kind == SETTINGS_KIND:
             self._confirmed += 1
@@ -141,6 +183,11 @@
             later = now + jittered(self._rng, wait_s)
             reader.next_read_at = max(reader.next_read_at, later)
 
+    def _must_read(self, reader: Reader, now: float) -> bool:
+        # One that failed is tried again, to find that the store is back.
+        is_due = reader.is_fresh or reader.failures > 0
+        return self._reading or is_due or self._is_overdue(now)
+
     def _is_overdue(self, now: float) -> bool:
         return now >= self._confirmed_at + CONFIRMED_BOUND_S
 
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -19,6 +19,9 @@
 # The part of the retries allowed that is used: a call made for a retried one
 # counts as a retry too, where it arrives.
 _RETRY_PART = 0.6
+# Upstreams bear `coldPerS` and fail well above it; the contract's bound is half
+# as much again and some calls more.
+_COLD_PART = 1.3
 
 
 def tree_of(manifest: Any, boot: Boot) -> Any:
@@ -78,7 +81,7 @@
         'connections_per_server': entry.get('maxConnections'),
         'pace_path': entry.get('healthCheckPath'),
         'cold_start_ms': _ms(entry.get('coldStartS')),
-        'cold_calls_per_s': _whole(entry.get('coldPerS')),
+        'cold_calls_per_s': _whole(entry.get('coldPerS'), _COLD_PART),
     }
     return {
         name: content
@@ -119,7 +122,7 @@
     return _whole(seconds, _MS_PER_S)
 
 
-def _whole(said: Any, scale: int = 1) -> Any:
+def _whole(said: Any, scale: float = 1) -> Any:
     """Return a number as a whole one; what is none is left as it is."""
     if isinstance(said, bool) or not isinstance(said, (int, float)):
         return said
--- a/daisyline/state/members.py
+++ b/daisyline/state/members.py
@@ -28,6 +28,7 @@
         beat: Grows when the node changes what it says of itself.
         target: The target beside it, if one has announced itself.
         operators: The TCP port for operators; 0 if it isn't told.
+        store_lost: Whether its last read of the platform's store failed.
     """
 
     name: str = attrs.field(validator=attrs.validators.instance_of(str))
@@ -43,6 +44,9 @@
     operators: int = attrs.field(
         default=0, validator=attrs.validators.instance_of(int)
     )
+    store_lost: bool = attrs.field(
+        default=False, validator=attrs.validators.instance_of(bool)
+    )
 
     @property
     def stamp(self) -> tuple[int, int]:
--- a/daisyline/transport/arrivals.py
+++ b/daisyline/transport/arrivals.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import itertools
+import math
 import random
 
 import attrs
@@ -9,6 +10,7 @@
 from daisyline.coordination.call_events import Arrived, Unroutable
 from daisyline.coordination.messages import Headers
 from daisyline.coordination.node_core import NodeCore
+from daisyline.coordination.patience import Patience
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
@@ -59,6 +61,7 @@
         self._prefix = f'{core.name}-{incarnation:x}'
         self._counter = itertools.count(1)
         self._rng = random.Random(incarnation)
+        self._patience = Patience()
 
     def read(
         self, request: Request, parent: Parent, now: float
@@ -89,7 +92,7 @@
             parent=parent.call,
             retried=parent.retried,
             route=route,
-            objective=_objective(route, now),
+            objective=self._objective(route, asked, now),
         )
 
     def route_of(self, request: Request) -> Route | None:
@@ -102,6 +105,22 @@
         target = self._core.owner.target
         return '' if target is None else target.service
 
+    def _objective(
+        self, route: Route | None, asked: bytes, now: float
+    ) -> float:
+        """Return when an answer is wanted, in monotonic seconds.
+
+        That was before now for a caller that comes again.
+        """
+        if route is None or not route.objective_ms:
+            return math.inf
+        asked_ms = _asked_ms(asked)
+        if asked_ms is not None and self._patience.comes_again(
+            route.name, asked_ms
+        ):
+            return now
+        return now + route.objective_ms / _MS_PER_S
+
     def _call_id(self, request_id: bytes) -> str:
         """Return a new id that leads from the caller's id to the call."""
         own = f'{self._prefix}-{next(self._counter)}'
@@ -153,20 +172,20 @@
     return host.split(':')[0]
 
 
-def _objective(route: Route | None, now: float) -> float:
-    if route is None or not route.objective_ms:
-        return 0
-    return now + route.objective_ms / _MS_PER_S
-
-
 def _budget_s(asked: bytes, most_ms: int) -> float:
     """Return how long a caller waits; it may ask for less than the limit."""
+    asked_ms = _asked_ms(asked)
+    wanted_ms = most_ms if asked_ms is None else asked_ms
+    return min(wanted_ms, most_ms) / _MS_PER_S
+
+
+def _asked_ms(asked: bytes) -> int | None:
+    """Return the milliseconds that a caller waits; None if it doesn't say."""
     whole, _, fraction = asked.partition(b'.')
     is_read = whole.isdigit() and len(whole) <= _MAX_DIGITS
     # A part of a millisecond is no more time to give away.
     is_read = is_read and (not fraction or fraction.isdigit())
-    wanted_ms = int(whole) if is_read else most_ms
-    return min(wanted_ms, most_ms) / _MS_PER_S
+    return int(whole) if is_read else None
 
 
 def _tenant_of(request: Request, header: str) -> str:
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -132,6 +132,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*_COLLECT_AT)
+        gc.enable()
         self._run_tick()
         self._loop.hear_hangup()
         self._loop.run()
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -16,6 +16,7 @@
 from daisyline.coordination.admission import Admission, Admitted, Queued
 from daisyline.coordination.breaker import OPEN_FAILURES
 from daisyline.coordination.fair_queue import Ticket
+from daisyline.coordination.rate_limit import BURST
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import Phase
@@ -279,6 +280,33 @@
     assert admission.load.limit == 9
 
 
+def test_a_cold_rate_that_comes_after_the_target_lifts_the_one_slot() -> None:
+    admission = Admission.from_limits(Limits(), 0, candid=True)
+    admission.set_phase(Phase.COLD, 0)
+    assert admission.load.limit == 1
+    told = Limits(slots_per_upstream=9, cold_calls_per_s=20)
+    admission.set_limits(told, 0)
+    assert admission.load.limit == 9
+    for number in range(BURST):
+        ticket = Ticket(f'c{number}', 't', 9)
+        assert admission.offer(ticket, 0) == Admitted()
+    assert admission.offer(Ticket('late', 't', 9), 0) == Queued()
+
+
+def test_a_call_that_can_move_waits_some_turns_at_a_cold_target() -> None:
+    admission = Admission.from_limits(
+        Limits(slots_per_upstream=9, cold_calls_per_s=20), 0, candid=True
+    )
+    admission.set_phase(Phase.COLD, 0)
+    answers = [
+        admission.offer(Ticket(f'c{number}', 't', 9, may_move=True), 0)
+        for number in range(BURST + 10)
+    ]
+    assert set(answers[:BURST]) == {Admitted()}
+    assert set(answers[BURST : BURST + 3]) == {Queued()}
+    assert isinstance(answers[-1], Failure)
+
+
 def test_a_call_that_was_withdrawn_is_not_refused_afterwards() -> None:
     admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
     for number in range(OPEN_FAILURES - 1):
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -4,9 +4,12 @@
 from typing import Any
 
 from daisyline.coordination import call_events as ev
+from daisyline.coordination import events as log
 from daisyline.coordination import node_events
+from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.quarantine import fingerprint
+from daisyline.coordination.readers import SETTINGS_KIND
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Phase, Target
@@ -78,3 +81,34 @@
         assert [type(effect) for effect in started] == [ev.StartTarget]
         _hear(core, ev.TargetHead(call, 200, (), b'', last=True))
         _hear(core, ev.Paused(1))
+
+
+def test_a_store_that_is_lost_and_regained_is_logged_once_each() -> None:
+    core = _core()
+    seen: list[tuple[str, str, int]] = []
+
+    def note(event: Any) -> None:
+        if isinstance(event, log.PlatformRead):
+            seen.append((event.kind, event.state, event.status))
+
+    core.events.add_sink(note)
+    now = 2.0
+    for status in (503, 503, 200, 200):
+        listing = _platform_call(core, now)
+        reply = PlatformReply(listing.token, status, 7, [])
+        node_events.handle(reply, core, now)
+        now = max(core.next_at(), now) + 10
+    assert seen == [
+        ('settings', 'lost', 503),
+        ('settings', 'regained', 200),
+    ]
+
+
+def _platform_call(core: NodeCore, now: float) -> Any:
+    """Return the next read of settings that the node makes."""
+    for _ in range(100):
+        for effect in node_events.tick(core, now):
+            if getattr(effect, 'kind', '') == SETTINGS_KIND:
+                return effect
+        now = core.next_at()
+    raise AssertionError('no read was made')
--- /dev/null
+++ b/tests/coordination/test_patience.py
@@ -0,0 +1,53 @@
+"""A caller that comes again is told from one that asks for the first time."""
+
+import random
+
+from daisyline.coordination.patience import MAX_ROUTES, Patience
+from tests.support import function_tests
+
+load_tests = function_tests(__name__)
+
+FULL_MS = 2500
+# Callers' first requests ask for up to a sixth less than the longest.
+FIRST_MS = (2100, FULL_MS)
+
+
+def _learned() -> Patience:
+    patience = Patience()
+    rng = random.Random(1)
+    for _ in range(200):
+        assert not patience.comes_again('r', rng.randint(*FIRST_MS))
+    return patience
+
+
+def test_a_request_with_much_less_time_left_was_sent_before() -> None:
+    patience = _learned()
+    assert patience.comes_again('r', 1400)
+    assert not patience.comes_again('other', 1400)
+
+
+def test_a_wave_of_returning_callers_is_seen_as_one() -> None:
+    patience = _learned()
+    seen = [patience.comes_again('r', 1400) for _ in range(60)]
+    assert all(seen)
+
+
+def test_callers_that_just_differ_are_all_new() -> None:
+    patience = _learned()
+    for _ in range(400):
+        patience.comes_again('r', 500)
+    assert not patience.comes_again('r', 500)
+
+
+def test_one_odd_caller_is_forgotten() -> None:
+    patience = _learned()
+    patience.comes_again('r', 60_000)
+    again = [patience.comes_again('r', FULL_MS) for _ in range(7_000)]
+    assert not again[-1]
+
+
+def test_the_routes_kept_are_bounded() -> None:
+    patience = Patience()
+    for number in range(MAX_ROUTES + 10):
+        patience.comes_again(f'r{number}', FULL_MS)
+    assert len(patience._routes) == MAX_ROUTES
--- a/tests/coordination/test_ranked_queue.py
+++ b/tests/coordination/test_ranked_queue.py
@@ -14,6 +14,8 @@
 load_tests = function_tests(__name__)
 
 
+# Sums of fractions differ in their last digits.
+MOMENT_S = 0.000_001
 RANKS = st.lists(st.integers(0, 3), max_size=20)
 
 
@@ -60,6 +62,31 @@
     assert queue.ahead_of(_ticket(9, 2)) == 4
 
 
+def test_a_call_that_is_late_anyhow_waits_behind_those_that_are_not() -> None:
+    queue = RankedQueue.from_capacity(9)
+    wanted = {'late-urgent': 1, 'in-time': 9, 'becomes-late': 4, 'urgent': 8}
+    for call, wanted_by in wanted.items():
+        priority = 0 if 'urgent' in call else 1
+        ticket = Ticket(call, 't', 99, False, priority, wanted_by)
+        queue.push(ticket, ready_by=2)
+    newcomer = Ticket('new', 't', 99, False, 1, 9)
+    assert queue.ahead_of(newcomer, ready_by=2) == 3
+    order = []
+    while queue:
+        ticket = queue.pop(ready_by=5)
+        assert ticket is not None
+        order.append(ticket.call)
+    assert order == ['urgent', 'in-time', 'late-urgent', 'becomes-late']
+
+
+def test_a_late_call_gives_its_place_to_one_in_time() -> None:
+    queue = RankedQueue.from_capacity(4)
+    for number in range(4):
+        queue.push(Ticket(f'l{number}', f't{number}', 99, False, 0, 1), 2)
+    dropped = queue.push(Ticket('new', 't', 99, False, 3, 9), 2)
+    assert [ticket.wanted_by for ticket in dropped] == [1]
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(
     per_s=st.integers(1, 20),
@@ -80,3 +107,20 @@
             assert now < rate.next_at() <= now + WINDOW_S
     for first in starts:
         assert sum(first <= at < first + 1 for at in starts) <= per_s
+
+
+def test_starts_are_spread_so_that_late_comers_wait_briefly() -> None:
+    rate = RateLimit(20, holds=True)
+    now: float = 0
+    while rate.allows(now):
+        rate.started(now)
+    assert 0 < rate.next_at() < rate.turn_s + MOMENT_S
+    assert rate.wait_s(5, now) < 5 * rate.turn_s + MOMENT_S
+
+
+def test_starts_before_the_bound_holds_shut_nothing_out_for_long() -> None:
+    rate = RateLimit(20)
+    for number in range(400):
+        rate.started(number / 100)
+    rate.holds = True
+    assert rate.next_at() <= 4 + WINDOW_S
