--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission.py
@@ -23,6 +23,9 @@
 #: While starts are bounded by a rate, it waits for so many turns; the other
 #: targets are then probably cold too.
 MOVE_WAIT_TURNS = 4
+#: A call whose answer would be late waits for this part of the time that it
+#: then has left, so that its caller may still be served elsewhere.
+LATE_WAIT_PART = 0.25
 US_PER_S = 1_000_000
 
 
@@ -287,6 +290,10 @@
                 MOVE_WAIT_TURNS * self._cold_rate.turn_s,
             )
             wait_s = min(wait_s, move_wait_s)
+        late_at = max(now, ticket.wanted_by - service_s)
+        if late_at < ticket.give_up_at:
+            late_s = LATE_WAIT_PART * (ticket.give_up_at - late_at)
+            wait_s = min(wait_s, late_at + late_s - now)
         return min(now + wait_s, ticket.give_up_at - service_s)
 
     def _has_room(self, now: float) -> bool:
--- a/daisyline/coordination/reader.py
+++ b/daisyline/coordination/reader.py
@@ -100,11 +100,10 @@
         """Return when `tick` must be called next."""
         return self._token_until if self._token else self.next_read_at
 
-    def list_soon(self, now: float) -> None:
-        """Read all objects anew within a moment."""
+    def watch_soon(self, now: float) -> None:
+        """Read on within a moment, from what was read last."""
         soon = now + jittered(self._rng, RETRY_MIN_S)
         self.next_read_at = min(self.next_read_at, soon)
-        self._listed = False
 
     def expire(self, now: float) -> bool:
         """Give up a read that has stayed silent; return whether one was."""
--- a/daisyline/coordination/readers.py
+++ b/daisyline/coordination/readers.py
@@ -13,7 +13,7 @@
 from daisyline.coordination.fleet_events import PlatformChanged
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.overlay import stable_hash
-from daisyline.coordination.reader import Finding, Reader
+from daisyline.coordination.reader import WATCH_MS, Finding, Reader
 from daisyline.state.members import Member
 
 SETTINGS_KIND = 'settings'
@@ -25,6 +25,11 @@
 MOST_CUT_OFF = 8
 # A reader reads on for so long after another has taken its place, in seconds.
 OVERLAP_S = 3.0
+# A node that has just started lists once, and watches only when it has had the
+# time to meet those that may read in its place, in seconds.
+SETTLE_S = 1.0
+# So many of a region's readers watch the settings closely.
+CLOSE_WATCHERS = 2
 # With one in each zone, no loss of a zone takes all of them.
 READERS_PER_ZONE = 1
 LEAST_READERS_PER_REGION = 2
@@ -76,6 +81,7 @@
     _rng: random.Random
     _kinds: tuple[Reader, ...]
     _confirmed_at: float
+    _settled_at: float
     _confirmed: int = 0
     _reading: bool = False
     _reading_until: float = 0
@@ -90,11 +96,9 @@
         now: float,
     ) -> 'Readers':
         """Build the part of a node that has just started."""
-        readers = [Reader(kind, rng, now) for kind in kinds]
-        for reader in readers:
-            if reader.kind == SETTINGS_KIND:
-                reader.watch_ms = SETTINGS_WATCH_MS
-        return cls(me.region, me.name, rng, tuple(readers), now)
+        readers = tuple(Reader(kind, rng, now) for kind in kinds)
+        settled_at = now + SETTLE_S
+        return cls(me.region, me.name, rng, readers, now, settled_at)
 
     @property
     def confirmed(self) -> int:
@@ -108,7 +112,10 @@
 
     def next_at(self) -> float:
         """Return when `tick` must be called next."""
-        return min(reader.next_at() for reader in self._kinds)
+        first = min(reader.next_at() for reader in self._kinds)
+        if self._reading or not math.isinf(self._reading_until):
+            return first
+        return min(first, self._settled_at)
 
     def hear(self, confirmed: int, now: float) -> None:
         """Note a confirmation that another node passed on."""
@@ -118,21 +125,19 @@
 
     def choose(self, members: Iterable[Member], now: float) -> None:
         """Become a reader, or cease to be one, as the members changed."""
-        chosen = self._name in readers_of(members, self._region)
-        if chosen and not self._reading:
-            for reader in self._kinds:
-                reader.list_soon(now)
-        if chosen:
+        chosen = readers_of(members, self._region)
+        was_chosen = math.isinf(self._reading_until)
+        if self._name in chosen:
             self._reading_until = math.inf
-        elif self._reading and math.isinf(self._reading_until):
+            self._watch(close=self._name in chosen[:CLOSE_WATCHERS])
+        elif was_chosen:
             self._reading_until = now + OVERLAP_S
-        self._reading = chosen or now < self._reading_until
+        self._follow(now)
 
     def tick(self, member_count: int, now: float) -> list[Any]:
         """Return the reads that are due."""
         effects: list[Any] = []
-        if now >= self._reading_until:
-            self._reading = False
+        self._follow(now)
         for reader in self._kinds:
             if reader.expire(now):
                 self._slow_down(reader, member_count, now)
@@ -183,6 +188,19 @@
             later = now + jittered(self._rng, wait_s)
             reader.next_read_at = max(reader.next_read_at, later)
 
+    def _watch(self, *, close: bool) -> None:
+        for reader in self._kinds:
+            if reader.kind == SETTINGS_KIND:
+                reader.watch_ms = SETTINGS_WATCH_MS if close else WATCH_MS
+
+    def _follow(self, now: float) -> None:
+        """Begin or cease to read when it is time to."""
+        reading = self._settled_at <= now < self._reading_until
+        if reading and not self._reading:
+            for reader in self._kinds:
+                reader.watch_soon(now)
+        self._reading = reading
+
     def _must_read(self, reader: Reader, now: float) -> bool:
         # One that failed is tried again, to find that the store is back.
         is_due = reader.is_fresh or reader.failures > 0
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -54,21 +54,21 @@
         self.others = max(0, report.running + report.waiting - self.outstanding)
         self.report_at = now
 
-    def estimate(self, now: float, service_s: float, way_s: float) -> Estimate:
+    def estimate(self, now: float, usual: LoadReport, way_s: float) -> Estimate:
         """Return the target's load as it probably is now.
 
         A pace that a target has said holds for a moment only.
 
         Args:
             now: Monotonic seconds.
-            service_s: The service time to take if there is no report.
+            usual: What is taken for its report as long as there is none.
             way_s: The round trip to the target.
         """
         fading = math.exp((self.report_at - now) / REPORT_DECAY_S)
-        load = self.outstanding + self.others * fading + 1
+        known = self.report or usual
+        load = (self.outstanding + self.others * fading + 1) / known.limit
+        service_s = known.service_us / US_PER_S
         if self.report is not None:
-            load /= self.report.limit
-            service_s = self.report.service_us / US_PER_S
             pace = self.report.pace_percent / USUAL_PERCENT - 1
             paced = math.exp((self.report_at - now) / PACE_DECAY_S)
             service_s *= 1 + pace * paced
@@ -99,7 +99,7 @@
     _rng: random.Random
     _zone: str = ''
     _far_s: float = 0
-    _service_s: float = 0
+    _usual: LoadReport = attrs.field(factory=LoadReport)
     _refused_part: float = 0
     _views: dict[str, _View] = attrs.field(factory=dict)
 
@@ -148,7 +148,7 @@
         def estimate(candidate: Candidate) -> Estimate:
             way_s = 0 if candidate.zone == self._zone else further_s
             view = self._view(candidate.node)
-            return view.estimate(now, self._service_s, way_s)
+            return view.estimate(now, self._usual, way_s)
 
         of_version = self._of_one_version(open_candidates)
         return choose(self._policy, of_version, estimate, self._rng).node
@@ -198,7 +198,7 @@
         self._refused_part += REFUSED_SMOOTHING * (refused - self._refused_part)
         if report is not None:
             view.take(report, now)
-            self._service_s = report.service_us / US_PER_S
+            self._usual = report
 
     def report_of(self, node: str) -> LoadReport:
         """Return the last load report of a node."""
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -129,6 +129,7 @@
     delay_s: tuple[float, float] = (0.001, 0.003)
     cut: Callable[[str, str], bool] = _never
     on_send: Callable[[str, Any], None] = _ignored
+    on_platform: Callable[[Any], None] = _ignored
     turned_away: frozenset[str] = frozenset()
     unanswered: frozenset[str] = frozenset()
     nodes: dict[str, Node] = attrs.field(factory=dict)
@@ -228,6 +229,7 @@
             self._transmit(name, known, effect.message)
         elif isinstance(effect, (PlatformList, PlatformWatch, PlatformWrite)):
             self.platform.calls += 1
+            self.on_platform(effect)
             self._after(lambda: self._ask_platform(name, effect, self.now))
         elif isinstance(effect, (SettingsChanged, SettingsRefused)):
             node.effects.append(effect)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -13,7 +13,12 @@
     run_state_machine_as_test,
 )
 
-from daisyline.coordination.admission import Admission, Admitted, Queued
+from daisyline.coordination.admission import (
+    LATE_WAIT_PART,
+    Admission,
+    Admitted,
+    Queued,
+)
 from daisyline.coordination.breaker import OPEN_FAILURES
 from daisyline.coordination.fair_queue import Ticket
 from daisyline.coordination.rate_limit import BURST
@@ -307,6 +312,20 @@
     assert isinstance(answers[-1], Failure)
 
 
+def test_a_call_that_is_late_is_refused_while_its_caller_has_time_left() -> (
+    None
+):
+    limits = Limits(slots_per_upstream=1, queue_wait_ms=10_000)
+    admission = Admission.from_limits(limits, 0)
+    admission.offer(Ticket('first', 't', 99), 0)
+    admission.offer(Ticket('late', 't', 8, wanted_by=0), 0)
+    admission.offer(Ticket('in-time', 't', 8, wanted_by=4), 0)
+    assert admission.next_at() == 8 * LATE_WAIT_PART
+    refused = [call for call, _ in admission.expire(2)]
+    assert refused == ['late']
+    assert admission.next_at() == 4 + 4 * LATE_WAIT_PART
+
+
 def test_a_call_that_was_withdrawn_is_not_refused_afterwards() -> None:
     admission = Admission.from_limits(Limits(slots_per_upstream=1), 0)
     for number in range(OPEN_FAILURES - 1):
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -1,6 +1,7 @@
 """Few nodes read the platform, and never none."""
 
-from daisyline.coordination.readers import OVERLAP_S
+from daisyline.coordination.effects import PlatformWatch
+from daisyline.coordination.readers import OVERLAP_S, SETTLE_S
 from tests.coordination.pump import Pump, make_pump, settings_value
 from tests.support import function_tests
 
@@ -98,6 +99,19 @@
     dozen.run_until(lambda: _all_hold(dozen, version), IN_FORCE_S)
 
 
+def test_nodes_that_start_together_do_not_all_watch() -> None:
+    pump = make_pump(1)
+    pump.platform.put('settings', 'tree', settings_value())
+    for number in range(24):
+        pump.start(number)
+    watches = []
+    pump.on_platform = watches.append
+    pump.run(SETTLE_S - 0.1)
+    assert not [one for one in watches if isinstance(one, PlatformWatch)]
+    pump.run(20)
+    assert len(_reading(pump)) == 5
+
+
 def _reading(pump: Pump) -> set[str]:
     return {
         name
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/test_routing.py
@@ -195,3 +195,12 @@
     _report(router, near=IDLE, far=IDLE, other=IDLE)
     picks = [router.pick(candidates, 0, frozenset()) for _ in range(2000)]
     assert picks.count('near') < 2000 * 0.1 / 2.1 * 1.5
+
+
+def test_a_target_that_has_said_nothing_yet_is_taken_for_an_idle_one() -> None:
+    router = _router(NearWait('here'))
+    known = [Candidate(f'n{number}', 'v', 'here', 1) for number in range(3)]
+    _report(router, **{one.node: IDLE for one in known})
+    joined = Candidate('joined', 'v', 'here', 1)
+    picks = _count_picks(router, [*known, joined], 400)
+    assert picks['joined'] > 50
