Try a guarded version on few targets, at the load that it would have

Change: three quarters of a guarded version's share go to few of its targets, at twice the load of one of the others; the rest keeps the others in use.

Ruled out: the verdict's limits, which judged what they saw; lost evidence.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -34,6 +34,7 @@
 )
 from daisyline.coordination.routing import Candidate, Router
 from daisyline.coordination.target_table import Shares, TargetTable, by_share
+from daisyline.coordination.version_trial import concentrate
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Settings
 from daisyline.state.targets import LoadReport
@@ -62,6 +63,7 @@
     _gives_up: list[tuple[float, str]] = attrs.field(factory=list)
     table: TargetTable = attrs.field(factory=TargetTable)
     shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
+    on_trial: Callable[[str], str] = attrs.field(default=lambda _service: '')
     suspects: Callable[[ev.Arrived], bool] = attrs.field(default=no_suspect)
     doubted: Callable[[], Iterable[str]] = attrs.field(default=tuple)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
@@ -120,7 +122,10 @@
         """Send a call to a target that it has not been sent to yet."""
         arrived = call.arrived
         known = self.table.candidates(arrived.service, now)
-        candidates = by_share(known, self.shares(arrived.service))
+        candidates = concentrate(
+            by_share(known, self.shares(arrived.service)),
+            self.on_trial(arrived.service),
+        )
         if call.keyed:
             shares = self.shares(arrived.service)
             node = node_of_key(arrived.key, known, shares, call.tried)
--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -129,6 +129,13 @@
         progress = self._progress.get(service)
         return None if progress is None else progress.shares
 
+    def on_trial(self, service: str) -> str:
+        """Return the version that a guarded rollout tries; empty if none."""
+        progress = self._progress.get(service)
+        if progress is None or not progress.is_moving:
+            return ''
+        return progress.plan.new if progress.plan.is_guarded else ''
+
     def stopped(self, service: str, version: str) -> bool:
         """Return whether a version gets no calls any more."""
         progress = self._progress.get(service)
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -107,7 +107,7 @@
     watches = []
     pump.on_platform = watches.append
     pump.run(SETTLE_S - 0.1)
-    assert not [one for one in watches if isinstance(one, PlatformWatch)]
+    assert PlatformWatch not in set(map(type, watches))
     pump.run(20)
     assert len(_reading(pump)) == 5
 
