--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollout.py
@@ -72,7 +72,10 @@
                 self._advance(progress, now)
             progress.replace_plan(plan)
             self._progress[plan.service] = progress
-            effects.extend(self._stop_if_planned(progress, now))
+            stopped = progress.stop_if_planned(now)
+            if stopped:
+                self._report(progress, now)
+            effects.extend(stopped)
         self._choose_judges()
         return effects
 
@@ -132,9 +135,7 @@
     def on_trial(self, service: str) -> str:
         """Return the version that a guarded rollout tries; empty if none."""
         progress = self._progress.get(service)
-        if progress is None or not progress.is_moving:
-            return ''
-        return progress.plan.new if progress.plan.is_guarded else ''
+        return '' if progress is None else progress.on_trial
 
     def stopped(self, service: str, version: str) -> bool:
         """Return whether a version gets no calls any more."""
@@ -224,12 +225,6 @@
         if fact is not None and progress.take_fact(fact, now):
             self._report(progress, now)
 
-    def _stop_if_planned(self, progress: Progress, now: float) -> list[Any]:
-        effects = progress.stop_if_planned(now)
-        if effects:
-            self._report(progress, now)
-        return effects
-
     def _report(self, progress: Progress, now: float) -> None:
         if self._log is not None:
             status = progress.status
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -80,6 +80,12 @@
         new = self.standing.share
         return {self.plan.old: 1 - new, self.plan.new: new}
 
+    @property
+    def on_trial(self) -> str:
+        """Return the version that a guarded rollout tries; empty if none."""
+        is_tried = self.is_moving and self.plan.is_guarded
+        return self.plan.new if is_tried else ''
+
     @property
     def status(self) -> RolloutStatus:
         """Return where the rollout stands, for operators."""
@@ -91,11 +97,6 @@
             self.standing.why,
         )
 
-    @property
-    def is_judged_here(self) -> bool:
-        """Return whether this node is one of the judges."""
-        return self._bench is not None
-
     def replace_plan(self, plan: RolloutPlan) -> None:
         """Take over a changed plan of the same rollout."""
         versions = (self.plan.old, self.plan.new)
--- a/daisyline/coordination/version_trial.py
+++ b/daisyline/coordination/version_trial.py
@@ -36,22 +36,34 @@
     others = len(candidates) - len(tried)
     if not version or len(tried) < 2 or not others:
         return candidates
-    weight = sum(one.weight for one in tried)
-    part = weight / sum(one.weight for one in candidates)
+    part = sum(one.weight for one in tried) / sum(
+        one.weight for one in candidates
+    )
     busy = max(1, round(part * others / LOAD_FACTOR))
     if busy >= len(tried):
         return candidates
-    ranked = sorted(tried, key=lambda one: _rank(one.node))
-    idle_weight = weight * (1 - TRIED_PART) / (len(tried) - busy)
-    weights = {candidate.node: idle_weight for candidate in ranked}
-    for candidate in ranked[:busy]:
-        weights[candidate.node] = weight * TRIED_PART / busy
+    weights = _weights(sorted(tried, key=_rank), busy)
     return [
         attrs.evolve(one, weight=weights.get(one.node, one.weight))
         for one in candidates
     ]
 
 
+def _weights(ranked: Sequence[Candidate], busy: int) -> dict[str, float]:
+    """Share the weight of all between the first ones and the others."""
+    weight = sum(one.weight for one in ranked)
+    idle_weight = weight * (1 - TRIED_PART) / (len(ranked) - busy)
+    weights = {one.node: idle_weight for one in ranked}
+    weights.update(
+        (one.node, weight * TRIED_PART / busy) for one in ranked[:busy]
+    )
+    return weights
+
+
+def _rank(candidate: Candidate) -> int:
+    return _hash(candidate.node)
+
+
 @functools.lru_cache(maxsize=_CACHED_NAMES)
-def _rank(name: str) -> int:
+def _hash(name: str) -> int:
     return stable_hash(f'trial/{name}')
