Read only the settings at a node's start

Change: the other kinds are read a second after the start, and only by readers and by nodes that have met nobody.

Ruled out: leaving the settings to other nodes too, as a node that has met others waits 0.5 s for their answers before it serves.

--- a/daisyline/coordination/readers.py
+++ b/daisyline/coordination/readers.py
@@ -84,6 +84,7 @@
     _settled_at: float
     _confirmed: int = 0
     _reading: bool = False
+    _has_peers: bool = False
     _reading_until: float = 0
     _unreadable: set[str] = attrs.field(factory=set)
 
@@ -96,8 +97,12 @@
         now: float,
     ) -> 'Readers':
         """Build the part of a node that has just started."""
-        readers = tuple(Reader(kind, rng, now) for kind in kinds)
         settled_at = now + SETTLE_S
+        # Orders come with the facts of other nodes, if there are any.
+        readers = tuple(
+            Reader(kind, rng, now if kind == SETTINGS_KIND else settled_at)
+            for kind in kinds
+        )
         return cls(me.region, me.name, rng, readers, now, settled_at)
 
     @property
@@ -119,6 +124,7 @@
 
     def hear(self, confirmed: int, now: float) -> None:
         """Note a confirmation that another node passed on."""
+        self._has_peers = True
         if confirmed > self._confirmed:
             self._confirmed = confirmed
             self._confirmed_at = now
@@ -202,9 +208,12 @@
         self._reading = reading
 
     def _must_read(self, reader: Reader, now: float) -> bool:
+        if self._reading or self._is_overdue(now):
+            return True
+        if reader.is_fresh:
+            return reader.kind == SETTINGS_KIND or not self._has_peers
         # One that failed is tried again, to find that the store is back.
-        is_due = reader.is_fresh or reader.failures > 0
-        return self._reading or is_due or self._is_overdue(now)
+        return reader.failures > 0
 
     def _is_overdue(self, now: float) -> bool:
         return now >= self._confirmed_at + CONFIRMED_BOUND_S
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -1,7 +1,15 @@
 """Few nodes read the platform, and never none."""
 
+import random
+
 from daisyline.coordination.effects import PlatformWatch
-from daisyline.coordination.readers import OVERLAP_S, SETTLE_S
+from daisyline.coordination.readers import (
+    OVERLAP_S,
+    SETTINGS_KIND,
+    SETTLE_S,
+    Readers,
+)
+from daisyline.state.members import Member
 from tests.coordination.pump import Pump, make_pump, settings_value
 from tests.support import function_tests
 
@@ -112,6 +120,22 @@
     assert len(_reading(pump)) == 5
 
 
+def test_a_node_that_joins_reads_the_settings_and_no_more() -> None:
+    me = Member('n1', '10.0.0.1', 7400, 'ghent-a', 'flanders', 1)
+    for has_peers, kinds in (
+        (True, ['settings']),
+        (False, ['settings', 'zones']),
+    ):
+        readers = Readers.from_kinds(
+            me, (SETTINGS_KIND, 'zones'), random.Random(1), 0
+        )
+        calls = readers.tick(2, 0)
+        if has_peers:
+            readers.hear(1, 0.2)
+        calls += readers.tick(2, SETTLE_S + 0.1)
+        assert [call.kind for call in calls] == kinds
+
+
 def _reading(pump: Pump) -> set[str]:
     return {
         name
