--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -34,7 +34,7 @@
 )
 from daisyline.coordination.routing import Candidate, Router
 from daisyline.coordination.target_table import Shares, TargetTable, by_share
-from daisyline.coordination.version_trial import concentrate
+from daisyline.coordination.version_trial import Trial, concentrate
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Settings
 from daisyline.state.targets import LoadReport
@@ -63,7 +63,9 @@
     _gives_up: list[tuple[float, str]] = attrs.field(factory=list)
     table: TargetTable = attrs.field(factory=TargetTable)
     shares: Callable[[str], Shares] = attrs.field(default=lambda _service: None)
-    on_trial: Callable[[str], str] = attrs.field(default=lambda _service: '')
+    on_trial: Callable[[str], Trial] = attrs.field(
+        default=lambda _service: Trial()
+    )
     suspects: Callable[[ev.Arrived], bool] = attrs.field(default=no_suspect)
     doubted: Callable[[], Iterable[str]] = attrs.field(default=tuple)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
@@ -125,6 +127,7 @@
         candidates = concentrate(
             by_share(known, self.shares(arrived.service)),
             self.on_trial(arrived.service),
+            now,
         )
         if call.keyed:
             shares = self.shares(arrived.service)
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollout_progress.py
@@ -16,6 +16,7 @@
     done_due,
     settle_s,
 )
+from daisyline.coordination.version_trial import Trial
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
 from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.rollout_state import (
@@ -81,10 +82,10 @@
         return {self.plan.old: 1 - new, self.plan.new: new}
 
     @property
-    def on_trial(self) -> str:
-        """Return the version that a guarded rollout tries; empty if none."""
+    def on_trial(self) -> Trial:
+        """Return the version that a guarded rollout tries, if there is one."""
         is_tried = self.is_moving and self.plan.is_guarded
-        return self.plan.new if is_tried else ''
+        return Trial(self.plan.new, self._started_at) if is_tried else Trial()
 
     @property
     def status(self) -> RolloutStatus:
