Report numbers that a settings tree can't hold, and malformed entries

Cause: _round scaled any number, so a weight of NaN raised ValueError and one of 1.8e305 OverflowError; entries of another type than an object were dropped without a finding. The bench's RunCall lacked three fields that the message has had since routes came.

--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -16,6 +16,7 @@
 from daisyline.coordination.gossip_records import MemberRecord
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
+from daisyline.state.routes import DEFAULT_PRIORITY
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
 
@@ -162,9 +163,12 @@
         budget_ms=int(DEADLINE_S * 1000),
         repeatable=True,
         may_move=True,
+        accepts_slow_target=False,
         key='',
         retried=False,
         settings_version=1,
+        priority=DEFAULT_PRIORITY,
+        objective_ms=msg.NO_OBJECTIVE,
         method=b'GET',
         path=b'/instant',
         headers=HEADERS,
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -7,6 +7,9 @@
 from daisyline.state.limits import PERCENT
 
 _MS_PER_S = 1000
+# Larger numbers and NaN are not converted: scaling them overflows, and every
+# limit in a settings tree is far smaller.
+_MAX_NUMBER = 1e15
 # Weights in a manifest may have fractions; those in a tree are integers.
 _WEIGHT_SCALE = 1000
 _REPEATABLE_KINDS = frozenset(('safe', 'download'))
@@ -67,14 +70,19 @@
 
 
 def _translate_by_name(entries: Any, translate: Any) -> Any:
-    """Return the translated entries of a list by their names."""
+    """Return the translated entries of a list by their names.
+
+    A malformed entry stays unchanged under its position.
+    """
     if not isinstance(entries, list):
         return entries
-    return {
-        str(entry.get('name')): translate(entry)
-        for entry in entries
-        if isinstance(entry, dict)
-    }
+    translated: dict[str, Any] = {}
+    for position, entry in enumerate(entries):
+        if isinstance(entry, dict):
+            translated[str(entry.get('name'))] = translate(entry)
+        else:
+            translated[str(position)] = entry
+    return translated
 
 
 def _service(entry: Mapping[str, Any]) -> dict[str, Any]:
@@ -118,12 +126,26 @@
     if not isinstance(shares, list):
         return shares
     return {
-        str(share.get('service')): _round(share.get('weight'), _WEIGHT_SCALE)
-        for share in shares
-        if isinstance(share, dict)
+        name: _round(entry, _WEIGHT_SCALE)
+        for name, entry in _weights(shares).items()
     }
 
 
+def _weights(shares: list[Any]) -> dict[str, Any]:
+    """Return the weight of each service.
+
+    A malformed entry becomes an invalid weight under its position, so that
+    the check of the tree reports it.
+    """
+    weights: dict[str, Any] = {}
+    for position, share in enumerate(shares):
+        if isinstance(share, dict):
+            weights[str(share.get('service'))] = share.get('weight')
+        else:
+            weights[str(position)] = [share]
+    return weights
+
+
 def _round_ms(seconds: Any) -> Any:
     """Return seconds as rounded milliseconds; other values stay unchanged."""
     return _round(seconds, _MS_PER_S)
@@ -133,4 +155,5 @@
     """Return a scaled and rounded number; other values stay unchanged."""
     if isinstance(number, bool) or not isinstance(number, (int, float)):
         return number
-    return round(number * scale)
+    is_in_range = -_MAX_NUMBER <= number <= _MAX_NUMBER
+    return round(number * scale) if is_in_range else number
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 from typing import Any
 
 from hypothesis import given, settings
@@ -59,6 +60,41 @@
     assert findings[0].path == 'routes.r-orders.services.gone'
 
 
+def test_each_invalid_weight_of_a_split_is_reported_with_its_place(
+    boot: Boot,
+) -> None:
+    invalid_weights = (math.nan, math.inf, 1.8e305, 10**400, -1, True, '1', [])
+    for weight in invalid_weights:
+        broken = copy.deepcopy(dict(MANIFEST))
+        broken['routes'][1]['trafficSplit'][0]['weight'] = weight
+        findings = _settings(broken, boot)
+        assert isinstance(findings, list), weight
+        assert findings[0].path == 'routes.r-pages.services.shop', weight
+
+
+def test_a_split_without_a_positive_weight_is_an_error(boot: Boot) -> None:
+    broken = copy.deepcopy(dict(MANIFEST))
+    for share in broken['routes'][1]['trafficSplit']:
+        share['weight'] = 0
+    findings = _settings(broken, boot)
+    assert isinstance(findings, list)
+    assert findings[0].path == 'routes.r-pages.services'
+
+
+def test_malformed_entries_are_reported_with_their_positions(
+    boot: Boot,
+) -> None:
+    broken = copy.deepcopy(dict(MANIFEST))
+    broken['routes'].append(5)
+    broken['routes'][1]['trafficSplit'].append(7)
+    position = len(broken['routes']) - 1
+    findings = _settings(broken, boot)
+    assert isinstance(findings, list)
+    paths = {finding.path for finding in findings}
+    assert f'routes.{position}' in paths
+    assert 'routes.r-pages.services.2' in paths
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
     key=st.sampled_from(['routes', 'services', 'limits', 'host', 'weight']),
