Tell the next node of an idempotency key before its call starts

Cause: what a node knew of keys was handed over when it was stopped, but a killed node took it along, and a caller's second order ran at the next target. Change: right before a call with a key starts, its node sends KeysUsed to the node that entries select next for the key; that one refuses a repeat as unknown. One small message a keyed call; calls without a key are unchanged. Ruled out: waiting for a confirmation, which adds a round trip to each order and holds it while the other node is slow; a node that is killed has handed the bytes to its kernel. Loss of power of both machines stays possible (docs/callers.md).

--- a/daisyline/coordination/key_handover.py
+++ b/daisyline/coordination/key_handover.py
@@ -1,4 +1,9 @@
-"""Hands the used idempotency keys of a stopping node over to other nodes."""
+"""Hands the used idempotency keys of a node over to other nodes.
+
+A node announces each key to the node that entries select next, right before
+the call starts, as a killed node can no longer do so. A node that stops hands
+over all keys, as members may have changed since.
+"""
 
 import itertools
 from collections import defaultdict
@@ -8,7 +13,7 @@
 from daisyline.coordination.effects import Send
 from daisyline.coordination.entry import Entry
 from daisyline.coordination.entry_call import pick_node_for_key
-from daisyline.coordination.messages import KeysUsed
+from daisyline.coordination.messages import KeysUsed, RunCall
 from daisyline.coordination.target_side import TargetSide
 
 # Keeps a message near 30 KB, well below the largest frame.
@@ -17,6 +22,27 @@
 _KeyUse = tuple[str, str]
 
 
+def key_use_message(
+    own_name: str, run: RunCall, entry: Entry, now: float
+) -> list[Send]:
+    """Return the message that announces the key of a call about to start.
+
+    Args:
+        own_name: The name of the node whose target runs the call.
+        run: The call.
+        entry: The entry side of this node, which knows the other targets.
+        now: Monotonic seconds.
+
+    Returns:
+        One message; none if the call has no key or may be repeated, or if no
+        other node has a target of the service.
+    """
+    if run.repeatable or not run.key:
+        return []
+    used = [(run.key, request_fingerprint(run))]
+    return _messages(own_name, run.service, used, entry, now)
+
+
 def used_keys_messages(
     own_name: str, target_side: TargetSide, entry: Entry, now: float
 ) -> list[Send]:
@@ -33,11 +59,21 @@
     """
     if target_side.target is None:
         return []
-    service = target_side.target.service
+    used = _keys_used(target_side, now)
+    return _messages(own_name, target_side.target.service, used, entry, now)
+
+
+def _messages(
+    own_name: str,
+    service: str,
+    used: list[_KeyUse],
+    entry: Entry,
+    now: float,
+) -> list[Send]:
     candidates = entry.table.candidates(service, now)
     shares = entry.shares_of(service)
     by_node: dict[str, list[_KeyUse]] = defaultdict(list)
-    for key_use in _keys_used(target_side, now):
+    for key_use in used:
         node = pick_node_for_key(
             key_use[0], candidates, shares, frozenset((own_name,))
         )
