--- a/daisyline/coordination/key_handover.py
+++ b/daisyline/coordination/key_handover.py
@@ -5,15 +5,18 @@
 over all keys, as members may have changed since.
 """
 
+import functools
 import itertools
 from collections import defaultdict
 from collections.abc import Iterator
+from typing import Any
 
 from daisyline.coordination.answer_records import request_fingerprint
+from daisyline.coordination.call_events import StartTargetCall
 from daisyline.coordination.effects import Send
 from daisyline.coordination.entry import Entry
 from daisyline.coordination.entry_call import pick_node_for_key
-from daisyline.coordination.messages import KeysUsed, RunCall
+from daisyline.coordination.messages import KeysUsed
 from daisyline.coordination.target_side import TargetSide
 
 # Keeps a message near 30 KB, well below the largest frame.
@@ -22,21 +25,27 @@
 _KeyUse = tuple[str, str]
 
 
-def key_use_message(
-    own_name: str, run: RunCall, entry: Entry, now: float
+@functools.singledispatch
+def messages_before(
+    effect: Any, own_name: str, entry: Entry, now: float
 ) -> list[Send]:
-    """Return the message that announces the key of a call about to start.
+    """Return the messages that have to be sent before an effect.
 
     Args:
-        own_name: The name of the node whose target runs the call.
-        run: The call.
+        effect: An effect for the transport layer.
+        own_name: The name of this node.
         entry: The entry side of this node, which knows the other targets.
         now: Monotonic seconds.
-
-    Returns:
-        One message; none if the call has no key or may be repeated, or if no
-        other node has a target of the service.
     """
+    return []
+
+
+@messages_before.register
+def _(
+    effect: StartTargetCall, own_name: str, entry: Entry, now: float
+) -> list[Send]:
+    """Announce the key of a call, unless no other node has such a target."""
+    run = effect.run
     if run.repeatable or not run.key:
         return []
     used = [(run.key, request_fingerprint(run))]
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -86,25 +86,15 @@
         effect = pending.popleft()
         further = _apply(effect, core, now)
         if further is None:
-            outward += [*_messages_before(effect, core, now), effect]
+            outward += key_handover.messages_before(
+                effect, core.name, core.entry, now
+            )
+            outward.append(effect)
         else:
             pending.extend(further)
     return outward
 
 
-@functools.singledispatch
-def _messages_before(effect: Any, core: NodeCore, now: float) -> Effects:
-    """Return the messages that have to be sent before an effect."""
-    return []
-
-
-@_messages_before.register
-def _(effect: ev.StartTargetCall, core: NodeCore, now: float) -> Effects:
-    return [
-        *key_handover.key_use_message(core.name, effect.run, core.entry, now)
-    ]
-
-
 @functools.singledispatch
 def _dispatch(event: Any, core: NodeCore, now: float) -> Effects:
     """Pass an event to the parts of the node that it concerns."""
--- a/tests/coordination/test_key_handover.py
+++ b/tests/coordination/test_key_handover.py
@@ -68,7 +68,7 @@
     second = _core(announced.node)
     received = ev.CallMessageReceived('n1', announced.message)
     node_handlers.handle(received, second, NOW)
-    (reply,) = _offer(second, 'c2', 'k1')
+    reply = _offer(second, 'c2', 'k1')[0]
     assert isinstance(reply.message, msg.CallRefused)
     assert reply.message.reason == Reason.DUPLICATE.value
     assert reply.message.outcome == Outcome.UNKNOWN.value
