Tell answers of one target connection apart by the call that they name

Cause: a refusal without an id, and in daisyline's own front end any answer, was taken for the answer to the call in progress, so a refusal or answer that a target wrote once more reached another call: 'not run' for an order that ran, or an answer that was not its own. With ids, a late copy closed the connection and failed the call that waited on it. Interim responses were skipped without end. More than 8 interim responses break the answer off. An answer without a length ends 10 s after its deadline, as its bytes may have no end. The test of thousands of interim responses is replaced by one of the bound: they were skipped for ever, which is the fault that the users report. Targets of our own front end that do not repeat Daisyline-Call pay for a new connection a call; the stand-ins repeat it.

--- a/daisyline/coordination/target_call.py
+++ b/daisyline/coordination/target_call.py
@@ -33,6 +33,7 @@
             caller has not acknowledged.
         read_paused: Whether reading from the target is stopped.
         status: The HTTP status of the answer; 0 before its head.
+        has_length: Whether the answer states the length of its body.
         recorded_answer: The answer recorded so far, if the call must not be
             repeated and the answer is short enough; otherwise None.
     """
@@ -50,12 +51,16 @@
     unacknowledged: int = 0
     read_paused: bool = False
     status: int = 0
+    has_length: bool = False
     recorded_answer: AnswerHead | None = None
 
     def record_head(self, answer: AnswerHead) -> None:
         """Record the head of an answer, in case it is requested again."""
         self.answered = True
         self.status = answer.status
+        self.has_length = any(
+            name.lower() == b'content-length' for name, _ in answer.headers
+        )
         if not self.run.repeatable and len(answer.body) <= MAX_RECORD_BYTES:
             self.recorded_answer = attrs.evolve(answer, last=True)
 
--- a/daisyline/coordination/target_side.py
+++ b/daisyline/coordination/target_side.py
@@ -28,7 +28,8 @@
 # The shortest time budget with which a call is sent to its target.
 _MIN_BUDGET_S = 0.001
 # An answer that is sent past its deadline is aborted if it makes no progress
-# for this time.
+# for this time. One without a length is aborted this long after the deadline,
+# as it may have no end.
 _STALL_TIMEOUT_S = 10.0
 
 Effects = list[Any]
@@ -385,7 +386,7 @@
 
         A running call is aborted and keeps its slot until the target has
         stopped. An answer that is being sent may exceed the deadline while it
-        makes progress.
+        makes progress; one without a length only by `_STALL_TIMEOUT_S`.
         """
         if target_call.started_at is None:
             assert self._admission is not None
@@ -397,12 +398,8 @@
                     target_call.entry_node, target_call.run.call, failure, now
                 )
             ]
-        if (
-            target_call.answered
-            and now < target_call.last_progress_at + _STALL_TIMEOUT_S
-        ):
-            # The answer still makes progress; check again after a stall.
-            stalled_at = target_call.last_progress_at + _STALL_TIMEOUT_S
+        stalled_at = _stalled_at(target_call)
+        if target_call.answered and now < stalled_at:
             heapq.heappush(self._deadlines, (stalled_at, target_call.run.call))
             return []
         effects = self._abort(target_call)
@@ -415,3 +412,14 @@
                 )
             )
         return effects
+
+
+def _stalled_at(target_call: TargetCall) -> float:
+    """Return when an answer past its deadline has to be aborted.
+
+    The result is in monotonic seconds; it grows with the progress of an answer
+    that states its length.
+    """
+    if target_call.has_length:
+        return target_call.last_progress_at + _STALL_TIMEOUT_S
+    return target_call.deadline + _STALL_TIMEOUT_S
--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -16,9 +16,11 @@
     answer_headers,
 )
 
+# The number of informational responses (1xx) before an answer. More of them
+# come from a target that may never answer.
+MAX_INFORMATIONAL = 8
+_CALL_HEADER = b'daisyline-call'
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d{1,6})')
-# Initial value of the loop that skips informational responses.
-_INFORMATIONAL = h11.InformationalResponse(status_code=100, headers=[])
 
 
 class ClientCodec:
@@ -26,9 +28,9 @@
 
     def __init__(self) -> None:
         """Create the codec of a new connection."""
-        self._connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._connection = _client_connection()
+        self._method = b''
+        self._informational_count = 0
 
     def request(self, request: Request, extra_headers: Headers = ()) -> bytes:
         """Return the bytes of a whole request.
@@ -53,6 +55,8 @@
         event = h11.Request(
             method=request.method, target=request.path, headers=headers
         )
+        self._method = request.method
+        self._informational_count = 0
         chunks = [self._connection.send(event) or b'']
         if request.body:
             chunks.append(
@@ -69,16 +73,45 @@
     def next_event(self) -> Head | Part | End | BrokenAnswer | None:
         """Return the next event, or None if more bytes are needed.
 
-        A malformed or truncated answer gives `BrokenAnswer`.
+        A malformed or truncated answer gives `BrokenAnswer`, as do more than
+        `MAX_INFORMATIONAL` informational responses.
         """
-        event: object = _INFORMATIONAL
+        event = self._next_h11_event()
         while isinstance(event, h11.InformationalResponse):
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as error:
-                return BrokenAnswer(str(error))
+            self._informational_count += 1
+            if self._informational_count > MAX_INFORMATIONAL:
+                return BrokenAnswer('too many informational responses')
+            event = self._next_h11_event()
+        if isinstance(event, h11.RemoteProtocolError):
+            return BrokenAnswer(str(event))
         return _answer_event(event, self)
 
+    def expect_another_answer(self) -> bool:
+        """Prepare to decode another answer to the request that was sent.
+
+        It is called after the end of an answer that belonged to an earlier
+        request. The bytes received after that end are decoded next.
+
+        Returns:
+            Whether the connection can still receive an answer.
+        """
+        rest, closed = self._connection.trailing_data
+        is_open = self._connection.their_state is h11.DONE and not closed
+        if is_open:
+            # h11 accepts one answer for each request, so a new connection of
+            # h11 gets the request again. Its bytes are not sent.
+            self._connection = _client_connection()
+            self._connection.send(
+                h11.Request(
+                    method=self._method, target=b'/', headers=[(b'Host', b'-')]
+                )
+            )
+            self._connection.send(h11.EndOfMessage())
+            self._informational_count = 0
+            if rest:
+                self._connection.receive_data(rest)
+        return is_open
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another call."""
@@ -90,6 +123,13 @@
             and not closed
         )
 
+    def _next_h11_event(self) -> object:
+        """Return the next event of h11; a protocol error is returned as well."""
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            return error
+
 
 @functools.singledispatch
 def _answer_event(
@@ -101,7 +141,12 @@
 @_answer_event.register
 def _(event: h11.Response, codec: ClientCodec) -> Head:
     headers = answer_headers(event.headers.raw_items())
-    return Head(event.status_code, headers, _idle_timeout_s(event))
+    return Head(
+        event.status_code,
+        headers,
+        _idle_timeout_s(event),
+        _header(event, _CALL_HEADER),
+    )
 
 
 @_answer_event.register
@@ -121,8 +166,18 @@
 
 def _idle_timeout_s(event: h11.Response) -> float | None:
     """Return the `Keep-Alive` timeout in seconds; None if there is none."""
+    content = _header(event, b'keep-alive')
+    found = _KEEP_ALIVE_TIMEOUT.search(content) if content else None
+    return float(found.group(1)) if found else None
+
+
+def _header(event: h11.Response, wanted: bytes) -> bytes | None:
+    """Return the first header of a lower-case name, or None."""
     for name, content in event.headers:
-        if name == b'keep-alive':
-            found = _KEEP_ALIVE_TIMEOUT.search(content)
-            return float(found.group(1)) if found else None
+        if name == wanted:
+            return bytes(content)
     return None
+
+
+def _client_connection() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -81,11 +81,14 @@
         headers: The end-to-end headers, in order.
         idle_timeout_s: How long the target keeps an idle connection open, in
             seconds; None if the answer does not state it.
+        call: The id of daisyline's call that the answer repeats; None if it
+            repeats none.
     """
 
     status: int
     headers: Headers
     idle_timeout_s: float | None = None
+    call: bytes | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header of a lower-case name, or None."""
--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -10,11 +10,9 @@
     TargetCallFailed,
 )
 from daisyline.coordination.messages import Headers
-from daisyline.protocol.answer_check import Verdict, classify_head
+from daisyline.protocol.answer_reader import AnswerReader, Declined
 from daisyline.protocol.dialect import Dialect, parse_pace
-from daisyline.protocol.http_client import ClientCodec
 from daisyline.protocol.http_messages import (
-    BrokenAnswer,
     End,
     Head,
     Part,
@@ -74,11 +72,10 @@
     ) -> None:
         """Wrap a TCP connection that is being established."""
         self._pool = pool
-        self._codec = ClientCodec()
+        self._answers = AnswerReader.from_dialect(pool.dialect)
         self._connection = connection
         self._head: Head | None = None
         self._buffered: list[bytes] = []
-        self._request_id = b''
         self._sent = False
         self._head_reported = False
         self._cancelled = False
@@ -97,6 +94,10 @@
         """Return whether the connection may carry another call."""
         return self._connection.is_open and not self.call
 
+    def has_carried(self, start: StartTargetCall) -> bool:
+        """Return whether the connection has carried a call with the same id."""
+        return self._answers.has_carried(_request_of(start), start.call)
+
     def send(self, start: StartTargetCall) -> None:
         """Send a call; its bytes wait until the connection is established."""
         self.call = start.call
@@ -104,12 +105,11 @@
         self._head = None
         self._buffered = []
         self._head_reported = False
-        run = start.run
-        request = Request(run.method, run.path, run.headers, run.body)
-        self._request_id = request.header(self._pool.dialect.request_id)
-        extra = self._extra_headers(start)
+        extra = _extra_headers(start, self.target, self._pool.dialect)
         self._sent = not self._connection.is_connecting
-        self._connection.write(self._codec.request(request, extra))
+        self._connection.write(
+            self._answers.request(_request_of(start), start.call, extra)
+        )
 
     def cancel(self) -> None:
         """Cancel the call in progress.
@@ -155,12 +155,12 @@
         if not self.call:
             self._connection.abort()
             return
-        self._codec.feed(octets)
+        self._answers.feed(octets)
         self._report_answer()
 
     def handle_eof(self) -> None:
         """Report the rest of an answer whose end the closing may mark."""
-        self._codec.feed(b'')
+        self._answers.feed(b'')
         if self.call:
             self._report_answer()
         self._connection.abort()
@@ -176,50 +176,29 @@
 
     def _report_answer(self) -> None:
         body: list[bytes] = []
-        event = self._codec.next_event()
+        event = self._answers.next_event()
         while isinstance(event, (Head, Part)):
             if isinstance(event, Head):
-                if not self._accept_head(event):
-                    return
+                self._use_head(event)
             else:
                 body.append(event.body)
-            event = self._codec.next_event()
+            event = self._answers.next_event()
         if isinstance(event, End):
             self._complete(b''.join(body), event)
             return
         self._report(self._answer_event(b''.join(body), last=False))
-        if isinstance(event, BrokenAnswer):
+        if isinstance(event, Declined):
+            self._report_failure('the target declined it', declined=True)
+        if event is not None:
             self._connection.abort()
 
-    def _accept_head(self, head: Head) -> bool:
-        """Accept the head of this call's answer; return whether it is one.
-
-        Any other answer closes the connection.
-        """
-        verdict = classify_head(head, self._request_id, self._pool.dialect)
-        if verdict is Verdict.OWN:
-            self._head = head
-            self.keep_alive_s = (
-                DEFAULT_KEEP_ALIVE_S
-                if head.idle_timeout_s is None
-                else head.idle_timeout_s
-            )
-            return True
-        if verdict is Verdict.DECLINED:
-            self._report_failure('the target declined it', declined=True)
-        self._connection.abort()
-        return False
-
-    def _extra_headers(self, start: StartTargetCall) -> Headers:
-        """Return the headers that daisyline adds to a call."""
-        dialect = self._pool.dialect
-        deadline_ms = str(int(start.budget_s * _MS_PER_S)).encode()
-        headers = (
-            (dialect.call, start.call.encode()),
-            (dialect.target_deadline_ms, deadline_ms),
-            (dialect.expected_instance, self.target.instance.encode()),
+    def _use_head(self, head: Head) -> None:
+        self._head = head
+        self.keep_alive_s = (
+            DEFAULT_KEEP_ALIVE_S
+            if head.idle_timeout_s is None
+            else head.idle_timeout_s
         )
-        return tuple((name, content) for name, content in headers if name)
 
     def _complete(self, body: bytes, end: End) -> None:
         """Release the connection, then report the last part of the answer.
@@ -281,3 +260,21 @@
             self._pool.on_event(
                 TargetCallFailed(call, sent, sent, detail, declined)
             )
+
+
+def _request_of(start: StartTargetCall) -> Request:
+    run = start.run
+    return Request(run.method, run.path, run.headers, run.body)
+
+
+def _extra_headers(
+    start: StartTargetCall, target: Target, dialect: Dialect
+) -> Headers:
+    """Return the headers that daisyline adds to a call."""
+    deadline_ms = str(int(start.budget_s * _MS_PER_S)).encode()
+    headers = (
+        (dialect.call, start.call.encode()),
+        (dialect.target_deadline_ms, deadline_ms),
+        (dialect.expected_instance, target.instance.encode()),
+    )
+    return tuple((name, content) for name, content in headers if name)
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -77,7 +77,7 @@
         if self._target is None:
             self._report_unsent(start.call)
             return
-        connection = self._take_idle(must_be_recent=not start.run.repeatable)
+        connection = self._take_idle(start)
         if connection is not None:
             self._send(connection, start)
             return
@@ -123,7 +123,9 @@
         connection.idle_since = self.loop.now()
         self._remove_busy(connection)
         fits = self.connection_count <= self.connection_limit()
-        if not fits or not self._is_current(connection):
+        next_call = self._pending[0] if self._pending else None
+        is_taken = next_call is not None and connection.has_carried(next_call)
+        if not fits or is_taken or not self._is_current(connection):
             connection.close()
         elif self._pending:
             self._send(connection, self._pending.popleft())
@@ -152,17 +154,18 @@
             if connection.idle_since <= since:
                 connection.close()
 
-    def _take_idle(self, *, must_be_recent: bool) -> TargetConnection | None:
+    def _take_idle(self, start: StartTargetCall) -> TargetConnection | None:
         """Return the idle connection used last, or None.
 
-        Args:
-            must_be_recent: Whether the call must not be repeated, so that only
-                a recently used connection may carry it.
+        A call that must not be repeated takes a recently used one only.
         """
+        must_be_recent = not start.run.repeatable
         while self._idle:
             connection = self._idle[-1]
-            is_usable = connection.is_reusable and self._is_kept_alive(
-                connection
+            is_usable = (
+                connection.is_reusable
+                and self._is_kept_alive(connection)
+                and not connection.has_carried(start)
             )
             if is_usable and must_be_recent and not self._is_recent(connection):
                 return None
--- a/standins/target.py
+++ b/standins/target.py
@@ -96,9 +96,12 @@
     @carry_out.register
     def _reply(self, effect: msg.Reply) -> None:
         exchange = effect.token
-        self._parents.pop(exchange, None)
         call_id = effect.content.get('call', '')
-        headers = {'X-Call-Id': call_id} if call_id else {}
+        repeated = {
+            'X-Call-Id': call_id,
+            'Daisyline-Call': self._parents.pop(exchange, ''),
+        }
+        headers = {name: text for name, text in repeated.items() if text}
         exchange.answer(effect.status, effect.content, headers)
 
     @carry_out.register
--- a/tests/coordination/test_target_side.py
+++ b/tests/coordination/test_target_side.py
@@ -226,3 +226,34 @@
         )
         assert reply.message.outcome == 'unknown'
         assert reply.message.reason == 'duplicate'
+
+
+def test_an_answer_without_a_length_ends_soon_after_its_deadline(
+    ready_target_side: TargetSide,
+) -> None:
+    length = ((b'Content-Length', b'90000'),)
+    for call, headers, has_end in (('c1', length, False), ('c2', (), True)):
+        run = run_message(call, budget_ms=1000)
+        received = ev.CallMessageReceived('e', run)
+        target_side_handlers.handle(received, ready_target_side, 1)
+        head = ev.TargetAnswerHead(call, 200, headers, b'a', last=False)
+        target_side_handlers.handle(head, ready_target_side, 1)
+        effects = _send_parts(ready_target_side, call, until_s=20)
+        ended = [
+            effect
+            for effect in effects
+            if isinstance(effect, ev.AbortTargetCall)
+        ]
+        assert bool(ended) is has_end
+        end = ev.TargetAnswerPart(call, b'a', last=True)
+        target_side_handlers.handle(end, ready_target_side, 20)
+
+
+def _send_parts(side: TargetSide, call: str, until_s: int) -> list[Any]:
+    """Send a part of an answer each second and return all effects."""
+    effects: list[Any] = []
+    for now in range(2, until_s):
+        part = ev.TargetAnswerPart(call, b'a', last=False)
+        effects += target_side_handlers.handle(part, side, now)
+        effects += target_side_handlers.tick(side, now)
+    return effects
--- a/tests/protocol/test_answer_check.py
+++ b/tests/protocol/test_answer_check.py
@@ -1,6 +1,10 @@
 """Answers of other requests or other processes are not taken for the call's."""
 
-from daisyline.protocol.answer_check import Verdict, classify_head
+from daisyline.protocol.answer_check import (
+    MAX_REMEMBERED_IDS,
+    AnswerCheck,
+    Verdict,
+)
 from daisyline.protocol.dialect import Dialect, parse_pace
 from daisyline.protocol.http_messages import Head
 from tests.support import function_tests
@@ -18,7 +22,15 @@
 
 
 def _verdict(status: int, *headers: tuple[bytes, bytes]) -> Verdict:
-    return classify_head(Head(status, headers), b'a1', FULL_DIALECT)
+    return _check().classify(Head(status, headers))
+
+
+def _check(*request_ids: bytes) -> AnswerCheck:
+    """Return the check of a connection that has sent requests, `a1` last."""
+    check = AnswerCheck(FULL_DIALECT)
+    for request_id in (*request_ids, b'a1'):
+        check.expect(request_id)
+    return check
 
 
 def test_an_answer_with_id_and_signature_is_the_calls_own() -> None:
@@ -44,8 +56,42 @@
 
 
 def test_a_dialect_without_such_headers_accepts_every_answer() -> None:
-    assert classify_head(Head(200, ()), b'', Dialect()) is Verdict.OWN
-    assert classify_head(Head(421, ()), b'', Dialect()) is Verdict.OWN
+    for status in (200, 421):
+        check = AnswerCheck(Dialect())
+        check.expect(b'c1')
+        assert check.classify(Head(status, ())) is Verdict.OWN
+        assert not check.has_id
+
+
+def test_answers_are_told_apart_by_the_id_of_the_call() -> None:
+    check = AnswerCheck(Dialect())
+    check.expect(b'c1')
+    assert check.classify(Head(200, (), call=b'c1')) is Verdict.OWN
+    assert check.has_id
+    check.expect(b'c2')
+    assert check.classify(Head(200, (), call=b'c1')) is Verdict.REPEATED
+    assert check.classify(Head(200, (), call=b'c9')) is Verdict.FOREIGN
+    assert check.classify(Head(200, ())) is Verdict.FOREIGN
+
+
+def test_a_refusal_of_an_earlier_call_proves_nothing_about_this_one() -> None:
+    refusal = ((b'X-Declined', b'1'),)
+    check = _check(b'a0')
+    repeated = Head(503, ((b'X-Id', b'a0'), *refusal))
+    assert check.classify(repeated) is Verdict.REPEATED
+    assert check.classify(Head(503, refusal)) is Verdict.FOREIGN
+    assert check.classify(Head(421, ())) is Verdict.FOREIGN
+    own = Head(503, ((b'X-Id', b'a1'), *refusal))
+    assert check.classify(own) is Verdict.DECLINED
+
+
+def test_the_number_of_remembered_ids_is_bounded() -> None:
+    sent = [f'a-{number}'.encode() for number in range(MAX_REMEMBERED_IDS + 1)]
+    check = _check(*sent)
+    assert not check.has_answered(sent[0])
+    assert check.has_answered(sent[1])
+    assert check.has_answered(b'a1')
+    assert not check.has_answered(b'')
 
 
 def test_a_malformed_pace_is_parsed_as_zero() -> None:
--- a/tests/protocol/test_http.py
+++ b/tests/protocol/test_http.py
@@ -7,7 +7,7 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_client import MAX_INFORMATIONAL, ClientCodec
 from daisyline.protocol.http_messages import (
     BrokenAnswer,
     End,
@@ -235,12 +235,16 @@
     return events
 
 
-def test_thousands_of_informational_answers_are_skipped() -> None:
-    early = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 2400
-    events = _parse_answer(
-        b'%sHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n' % early
-    )
-    assert [type(event) for event in events] == [Head, End]
+def test_informational_answers_are_skipped_up_to_a_bound() -> None:
+    early = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+    answer = b'%sHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    for count, expected in (
+        (MAX_INFORMATIONAL, [Head, End]),
+        (MAX_INFORMATIONAL + 1, [BrokenAnswer]),
+        (2400, [BrokenAnswer]),
+    ):
+        events = _parse_answer(answer % (early * count))
+        assert [type(event) for event in events] == expected, count
 
 
 def test_an_answer_without_a_body_ends_with_its_head() -> None:
--- a/tests/transport/rig.py
+++ b/tests/transport/rig.py
@@ -1,6 +1,7 @@
 """A loop that a test runs step by step, and the peers of its connections."""
 
 import contextlib
+import re
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -17,6 +18,16 @@
 READ_BYTES = 65_536
 
 
+def answer_to(request: bytes, body: bytes) -> bytes:
+    """Return an answer that repeats the id of the call in a request."""
+    found = re.search(rb'daisyline-call: *([^\r]*)', request, re.IGNORECASE)
+    assert found is not None
+    answer = (
+        b'HTTP/1.1 200 OK\r\nDaisyline-Call: %s\r\nContent-Length: %d\r\n\r\n%s'
+    )
+    return answer % (found.group(1), len(body), body)
+
+
 @attrs.define
 class Peer:
     """The other end of a connection, which the test reads and writes.
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -14,7 +14,7 @@
 from daisyline.transport.target_pool import TargetPool
 from tests.builders import run_message
 from tests.support import function_tests
-from tests.transport.rig import HOST, LoopDriver, Peer
+from tests.transport.rig import HOST, LoopDriver, Peer, answer_to
 
 load_tests = function_tests(__name__)
 
@@ -40,9 +40,7 @@
 
 def _answer_call(driver: LoopDriver, peer: Peer, call: str) -> None:
     """Answer one call completely from the peer's side."""
-    peer.read_until(HEAD_END)
-    peer.received.clear()
-    peer.send(OK)
+    _send_answer(driver, peer)
     driver.run_until(
         lambda: any(
             event.call == call and event.last
@@ -130,7 +128,7 @@
     pool.start_call(_start('b'))
     second = driver.accept(listener)
     first.read_until_end()
-    first.send(OK.replace(b'ok', b'no'))
+    first.send(answer_to(bytes(first.received), b'no'))
     _answer_call(driver, second, 'b')
     driver.run_until(lambda: pool.connection_count == 1, 1)
     heads = {
@@ -250,8 +248,10 @@
 
 
 def _send_answer(driver: LoopDriver, peer: Peer) -> None:
-    peer.read_until(HEAD_END)
-    peer.send(OK)
+    """Answer the request that the peer received, with the id of its call."""
+    request = peer.read_until(HEAD_END)
+    peer.received.clear()
+    peer.send(answer_to(request, b'ok'))
 
 
 def _ended_calls(driver: LoopDriver) -> set[str]:
