Keep calls in their zone while their callers do not notice

Change: zone_preference_percent says how much of its route's objective a call may take longer to stay at home; the longer of it and zone_preference_ms applies. The platform's settings give 25, so routes with short objectives stay as they were.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -35,7 +35,11 @@
     decide_retry,
     outgoing_retry_mark,
 )
-from daisyline.coordination.routing import Candidate, Router
+from daisyline.coordination.routing import (
+    Candidate,
+    Router,
+    zone_preference_ms,
+)
 from daisyline.coordination.target_table import (
     TargetTable,
     VersionShares,
@@ -391,13 +395,9 @@
         """
         request = call.request
         limits = self._settings.limits_for(request.service, '')
-        route = request.route
-        remote_penalty_ms = limits.zone_preference_ms
-        if route is not None and route.bulky:
-            remote_penalty_ms = limits.bulky_zone_preference_ms
         router = self.router(request.service)
         avoided = call.tried.union(self.suspected_nodes())
-        remote_penalty_s = remote_penalty_ms / _MS_PER_S
+        remote_penalty_s = zone_preference_ms(limits, request.route) / _MS_PER_S
         picked = router.pick(candidates, now, avoided, remote_penalty_s)
         if isinstance(picked, Failure):
             return router.pick(candidates, now, call.tried, remote_penalty_s)
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -15,6 +15,8 @@
 )
 from daisyline.coordination.retries import MAX_ATTEMPTS
 from daisyline.state.failures import Failure, Reason
+from daisyline.state.limits import PERCENT, Limits
+from daisyline.state.routes import Route
 from daisyline.state.targets import LoadReport
 
 US_PER_S = 1_000_000
@@ -276,6 +278,27 @@
         return self._loads.setdefault(node, _TargetLoad())
 
 
+def zone_preference_ms(limits: Limits, route: Route | None) -> float:
+    """Return how much longer a call may take in its own zone, in milliseconds.
+
+    A caller does not notice a small part of the objective of its route, while
+    each call to another zone costs bandwidth and the round trip.
+
+    Args:
+        limits: The limits of the service.
+        route: The route of the call; None if the settings list no routes.
+    """
+    if route is None:
+        return limits.zone_preference_ms
+    fixed_ms = (
+        limits.bulky_zone_preference_ms
+        if route.bulky
+        else limits.zone_preference_ms
+    )
+    percent = limits.zone_preference_percent
+    return max(fixed_ms, route.objective_ms * percent / PERCENT)
+
+
 def untried_candidates(
     candidates: Sequence[Candidate], tried: frozenset[str]
 ) -> list[Candidate]:
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -19,6 +19,7 @@
 # Traffic between zones is billed by the byte, so routes with large answers
 # accept more latency to stay in their zone.
 _ZONE_PREFERENCE_MS = 30
+_ZONE_PREFERENCE_PERCENT = 25
 _BULKY_ZONE_PREFERENCE_MS = 400
 # The fraction of the allowed retries that is used. It is below 1 because calls
 # that a retried call makes count as retries too, at the node where they arrive.
@@ -57,6 +58,7 @@
         'retry_reserve': int(boot.retry_slack * _RETRY_FRACTION),
         'slots_used_percent': _SLOTS_USED_PERCENT,
         'zone_preference_ms': _ZONE_PREFERENCE_MS,
+        'zone_preference_percent': _ZONE_PREFERENCE_PERCENT,
         'bulky_zone_preference_ms': _BULKY_ZONE_PREFERENCE_MS,
         # Not needed, as targets report when they are cold.
         'zone_return_ms': 0,
--- a/daisyline/state/limits.py
+++ b/daisyline/state/limits.py
@@ -79,6 +79,8 @@
         zone_preference_ms: How much longer a call may take in the zone where
             it arrived before it is sent to another zone, in milliseconds.
         bulky_zone_preference_ms: The same for calls with large answers.
+        zone_preference_percent: The same in percent of the objective of the
+            call's route; the longer of both times applies.
         pace_path: Path at which a target reports its pace; empty if it has
             none.
     """
@@ -120,6 +122,7 @@
     bulky_zone_preference_ms: int = _integer(
         DEFAULT_ZONE_PREFERENCE_MS, 0, MAX_ZONE_PREFERENCE_MS
     )
+    zone_preference_percent: int = _integer(0, 0, PERCENT)
     pace_path: str = attrs.field(default='', metadata={IS_PATH: True})
 
 
