Keep targets that left out, and follow targets whose clock was set back

Cause: a restarted node forgets that its target is leaving; a heartbeat that was delayed on the way then presents the target as ready, and all entries used it again. And a target that started again after its host's clock was set back seemed older than its predecessor for good, so its heartbeats were ignored. Change: entries remember the starts that were seen leaving (1,024, oldest dropped) and give them no calls, whatever is announced later. A start that seems older is registered once its predecessor has been silent for 3 s and it has announced itself twice, a second apart; starts that were replaced by newer ones never are. Ruled out: ordering by arrival alone, as a delayed heartbeat would then put an older start in use. Left: the restarted node itself, as entry, hears of its target's leaving only from the next notice.

--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -122,7 +122,7 @@
     if event.target is None:
         return core.apply_announcement(None, now)
     announcement = Announcement(event.target, event.sequence, event.cold_s)
-    if not core.target_side.registration.accept(announcement):
+    if not core.target_side.registration.accept(announcement, now):
         return []
     return core.apply_announcement(
         announcement.target, now, announcement.cold_s
--- a/daisyline/coordination/registration.py
+++ b/daisyline/coordination/registration.py
@@ -1,9 +1,23 @@
 """Orders a target's announcements and ignores those that arrive late."""
 
+import math
+from collections import deque
+
 import attrs
 
 from daisyline.state.targets import Phase, Target
 
+# A registered start counts as silent after this time without an announcement,
+# in seconds: two of the intervals at which targets announce themselves.
+SILENCE_S = 3.0
+# The least time between two announcements that prove that a start is alive, in
+# seconds; less than the interval of announcements.
+CONTENDER_DELAY_S = 1.0
+# The number of replaced starts that are remembered.
+MAX_REPLACED = 16
+
+_Incarnation = tuple[str, int]
+
 
 @attrs.frozen
 class Announcement:
@@ -27,16 +41,43 @@
     """The newest announcement of the target beside this node.
 
     A process start that has announced that it is leaving is never registered
-    again; only a newer start replaces it.
+    again; only a newer start replaces it. Which start is newer follows from the
+    times that targets report. They come from clocks that may be set back, so a
+    start that seems older is registered too if it goes on announcing itself
+    while the registered one is silent.
+
+    Attributes:
+        _latest: The newest announcement.
+        _latest_at: When it came, in monotonic seconds.
+        _contender: The newest announcement of a start that seems older, since
+            the registered one has become silent.
+        _contender_at: When the first of them came, in monotonic seconds.
+        _replaced: The starts that were replaced by newer ones; never
+            registered again.
     """
 
     _latest: Announcement | None = None
+    _latest_at: float = -math.inf
+    _contender: Announcement | None = None
+    _contender_at: float = -math.inf
+    _replaced: deque[_Incarnation] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_REPLACED)
+    )
+
+    def accept(self, announcement: Announcement, now: float) -> bool:
+        """Store an announcement; return False if it is outdated.
 
-    def accept(self, announcement: Announcement) -> bool:
-        """Store an announcement; return False if it is outdated."""
-        if self._is_stale(announcement):
+        Args:
+            announcement: The announcement.
+            now: Monotonic seconds.
+        """
+        if not self._is_stale(announcement):
+            self._record_replaced(announcement.target)
+        elif not self._has_replaced_silent(announcement, now):
             return False
         self._latest = announcement
+        self._latest_at = now
+        self._contender = None
         return True
 
     def mark_leaving(
@@ -61,6 +102,37 @@
         self._latest = attrs.evolve(latest, target=target, cold_s=0)
         return self._latest
 
+    def _has_replaced_silent(
+        self, announcement: Announcement, now: float
+    ) -> bool:
+        """Return whether a start that seems older replaces a silent one.
+
+        It has to announce itself twice, some time apart, as announcements that
+        were delayed on the way arrive together.
+        """
+        assert self._latest is not None
+        announced = announcement.target.incarnation
+        if (
+            announced == self._latest.target.incarnation
+            or announced in self._replaced
+            or now < self._latest_at + SILENCE_S
+        ):
+            return False
+        contender = self._contender
+        if contender is None or contender.target.incarnation != announced:
+            self._contender = announcement
+            self._contender_at = now
+            return False
+        if announcement.sequence <= contender.sequence:
+            return False
+        self._contender = announcement
+        return now >= self._contender_at + CONTENDER_DELAY_S
+
+    def _record_replaced(self, target: Target) -> None:
+        known = None if self._latest is None else self._latest.target
+        if known is not None and known.incarnation != target.incarnation:
+            self._replaced.append(known.incarnation)
+
     def _is_stale(self, announcement: Announcement) -> bool:
         if self._latest is None:
             return False
--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/target_table.py
@@ -9,11 +9,13 @@
 from daisyline.coordination.weight_ramp import ramp_fraction
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
-from daisyline.state.targets import Phase
+from daisyline.state.targets import Phase, Target
 
 # How long computed weights are cached, in seconds. Ramps change slowly compared
 # with the rate of calls.
 _REFRESH_S = 0.1
+# The number of target starts that are remembered as leaving.
+MAX_LEFT_TARGETS = 1024
 
 # The share of calls of each version; None without a rollout.
 VersionShares = Mapping[str, float] | None
@@ -49,6 +51,9 @@
         _cache: The computed candidates of each service.
         _started_at: When this node first knew of any members, in monotonic
             seconds.
+        _left: The target starts that were seen leaving, oldest first. A node that restarts
+            forgets that its target is leaving, and a late announcement can
+            then present that target as ready.
     """
 
     _settings: Settings = attrs.field(factory=Settings)
@@ -58,6 +63,7 @@
     _zones_out: frozenset[str] = frozenset()
     _cache: dict[str, _CachedCandidates] = attrs.field(factory=dict)
     _started_at: float | None = None
+    _left: dict[tuple[str, int], None] = attrs.field(factory=dict)
 
     @property
     def settings(self) -> Settings:
@@ -90,6 +96,7 @@
         for name, member in by_name.items():
             if member.target is not None:
                 self._record_first_seen(name, member.target.instance, now)
+                self._record_leaving(member.target)
         for name in set(self._first_seen) - set(by_name):
             self._first_seen.pop(name)
         self._members = by_name
@@ -113,11 +120,17 @@
         if seen is None or seen[0] != instance:
             self._first_seen[name] = (instance, now)
 
+    def _record_leaving(self, target: Target) -> None:
+        if target.phase == Phase.LEAVING:
+            self._left[target.incarnation] = None
+            if len(self._left) > MAX_LEFT_TARGETS:
+                self._left.pop(next(iter(self._left)))
+
     def _candidate(self, member: Member, now: float) -> Candidate:
         target = member.target
         assert target is not None
         is_closed = (
-            target.phase == Phase.LEAVING or member.zone in self._zones_out
+            target.incarnation in self._left or member.zone in self._zones_out
         )
         weight = 0 if is_closed else self._weight(member, now)
         return Candidate(member.name, target.version, member.zone, weight)
