Spread the calls of a split evenly, and keyed calls by their key

Cause: each call drew its service on its own, so few calls scattered, and an order sent again with its idempotency key could draw another service, which knows nothing of the first, and run there a second time. Change: TrafficSplit takes evenly spaced positions for the calls of a route at each node, and the hash of the key for a keyed call. It is a decision, so it moves from the reader of requests to coordination. Ruled out: smooth weighted round-robin, whose first calls at many nodes all go to the heaviest service unless its start is drawn just right.

--- a/daisyline/transport/request_reader.py
+++ b/daisyline/transport/request_reader.py
@@ -14,6 +14,7 @@
 from daisyline.coordination.caller_timeouts import CallerTimeouts
 from daisyline.coordination.messages import Headers
 from daisyline.coordination.node_core import NodeCore
+from daisyline.coordination.traffic_split import TrafficSplit
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
@@ -65,7 +66,7 @@
         self._origin = origin.encode()
         self._prefix = f'{core.name}-{incarnation:x}'
         self._counter = itertools.count(1)
-        self._rng = random.Random(incarnation)
+        self._split = TrafficSplit(random.Random(incarnation))
         self._caller_timeouts = CallerTimeouts()
 
     def read(
@@ -164,13 +165,13 @@
     def _service_of(self, request: Request, route: Route | None) -> str:
         """Return the service that a request is for.
 
-        That is one of the services of its route, chosen by weight. Without a
+        That is one of the services of its route, in proportion to their
+        weights. Without a
         route it is the service that the host names, else the one beside this
         node.
         """
         if route is not None:
-            names, weights = zip(*route.split, strict=True)
-            return str(self._rng.choices(names, weights)[0])
+            return self._split.service_for(route, request.header(_KEY_HEADER))
         return self._named_service(_host_of(request)) or self.own_service()
 
     def _named_service(self, host: str) -> str:
