--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/target_table.py
@@ -51,9 +51,9 @@
         _cache: The computed candidates of each service.
         _started_at: When this node first knew of any members, in monotonic
             seconds.
-        _left: The target starts that were seen leaving, oldest first. A node that restarts
-            forgets that its target is leaving, and a late announcement can
-            then present that target as ready.
+        _left: The target starts that were seen leaving, oldest first. A node
+            that restarts forgets that its target is leaving, and a late
+            announcement can then present that target as ready.
     """
 
     _settings: Settings = attrs.field(factory=Settings)
--- a/daisyline/coordination/traffic_split.py
+++ b/daisyline/coordination/traffic_split.py
@@ -57,7 +57,9 @@
         position = self._positions.get(route_name)
         if position is None:
             position = self._rng.random()
-        self._positions[route_name] = (position + _GOLDEN_RATIO_STEP) % 1
+        self._positions[route_name] = math.modf(position + _GOLDEN_RATIO_STEP)[
+            0
+        ]
         return position
 
 
