--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -79,6 +79,19 @@
     assert membership.merge(old, later, trusted=True) is MergeResult.NEWS
 
 
+def test_a_node_refutes_its_record_from_before_a_clock_was_set_back() -> None:
+    others = Membership.from_member(member('other'), Digest())
+    before = MemberRecord(member('me', incarnation=9, revision=40))
+    others.merge(before, 0)
+    restarted = new_membership()
+    own = MemberRecord(restarted.own_member)
+    assert others.merge(own, 1) is MergeResult.OLD
+    assert restarted.merge(before, 1) is MergeResult.REFUTED
+    refuted = MemberRecord(restarted.own_member)
+    assert others.merge(refuted, 1) is MergeResult.NEWS
+    assert others.live['me'] == restarted.own_member
+
+
 def test_a_suspected_node_refutes_with_a_newer_record() -> None:
     membership = new_membership()
     claim = MemberRecord(membership.own_member, MemberState.SUSPECT)
