Let a call that one target declined come back at once

Cause: every refusal asked the caller to wait 1 s. A call that its target declined while it showed good health, and that may reach no second target, was as good as lost: the caller came back late, with a third of its time gone. Change: retry_after_s gives 0 for such a call while most targets take theirs, and 1 otherwise. The decision stands in coordination; protocol writes it.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -34,6 +34,7 @@
     RetryBudget,
     decide_retry,
     outgoing_retry_mark,
+    retry_after_s,
 )
 from daisyline.coordination.routing import (
     Candidate,
@@ -271,7 +272,16 @@
     def refuse(self, call: EntryCall, failure: Failure, now: float) -> Effects:
         """Refuse a call; the outcome covers all of its attempts."""
         self.remove(call)
-        overall = attrs.evolve(failure, outcome=call.outcome)
+        overall = attrs.evolve(
+            failure,
+            outcome=call.outcome,
+            retry_after_s=retry_after_s(
+                failure,
+                others_have_room=self.router(
+                    call.request.service
+                ).takes_most_calls,
+            ),
+        )
         self.record_refusal(call.request.call, call.node, overall, now)
         return [ev.RefuseCaller(call.request.call, overall)]
 
--- a/daisyline/coordination/retries.py
+++ b/daisyline/coordination/retries.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.failures import (
+    DEFAULT_RETRY_AFTER_S,
+    Failure,
+    Outcome,
+    Reason,
+)
 from daisyline.state.settings import Limits
 
 PERCENT = 100
@@ -186,3 +191,20 @@
     if failure.reason not in _REROUTABLE_REASONS:
         return failure
     return Retry(number=attempt.number + 1, retried=attempt.retried)
+
+
+def retry_after_s(failure: Failure, *, others_have_room: bool) -> int:
+    """Return when a caller may send a refused call again, in seconds.
+
+    A call that its target declined may be taken by another target at once, if
+    its route or the retry budget only kept this node from offering it there.
+    After other refusals room is expected later.
+
+    Args:
+        failure: Why the call was refused.
+        others_have_room: Whether most targets take the calls they are offered.
+    """
+    is_declined = failure.outcome == Outcome.NOT_RUN and failure.reached_target
+    if is_declined and others_have_room:
+        return 0
+    return DEFAULT_RETRY_AFTER_S
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing.py
@@ -152,6 +152,11 @@
             policy, rng, zone=zone, remote_penalty_s=remote_penalty_ms / 1000
         )
 
+    @property
+    def takes_most_calls(self) -> bool:
+        """Return whether the targets took most of the latest calls."""
+        return self._refused_fraction <= MAX_REFUSED_FRACTION
+
     def pick(
         self,
         candidates: Sequence[Candidate],
@@ -202,7 +207,7 @@
         """
         if len(tried) >= MAX_ATTEMPTS:
             return False
-        if self._refused_fraction > MAX_REFUSED_FRACTION:
+        if not self.takes_most_calls:
             return False
         return bool(untried_candidates(candidates, tried))
 
--- a/daisyline/protocol/refusals.py
+++ b/daisyline/protocol/refusals.py
@@ -59,7 +59,7 @@
         (b'Daisyline-Call', call.encode()),
     ]
     if failure.outcome == Outcome.NOT_RUN:
-        headers.append((b'Retry-After', b'1'))
+        headers.append((b'Retry-After', b'%d' % failure.retry_after_s))
     return tuple(headers)
 
 
--- a/daisyline/state/failures.py
+++ b/daisyline/state/failures.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+DEFAULT_RETRY_AFTER_S = 1
+
 
 class Reason(enum.StrEnum):
     """Why a call was refused or failed, as reported to callers."""
@@ -50,12 +52,15 @@
         detail: A short explanation for people; it may be empty.
         reached_target: Whether the call was sent to a target; if the outcome
             is `NOT_RUN`, the target refused it.
+        retry_after_s: When a caller may send a call that did not run again, in
+            seconds from now.
     """
 
     reason: Reason
     outcome: Outcome = Outcome.NOT_RUN
     detail: str = ''
     reached_target: bool = False
+    retry_after_s: int = DEFAULT_RETRY_AFTER_S
 
 
 @attrs.frozen
