Load a target on trial three times as much in small services too

Its bursts are to bring a target three times the load of another; with five targets a service they brought 2.1 times, as a fifth of each period at three quarters of a tenth of the calls cannot fill one target. Change: bursts come in a tenth of each period at twice the weight, at most three quarters of the calls; the share over a period stays exact. The test of shares counts in 3,000 steps in place of 300, which is stricter.

--- a/daisyline/coordination/traffic_split.py
+++ b/daisyline/coordination/traffic_split.py
@@ -57,9 +57,8 @@
         position = self._positions.get(route_name)
         if position is None:
             position = self._rng.random()
-        self._positions[route_name] = math.modf(position + _GOLDEN_RATIO_STEP)[
-            0
-        ]
+        following, _ = math.modf(position + _GOLDEN_RATIO_STEP)
+        self._positions[route_name] = following
         return position
 
 
--- a/daisyline/coordination/version_trial.py
+++ b/daisyline/coordination/version_trial.py
@@ -19,8 +19,11 @@
 # The part of the version's share that goes to its loaded targets. The rest is
 # spread over all targets of the version, so that calls keep them warm.
 BURST_SHARE_FRACTION = 0.75
-# The part of each period in which the loaded targets get their bursts.
-BURST_TIME_FRACTION = 0.2
+# The most of a service's calls that a burst takes.
+MAX_BURST_CALLS_FRACTION = 0.75
+# The part of each period in which the loaded targets get their bursts. It is
+# short enough that one target of a small service is loaded as well.
+BURST_TIME_FRACTION = 0.1
 # The time from one burst to the next, in seconds.
 BURST_PERIOD_S = 3.0
 _RANK_CACHE_SIZE = 4096
@@ -70,10 +73,10 @@
     share = sum(one.weight for one in on_trial) / sum(
         one.weight for one in candidates
     )
-    burst = BURST_SHARE_FRACTION * share / BURST_TIME_FRACTION
+    burst = _burst_weight(share)
     if burst >= 1 - share:
         return candidates
-    weights = _base_weights(on_trial, share)
+    weights = _base_weights(on_trial, share - burst * BURST_TIME_FRACTION)
     if trial.is_burst(now):
         loaded = max(1, round(burst * others / BURST_LOAD_FACTOR))
         for name in sorted(weights, key=_rank)[:loaded]:
@@ -85,11 +88,17 @@
     ]
 
 
+def _burst_weight(share: float) -> float:
+    """Return the fraction of a service's calls that a burst takes."""
+    burst = BURST_SHARE_FRACTION * share / BURST_TIME_FRACTION
+    return min(burst, MAX_BURST_CALLS_FRACTION)
+
+
 def _base_weights(
     on_trial: Sequence[Candidate], share: float
 ) -> dict[str, float]:
-    """Return the weights of a version's targets between bursts, by node."""
-    each = (1 - BURST_SHARE_FRACTION) * share / len(on_trial)
+    """Return the equal weights of targets with a share in common, by node."""
+    each = share / len(on_trial)
     return dict.fromkeys((one.node for one in on_trial), each)
 
 
--- a/tests/coordination/test_version_trial.py
+++ b/tests/coordination/test_version_trial.py
@@ -24,18 +24,18 @@
 TRIAL = VersionTrial('new', STARTED_AT)
 
 
-def _weighted(targets: int = TARGETS) -> list[Candidate]:
+def _weighted(targets: int = TARGETS, share: float = SHARE) -> list[Candidate]:
     known = [
         Candidate(f'{version}-{number}', version, 'z', 1)
         for version in ('old', 'new')
         for number in range(targets)
     ]
-    return list(weight_by_share(known, {'new': SHARE, '': 1 - SHARE}))
+    return list(weight_by_share(known, {'new': share, '': 1 - share}))
 
 
 def _mean_weights(weighted: list[Candidate]) -> Counter[str]:
     """Return each target's mean weight over a period."""
-    steps = 300
+    steps = 3000
     means: Counter[str] = Counter()
     for step in range(steps):
         now = STARTED_AT + step * BURST_PERIOD_S / steps
@@ -64,6 +64,22 @@
         assert heaviest > usual
 
 
+def test_a_burst_has_its_load_in_a_small_service_too() -> None:
+    for targets in (5, TARGETS):
+        usual = (1 - SHARE) / targets
+        burst = concentrate_share(_weighted(targets), TRIAL, STARTED_AT)
+        heaviest = max(one.weight for one in burst if one.version == 'new')
+        assert heaviest >= BURST_LOAD_FACTOR * usual, targets
+
+
+def test_a_larger_share_is_kept_exactly() -> None:
+    for share in (0.1, 0.15, 0.2):
+        weighted = _weighted(share=share)
+        means = _mean_weights(weighted)
+        new = sum(mean for node, mean in means.items() if 'new' in node)
+        assert math.isclose(new, share, rel_tol=0.02)
+
+
 def test_entry_nodes_select_the_same_targets_in_any_order() -> None:
     weighted = _weighted()
     shuffled = random.Random(1).sample(weighted, len(weighted))
