Call members that were removed lately often, by their neighbours

Cause: a node that starts while the store is down knows nobody and waits for a call. Besides, its request for the settings was dropped if it came before its record, and repeated a second later. Change: RejoinCalls, a decision of its own. The overlay's neighbours of a removed member call it once a second for 15 s; the slow calls of any removed member stay. A request for settings is answered before the record of its sender has come.

--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -27,10 +27,10 @@
     MemberStateNotice,
     Summary,
 )
-from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership import Membership, MergeResult
 from daisyline.coordination.outbox import Outbox, compact, update_messages
 from daisyline.coordination.reader_role import SETTINGS_KIND, ReaderRole
+from daisyline.coordination.rejoin import INTERVAL_MIN_S, RejoinCalls
 from daisyline.coordination.settings_holders import HolderTally
 from daisyline.coordination.settings_spread import START_WAIT_S, SettingsSpread
 from daisyline.state.members import Member
@@ -39,10 +39,6 @@
 COMPARISON_INTERVAL_S = 1.0
 TRUST_DURATION_S = 5.0
 BULK_PING_DELAY_S = 0.5
-REJOIN_INTERVAL_S_PER_MEMBER = 0.5
-REJOIN_INTERVAL_MIN_S = 1.0
-# A node that left usually starts again at its address within this time.
-LEFT_REJOIN_WINDOW_S = 60.0
 _NEVER = float('inf')
 
 
@@ -69,6 +65,7 @@
         settings: The settings that this node stores, and those in force.
         reader_role: Decides which nodes read the platform's objects.
         detector: Probes members and detects those that are unreachable.
+        rejoin_calls: Decides when removed members are called.
         holders: The members that store the same settings version.
         digest: The hashes of this node's records, for anti-entropy.
         outbox: The updates that wait to be sent to the neighbours.
@@ -81,11 +78,11 @@
     settings: SettingsSpread
     reader_role: ReaderRole
     detector: FailureDetector
+    rejoin_calls: RejoinCalls
     holders: HolderTally
     digest: Digest
     outbox: Outbox
     rng: random.Random
-    _rejoin_at: float
     _changed_at: float = 0
     _bulk_ping_at: float = _NEVER
     _view_stale_until: float = 0
@@ -122,11 +119,11 @@
             settings=settings,
             reader_role=reader_role,
             detector=FailureDetector(members, rng, now, summary),
+            rejoin_calls=RejoinCalls(members, rng, now + INTERVAL_MIN_S),
             holders=HolderTally(members, settings, rng),
             digest=digest,
             outbox=Outbox(rng),
             rng=rng,
-            rejoin_at=now + REJOIN_INTERVAL_MIN_S,
         )
 
     def next_at(self) -> float:
@@ -139,7 +136,7 @@
             self.holders.next_at(),
             self.outbox.next_at(),
             self._bulk_ping_at,
-            self._rejoin_at,
+            self.rejoin_calls.next_at(),
         )
 
     def summary(self) -> Summary:
@@ -265,14 +262,17 @@
         effects.extend(self.holders.tick(now))
         if now >= min(self._bulk_ping_at, self.outbox.next_at()):
             effects.extend(self._push_to_neighbours(now))
-        if now >= self._rejoin_at:
-            effects.extend(self._contact_removed_member(now))
+        effects.extend(
+            self.join_request(member.host, member.port)
+            for member in self.rejoin_calls.due(now)
+        )
         return effects
 
     def forget_member(self, name: str, now: float) -> list[Any]:
         """Drop the state of a removed member and return the effects."""
         self._compared_at.pop(name, None)
         self._trusted_until.pop(name, None)
+        self.rejoin_calls.record_removal(name, now)
         return self.settings.forget_member(name, now)
 
     def _expand_notices(
@@ -330,24 +330,3 @@
             ping = GossipPing(0, self.summary())
             effects.extend(Send(name, ping) for name in neighbours)
         return effects
-
-    def _contact_removed_member(self, now: float) -> list[Any]:
-        """Send a join request to a removed member that may be reachable again.
-
-        The interval grows with the number of members, so that the fleet as a
-        whole sends join requests at a bounded rate.
-        """
-        interval_s = len(self.members.live) * REJOIN_INTERVAL_S_PER_MEMBER
-        self._rejoin_at = now + jittered(
-            self.rng, max(REJOIN_INTERVAL_MIN_S, interval_s)
-        )
-        candidates = [
-            tombstone.record.member
-            for tombstone in self.members.tombstones.values()
-            if tombstone.record.state is MemberState.SUSPECT
-            or now < tombstone.removed_at + LEFT_REJOIN_WINDOW_S
-        ]
-        if not candidates:
-            return []
-        member = self.rng.choice(candidates)
-        return [self.join_request(member.host, member.port)]
--- a/daisyline/coordination/gossip_handlers.py
+++ b/daisyline/coordination/gossip_handlers.py
@@ -159,9 +159,10 @@
 def _on_settings_request(
     message: SettingsRequest, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
-    if node not in gossip.members.live:
-        return []
-    return gossip.settings.handle_request(node, message.version, now)
+    if node in gossip.members.live:
+        return gossip.settings.handle_request(node, message.version, now)
+    # The request of a node that has just started may arrive before its record.
+    return gossip.settings.content_for(node, message.version)
 
 
 @receive.register
--- a/daisyline/coordination/overlay.py
+++ b/daisyline/coordination/overlay.py
@@ -30,6 +30,12 @@
     return (stable_hash(f'{ring}/{name}'), name)
 
 
+def _adjacent(ring: _Ring, entry: _RingEntry) -> tuple[str, str]:
+    """Return the names on both sides of the place of an absent entry."""
+    index = bisect.bisect_left(ring, entry)
+    return ring[index - 1][1], ring[index % len(ring)][1]
+
+
 def _empty_rings() -> list[_Ring]:
     return [[] for _ in range(RING_COUNT)]
 
@@ -80,6 +86,17 @@
         sides = itertools.product(range(RING_COUNT), (1, -1))
         return self._first_on_sides(sides, skipped)
 
+    def is_neighbour(self, name: str) -> bool:
+        """Return whether a member that was removed was a neighbour.
+
+        Args:
+            name: A name that is not on the rings.
+        """
+        return any(
+            self._own_name in _adjacent(ring, _ring_entry(name, number))
+            for number, ring in enumerate(self._rings)
+        )
+
     def _first_on_sides(
         self, sides: Iterable[tuple[int, int]], skipped: Container[str]
     ) -> list[str]:
--- a/daisyline/coordination/settings_spread.py
+++ b/daisyline/coordination/settings_spread.py
@@ -127,6 +127,12 @@
         self.record_version(node, version)
         if version >= self.version:
             return self.handle_peer_version(node, version, now)
+        return self.content_for(node, version)
+
+    def content_for(self, node: str, version: int) -> list[Any]:
+        """Return the content held for a peer that holds an older version."""
+        if version >= self.version:
+            return []
         return [Send(node, SettingsContent(self.version, self._content))]
 
     def handle_content(
