Check a stream only when one of its timeouts can expire

Cause: each stream between two nodes woke its process each 0.4 s, in both ends, whether anything was awaited or not. Change: a stream's timer is set to the time at which its current timeout can expire (handshake, answer to a ping, silence), and advanced when a message is sent, as a reply may be awaited from then on. A pause of the process is told by how late a check comes, no longer by the gap between two. Measured: test_an_idle_stream_wakes_no_process fails before (timers are set while the stream rests) and passes; test_an_unresponsive_peer_is_detected_in_time_after_ an_idle_time holds before and after; 92 tests of the transport pass.

--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -24,10 +24,8 @@
 # While no reply is awaited, the peer is pinged after this time without received
 # data.
 _IDLE_PING_AFTER_S = 10.0
-# Interval of the liveness checks while no reply is awaited.
-_IDLE_CHECK_INTERVAL_S = 0.4
-# A gap this long between two checks means that the process was paused.
-_PAUSE_THRESHOLD_S = 1.0
+# A check that comes so much too late means that the process was paused.
+_PAUSE_THRESHOLD_S = 0.5
 # A stream with more unsent bytes is closed, so that a peer that reads too
 # slowly can't exhaust this node's memory.
 _MAX_BUFFERED_BYTES = 67_108_864
@@ -88,7 +86,6 @@
         self._undelivered: list[Any] = []
         self._received_at = loop.now()
         self._handshake_started_at = self._received_at
-        self._checked_at = self._received_at
         self._pinged_at: float | None = None
         self.peer = ''
         self.key = ''
@@ -96,7 +93,7 @@
         self.is_reply_awaited: Callable[[], bool] = bool
         connection.handler = self
         self._write(identity.hello())
-        self._check = loop.call_later(PING_AFTER_S / 2, self._check_liveness)
+        self._check = loop.call_at(self._check_due_at(), self._check_liveness)
 
     @property
     def undelivered(self) -> list[Any]:
@@ -116,6 +113,7 @@
         """
         if self.peer:
             self._write(message)
+            self._check_soon()
         else:
             self._undelivered.append(message)
 
@@ -170,6 +168,7 @@
             self._undelivered.clear()
             for message in queued:
                 self._write(message)
+            self._check_soon()
             self._on_message(self, hello)
         else:
             self.close()
@@ -186,25 +185,32 @@
         if self._connection.buffered_bytes > _MAX_BUFFERED_BYTES:
             self.close()
 
+    def _check_soon(self) -> None:
+        """Advance the next check, as a reply may be awaited from now on."""
+        at = self._loop.now() + PING_AFTER_S
+        if self._check.at > at:
+            self._check.cancel()
+            self._check = self._loop.call_at(at, self._check_liveness)
+
     def _check_liveness(self) -> None:
-        """Ping an idle peer, and close the stream if the peer has timed out."""
+        """Ping an idle peer, and close the stream if the peer has timed out.
+
+        The next check is due when the earliest timeout can expire, so that an
+        idle stream costs nothing.
+        """
         now = self._loop.now()
-        if now - self._checked_at > _PAUSE_THRESHOLD_S:
+        if now - self._check.at > _PAUSE_THRESHOLD_S:
             # This process was paused; data from the peer may still be unread.
             self._restart_timeouts(now)
-        self._checked_at = now
-        if self._has_timed_out(now):
-            self.close()
-            return
-        if self._needs_ping(now):
+        if now >= self._check_due_at():
+            if self._pinged_at is not None or not self._is_established():
+                self.close()
+                return
             self._pinged_at = now
             self._write(Ping(int(now), 0))
-        interval_s = (
-            PING_AFTER_S / 2
-            if self.is_reply_awaited()
-            else _IDLE_CHECK_INTERVAL_S
+        self._check = self._loop.call_at(
+            self._check_due_at(), self._check_liveness
         )
-        self._check = self._loop.call_later(interval_s, self._check_liveness)
 
     def _restart_timeouts(self, now: float) -> None:
         """Restart all timeouts."""
@@ -212,19 +218,21 @@
         self._handshake_started_at = now
         self._pinged_at = None
 
-    def _has_timed_out(self, now: float) -> bool:
-        """Return whether the handshake or a ping has timed out."""
-        if self._connection.is_connecting or not self.peer:
-            return now - self._handshake_started_at > HANDSHAKE_TIMEOUT_S
-        if self._pinged_at is None:
-            return False
-        return now - self._pinged_at > PONG_TIMEOUT_S
-
-    def _needs_ping(self, now: float) -> bool:
-        """Return whether the peer has been idle long enough for a ping."""
-        if self._connection.is_connecting or self._pinged_at:
-            return False
+    def _is_established(self) -> bool:
+        """Return whether the handshake is complete."""
+        return self.is_identified and not self._connection.is_connecting
+
+    def _check_due_at(self) -> float:
+        """Return when the current timeout expires, in monotonic seconds.
+
+        It is that of the handshake or of a ping, or else the time at which a
+        peer that sends nothing is pinged.
+        """
+        if not self._is_established():
+            return self._handshake_started_at + HANDSHAKE_TIMEOUT_S
+        if self._pinged_at is not None:
+            return self._pinged_at + PONG_TIMEOUT_S
         idle_limit_s = (
             PING_AFTER_S if self.is_reply_awaited() else _IDLE_PING_AFTER_S
         )
-        return now - self._received_at > idle_limit_s
+        return self._received_at + idle_limit_s
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -125,6 +125,39 @@
     assert entry.events == [StreamLost('n1')]
 
 
+def test_an_idle_stream_wakes_no_process(
+    driver: LoopDriver, entry: StreamsUnderTest, target_node: StreamsUnderTest
+) -> None:
+    entry.streams.awaits_reply = lambda _node: False
+    entry.streams.send('n1', QUERY)
+    target_node.until(CallMessageReceived)
+    driver.run_for(1)
+    deadlines = driver.loop._deadlines
+    with mock.patch.object(
+        deadlines, 'call_at', wraps=deadlines.call_at
+    ) as timers:
+        driver.run_for(1.5)
+    assert not timers.called
+
+
+def test_an_unresponsive_peer_is_detected_in_time_after_an_idle_time(
+    driver: LoopDriver, entry: StreamsUnderTest
+) -> None:
+    awaited: set[str] = set()
+    entry.streams.awaits_reply = awaited.__contains__
+    listener = driver.listen()
+    entry.set_members(n1=listener.getsockname()[1])
+    entry.streams.send('n1', QUERY)
+    peer = driver.accept(listener)
+    _send_messages(peer, _hello())
+    driver.run_for(1)
+    assert not entry.events
+    awaited.add('n1')
+    entry.streams.send('n1', QUERY)
+    elapsed_s = entry.until(StreamLost)
+    assert PONG_TIMEOUT_S < elapsed_s < MAX_DETECTION_S
+
+
 def test_a_stream_whose_peer_answers_pings_stays_open(
     driver: LoopDriver, entry: StreamsUnderTest
 ) -> None:
