Keep an unpacker for a stream only while a frame is incomplete

Cause: each end of a stream between two nodes held an unpacker and a packer, 50 KB resident a stream by the slope in docs/CAPACITY.md. A node of a fleet of hundreds has a stream to most others, nearly all of them idle. Change: the decoder drops its unpacker between frames; the streams of a process share one encoder, as its doc comment says.

--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -17,6 +17,8 @@
 # The decoder allocates the number of elements that an array header declares,
 # so the bound limits the memory that a few bytes can claim.
 _MAX_ELEMENTS = 16_384
+# The first size of the buffer of an unpacker; it grows with the frame.
+_READ_BYTES = 16_384
 
 _CALL_MESSAGES: tuple[type, ...] = (
     messages.Hello,
@@ -94,17 +96,16 @@
 
 
 class FrameDecoder:
-    """Decodes the frames of one stream, with bounded memory."""
+    """Decodes the frames of one stream, with bounded memory.
+
+    An unpacker takes some 60 KB, so it is kept only while a frame is
+    incomplete: most of a node's streams are idle.
+    """
 
     def __init__(self) -> None:
         """Start at the beginning of a stream."""
-        self._unpacker = msgpack.Unpacker(
-            use_list=False,
-            raw=False,
-            max_buffer_size=MAX_FRAME_BYTES,
-            max_array_len=_MAX_ELEMENTS,
-            max_map_len=_MAX_ELEMENTS,
-        )
+        self._unpacker: msgpack.Unpacker | None = None
+        self._fed_bytes = 0
 
     def feed(self, octets: bytes) -> list[Any]:
         """Take bytes and return the messages that are complete.
@@ -119,8 +120,29 @@
         return decoded
 
     def _decode(self, octets: bytes) -> Iterator[Any]:
-        self._unpacker.feed(octets)
-        return map(_decode_message, self._unpacker)
+        unpacker = self._unpacker or _new_unpacker()
+        self._fed_bytes += len(octets)
+        unpacker.feed(octets)
+        decoded_bytes = 0
+        for frame in unpacker:
+            # Between frames this counts the bytes of an incomplete one, too.
+            decoded_bytes = unpacker.tell()
+            yield _decode_message(frame)
+        is_between_frames = decoded_bytes == self._fed_bytes
+        self._unpacker = None if is_between_frames else unpacker
+        if is_between_frames:
+            self._fed_bytes = 0
+
+
+def _new_unpacker() -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        use_list=False,
+        raw=False,
+        read_size=_READ_BYTES,
+        max_buffer_size=MAX_FRAME_BYTES,
+        max_array_len=_MAX_ELEMENTS,
+        max_map_len=_MAX_ELEMENTS,
+    )
 
 
 def _decode_message(frame: Any) -> Any:
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -62,6 +62,7 @@
         loop: Loop,
         connection: Connection,
         identity: Identity,
+        encoder: FrameEncoder,
         on_message: Callable[['Stream', Any], None],
         on_closed: Callable[['Stream'], None],
     ) -> None:
@@ -71,6 +72,7 @@
             loop: The loop of this process.
             connection: The connection; it may still be connecting.
             identity: The identity of this node.
+            encoder: The encoder of this process.
             on_message: Called with the stream and each message, among them
                 the `Hello` of the peer but no pings.
             on_closed: Called once with the stream when it has closed.
@@ -80,7 +82,7 @@
         self._identity = identity
         self._on_message = on_message
         self._on_closed = on_closed
-        self._encoder = FrameEncoder()
+        self._encoder = encoder
         self._decoder = FrameDecoder()
         self._outgoing: list[bytes] = []
         self._undelivered: list[Any] = []
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -10,6 +10,7 @@
     StreamLost,
 )
 from daisyline.coordination.messages import Hello
+from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection, Listener
@@ -27,6 +28,7 @@
         """Start without streams and without a listener."""
         self._loop = loop
         self._identity = identity
+        self._encoder = FrameEncoder()
         self._on_event = on_event
         self._outbound: dict[str, Stream] = {}
         self._inbound: dict[str, Stream] = {}
@@ -88,6 +90,7 @@
             self._loop,
             connection,
             self._identity,
+            self._encoder,
             self._handle_message,
             self._outbound_closed,
         )
@@ -101,6 +104,7 @@
             self._loop,
             connection,
             self._identity,
+            self._encoder,
             self._handle_message,
             self._inbound_closed,
         )
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -47,6 +47,9 @@
     *MESSAGES,
 )
 TAG_COUNT = 32
+IDLE_DECODERS = 50
+#: A node keeps a stream to each of up to 1,100 others within 64 MB.
+MAX_IDLE_BYTES = 4_096
 
 _LEAVES = st.one_of(
     st.none(),
@@ -160,6 +163,19 @@
     assert isinstance(decoded[-1], BadFrame)
 
 
+def test_a_decoder_without_an_incomplete_frame_takes_little_memory() -> None:
+    frame = FrameEncoder().encode(RUN)
+    with contextlib.ExitStack() as stack:
+        tracemalloc.start()
+        stack.callback(tracemalloc.stop)
+        decoders = [FrameDecoder() for _ in range(IDLE_DECODERS)]
+        for decoder in decoders:
+            decoder.feed(frame + frame[:3])
+            assert len(decoder.feed(frame[3:])) == 1
+        taken = tracemalloc.get_traced_memory()[0]
+    assert taken / IDLE_DECODERS < MAX_IDLE_BYTES
+
+
 def test_a_few_bytes_that_claim_much_take_little_memory() -> None:
     frames = (
         b'\xdd\x00\x7f\xff\xff',
