Share the reserve of retries anew as nodes join and leave

Cause: a retry budget took its share of the common reserve from the number of members at the first call of its service and kept it. Change: RetryBudgets, the budgets of a node; each change of members sets the share. A smaller share applies at once, a larger one has to be earned. Measured: test_budgets_of_nodes_that_met_late_keep_to_the_common_reserve; without the change 40 nodes that met late spend 40 times the reserve.

--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/entry.py
@@ -31,7 +31,7 @@
 from daisyline.coordination.retries import (
     MAX_ATTEMPTS,
     Attempt,
-    RetryBudget,
+    RetryBudgets,
     decide_retry,
     outgoing_retry_mark,
     retry_after_s,
@@ -48,6 +48,7 @@
 )
 from daisyline.coordination.version_trial import VersionTrial, concentrate_share
 from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import LoadReport
 
@@ -65,6 +66,7 @@
 
     Attributes:
         table: The targets that calls may be sent to.
+        budgets: The retry budgets of the services.
         shares_of: Returns each version's share of a service's calls, or None
             if the service has no rollout.
         trial_of: Returns the version of a service that a rollout tries.
@@ -81,9 +83,9 @@
     _calls: dict[str, EntryCall] = attrs.field(factory=dict)
     _calls_by_parent: dict[str, set[str]] = attrs.field(factory=dict)
     _routers: dict[str, Router] = attrs.field(factory=dict)
-    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _timeouts: list[tuple[float, str]] = attrs.field(factory=list)
     table: TargetTable = attrs.field(factory=TargetTable)
+    budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
     shares_of: Callable[[str], VersionShares] = attrs.field(
         default=lambda _service: None
     )
@@ -119,20 +121,19 @@
         return self._calls
 
     def use_settings(self, settings: Settings, now: float) -> None:
-        """Apply new settings.
-
-        The retry budget of a service starts anew if its percentage changed.
-        """
-        for service in tuple(self._budgets):
-            old = self._settings.limits_for(service, '').retry_percent
-            if settings.limits_for(service, '').retry_percent != old:
-                self._budgets.pop(service)
+        """Apply new settings."""
         self._settings = settings
+        self.budgets.use_settings(settings)
         self.table.use_settings(settings, now)
 
+    def use_members(self, members: Iterable[Member], now: float) -> None:
+        """Replace the members, which share the reserve of retries."""
+        self.table.use_members(members, now)
+        self.budgets.use_nodes(len(self.table.members))
+
     def accept(self, request: ev.RequestReceived, now: float) -> Effects:
         """Register a new call and send it to a target."""
-        budget = self.budget(request.service)
+        budget = self.budgets.of(request.service)
         mark = outgoing_retry_mark(request.retried, budget, now)
         call = EntryCall(request, now, retried=mark)
         call.is_keyed = bool(request.key) and not self.is_repeatable(call)
@@ -259,7 +260,7 @@
             targets_reached=call.targets_reached,
             max_targets=call.max_targets,
         )
-        budget = self.budget(call.request.service)
+        budget = self.budgets.of(call.request.service)
         decision = decide_retry(attempt, failure, budget, now)
         if isinstance(decision, Failure):
             return self.refuse(call, failure, now)
@@ -380,15 +381,6 @@
         limits = self._settings.limits_for(call.request.service, '')
         return call.request.method.decode() in limits.repeatable_methods
 
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-        if service not in self._budgets:
-            limits = self._settings.limits_for(service, '')
-            nodes = max(1, len(self.table.members))
-            budget = RetryBudget.from_limits(limits, 0, nodes)
-            self._budgets[service] = budget
-        return self._budgets[service]
-
     def _time_out(self, call: EntryCall, now: float) -> Effects:
         call.outcome = Outcome.UNKNOWN
         self.record_attempt_end(call, None, refused=False, now=now)
--- a/daisyline/coordination/entry_handlers.py
+++ b/daisyline/coordination/entry_handlers.py
@@ -186,7 +186,7 @@
     """Apply the retry mark of an answer or a refusal to its call."""
     spent = mark and not call.retried
     charge_downstream(
-        call.retried, mark, entry.budget(call.request.service), now
+        call.retried, mark, entry.budgets.of(call.request.service), now
     )
     call.retried = call.retried or mark
     return parent_retry_effects(call, spent)
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -214,7 +214,7 @@
     members = core.entry.table.members
     for event in member_events(members, core.fleet.members, now):
         core.events.add(event)
-    core.entry.table.use_members(core.fleet.members.values(), now)
+    core.entry.use_members(core.fleet.members.values(), now)
     core.rollouts.replace_members(tuple(core.fleet.members))
     return []
 
--- a/daisyline/coordination/retries.py
+++ b/daisyline/coordination/retries.py
@@ -12,7 +12,7 @@
     Outcome,
     Reason,
 )
-from daisyline.state.settings import Limits
+from daisyline.state.settings import Limits, Settings
 
 PERCENT = 100
 #: The largest number of nodes that one call is offered to, reached if all
@@ -70,9 +70,22 @@
             now: Monotonic seconds.
             nodes: The number of entry nodes that share the reserve.
         """
-        reserve = max(1, limits.retry_reserve / nodes)
+        reserve = _share_of_reserve(limits, nodes)
         return cls(limits.retry_percent / PERCENT, reserve, reserve)
 
+    def share_reserve(self, limits: Limits, nodes: int) -> None:
+        """Set this node's share of the reserve as nodes join and leave.
+
+        A larger share has to be earned by calls, a smaller one applies at
+        once.
+
+        Args:
+            limits: The limits of the service.
+            nodes: The number of entry nodes that share the reserve.
+        """
+        self._reserve = _share_of_reserve(limits, nodes)
+        self._balance = min(self._balance, self._reserve)
+
     def deposit(self, now: float) -> None:
         """Add the fraction of a retry that a new call, not a retry, earns."""
         self._balance = min(
@@ -95,6 +108,49 @@
         self._balance -= 1
 
 
+@attrs.define
+class RetryBudgets:
+    """The retry budgets of an entry node, one for each service.
+
+    Attributes:
+        _settings: The settings in force.
+        _nodes: The number of entry nodes that share the reserve.
+        _of_services: The budgets, by service.
+    """
+
+    _settings: Settings = attrs.field(factory=Settings)
+    _nodes: int = 1
+    _of_services: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a service; it is full at first."""
+        budget = self._of_services.get(service)
+        if budget is None:
+            limits = self._settings.limits_for(service, '')
+            budget = RetryBudget.from_limits(limits, 0, self._nodes)
+            self._of_services[service] = budget
+        return budget
+
+    def use_settings(self, settings: Settings) -> None:
+        """Apply settings; a budget whose percentage changed starts anew."""
+        for service in tuple(self._of_services):
+            old = self._settings.limits_for(service, '').retry_percent
+            if settings.limits_for(service, '').retry_percent != old:
+                self._of_services.pop(service)
+        self._settings = settings
+
+    def use_nodes(self, nodes: int) -> None:
+        """Share the reserve with another number of nodes."""
+        self._nodes = nodes
+        for service, budget in self._of_services.items():
+            limits = self._settings.limits_for(service, '')
+            budget.share_reserve(limits, nodes)
+
+
+def _share_of_reserve(limits: Limits, nodes: int) -> float:
+    return max(1, limits.retry_reserve / max(1, nodes))
+
+
 def outgoing_retry_mark(
     parent_mark: bool, budget: RetryBudget, now: float
 ) -> bool:
--- a/tests/coordination/test_retries.py
+++ b/tests/coordination/test_retries.py
@@ -11,12 +11,13 @@
     Attempt,
     Retry,
     RetryBudget,
+    RetryBudgets,
     charge_downstream,
     decide_retry,
     outgoing_retry_mark,
 )
 from daisyline.state.failures import Failure, Outcome, Reason
-from daisyline.state.settings import Limits
+from daisyline.state.settings import Limits, Settings
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -157,3 +158,33 @@
         else:
             spent += budget.try_spend(0)
     assert spent <= earned * percent / 100 + RESERVE + 1e-6
+
+
+def test_budgets_of_nodes_that_met_late_keep_to_the_common_reserve() -> None:
+    nodes = 40
+    reserve = 2 * nodes
+    tree = {'services': {'docs': {'retry_reserve': reserve}}}
+    of_nodes = [RetryBudgets(Settings.from_tree(1, tree)) for _ in range(nodes)]
+    for alone in of_nodes:
+        assert alone.of('docs').can_spend(0)
+    for budgets in of_nodes:
+        budgets.use_nodes(nodes)
+    spent = sum(_spend_all(each.of('docs')) for each in of_nodes)
+    assert spent == reserve
+
+
+def test_a_larger_share_of_the_reserve_is_earned_by_calls() -> None:
+    limits = Limits(retry_percent=100, retry_reserve=10)
+    budget = RetryBudget.from_limits(limits, 0, nodes=5)
+    budget.share_reserve(limits, nodes=1)
+    assert _spend_all(budget) == 2
+    for _ in range(20):
+        budget.deposit(0)
+    assert _spend_all(budget) == 10
+
+
+def _spend_all(budget: RetryBudget) -> int:
+    spent = 0
+    while budget.try_spend(0):
+        spent += 1
+    return spent
