Give stand-in targets the faults of answers that operators reported

Cause: repeated, broken off and endless answers were played by scripted peers of single tests only, so neither the soak nor the demo met them.

--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -16,12 +16,14 @@
 
     Attributes:
         request: The request that awaits its answer, if there is one.
+        write_answer: Writes the bytes of an answer to the connection.
     """
 
     def __init__(self, connection: Connection, server: 'Server') -> None:
         """Begin to read requests from a connection."""
         super().__init__(connection, h11.Connection(h11.SERVER))
         self.request: Message | None = None
+        self.write_answer: Callable[[bytes], None] = connection.write
         self._server = server
 
     def handle_message(self, message: Message) -> None:
@@ -62,7 +64,7 @@
             h11.EndOfMessage(),
         ]
         self.request = None
-        self.connection.write(encode(self.codec, events))
+        self.write_answer(encode(self.codec, events))
         self._read_next()
 
     def _read_next(self) -> None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,6 +4,7 @@
 import shutil
 import sys
 import tempfile
+from collections.abc import Container
 
 import cyclopts
 
@@ -12,7 +13,9 @@
 from standins.up import print_line
 
 
-def run(seed: int, duration_s: float) -> SoakResult:
+def run(
+    seed: int, duration_s: float, left_out: Container[str] = ()
+) -> SoakResult:
     """Run once and return the result.
 
     If there are violations, the processes' logs are retained and the result
@@ -22,7 +25,7 @@
     log_folder = pathlib.Path(
         tempfile.mkdtemp(prefix=f'daisyline-soak-{seed}-')
     )
-    soak = SoakRun(loop, seed, duration_s, log_folder)
+    soak = SoakRun(loop, seed, duration_s, log_folder, left_out)
     soak.start()
     loop.run()
     result = soak.result()
@@ -37,17 +40,21 @@
     return result
 
 
-def main(*, seed: int = 1, duration: float = 60) -> int:
+def main(
+    *, seed: int = 1, duration: float = 60, left_out: tuple[str, ...] = ()
+) -> int:
     """Run a fleet under faults and print the results.
 
     Args:
         seed: The seed of the schedule of faults.
         duration: The duration of the faults, in seconds.
+        left_out: Kinds of faults that are not drawn. A seed draws other faults
+            once there are more kinds.
 
     Returns:
         The exit code: 0 if there are no violations.
     """
-    result = run(seed, duration)
+    result = run(seed, duration, left_out)
     for line in result.lines:
         print_line(line)
     return 1 if result.violations else 0
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -111,7 +111,7 @@
     if not injector.reserve(place.target_name):
         return False
     # A planned stop explains no lost call, so it records no window.
-    end_fault = _begin_harmless(injector)
+    end_fault = injector.log.begin_harmless()
     injector.record_target_stop(fault.place)
     injector.signal(place.target_name, signal.SIGTERM)
     start = functools.partial(injector.start_target, place, end_fault)
@@ -119,16 +119,6 @@
     return True
 
 
-def _begin_harmless(injector: Injector) -> Callback:
-    """Begin a fault that explains no lost call; return a function to end it."""
-    injector.log.active_faults += 1
-
-    def end() -> None:
-        injector.log.active_faults -= 1
-
-    return end
-
-
 @apply_fault.register
 def _slow_target(fault: schedule.SlowTarget, injector: Injector) -> bool:
     end_fault = injector.begin_fault('SlowTarget', fault.place)
@@ -140,14 +130,27 @@
 @apply_fault.register
 def _fail_fast(fault: schedule.FailFast, injector: Injector) -> bool:
     # A failure is an answer too, so it explains no lost call.
-    end_fault = _begin_harmless(injector)
+    end_fault = injector.log.begin_harmless()
     injector.fleet.set_target_faults(fault.place, fail_fast=fault.share)
     _schedule_target_recovery(fault, injector, end_fault)
     return True
 
 
+@apply_fault.register
+def _faulty_answers(fault: schedule.FaultyAnswers, injector: Injector) -> bool:
+    # A copy of an answer explains no lost call; the other faults lose answers.
+    end_fault = (
+        injector.log.begin_harmless()
+        if fault.answers == 'repeated'
+        else injector.begin_fault('FaultyAnswers', fault.place)
+    )
+    injector.fleet.set_target_faults(fault.place, answers=fault.answers)
+    _schedule_target_recovery(fault, injector, end_fault)
+    return True
+
+
 def _schedule_target_recovery(
-    fault: schedule.SlowTarget | schedule.FailFast,
+    fault: schedule.SlowTarget | schedule.FailFast | schedule.FaultyAnswers,
     injector: Injector,
     end_fault: Callback,
 ) -> None:
--- a/standins/soak_injector.py
+++ b/standins/soak_injector.py
@@ -38,6 +38,14 @@
     skipped: collections.Counter[str] = attrs.field(factory=collections.Counter)
     active_faults: int = 0
 
+    def begin_harmless(self) -> Callback:
+        """Begin a fault that explains no lost call; return its end."""
+        self.active_faults += 1
+        return self._end_harmless
+
+    def _end_harmless(self) -> None:
+        self.active_faults -= 1
+
 
 class Injector:
     """Stops, starts and signals the processes of a fleet.
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -2,6 +2,7 @@
 
 import functools
 import pathlib
+from collections.abc import Container
 
 import attrs
 
@@ -54,7 +55,12 @@
     """
 
     def __init__(
-        self, loop: Loop, seed: int, duration_s: float, log_folder: pathlib.Path
+        self,
+        loop: Loop,
+        seed: int,
+        duration_s: float,
+        log_folder: pathlib.Path,
+        left_out: Container[str] = (),
     ) -> None:
         """Create a run; no process is started.
 
@@ -63,6 +69,7 @@
             seed: The seed of the schedule of faults.
             duration_s: The duration of the faults, in seconds.
             log_folder: Folder for the stderr of all processes.
+            left_out: The names of kinds of faults that are not drawn.
         """
         self.journal = Journal()
         self._loop = loop
@@ -82,7 +89,9 @@
         self._monitor = NodeMonitor(self._fleet, self.journal)
         self._callers = [self._caller(stream) for stream in STREAMS]
         self._poison_callers: list[SoakCaller] = []
-        self._schedule = draw_schedule(seed, duration_s, self._scope())
+        self._schedule = draw_schedule(
+            seed, duration_s, self._scope(), left_out
+        )
         self._duration_s = duration_s
         self._timeout = loop.call_later(
             READY_TIMEOUT_S, self._handle_start_timeout
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -3,11 +3,13 @@
 import functools
 import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator, Sequence
 from typing import Any
 
 import attrs
 
+from standins.target_answers import FAULTY
+
 # The time of the first fault, and the mean time between faults.
 FIRST_FAULT_S = 0.5
 MEAN_GAP_S = 0.8
@@ -162,6 +164,15 @@
     seconds: float
 
 
+@attrs.frozen
+class FaultyAnswers:
+    """Make a target repeat its answers, break them off or never end them."""
+
+    place: str
+    seconds: float
+    answers: str
+
+
 @attrs.frozen
 class Scope:
     """What faults can affect.
@@ -191,7 +202,10 @@
 
 
 def draw_schedule(
-    seed: int, duration_s: float, scope: Scope
+    seed: int,
+    duration_s: float,
+    scope: Scope,
+    left_out: Container[str] = (),
 ) -> tuple[Timed, ...]:
     """Draw the faults of a run; equal arguments give equal schedules.
 
@@ -202,11 +216,13 @@
         seed: The seed of the run.
         duration_s: The duration of the faults, in seconds.
         scope: The nodes, services and zones that faults can affect.
+        left_out: The names of kinds that are not drawn.
     """
     rng = random.Random(f'soak-{seed}')
     schedule: list[Timed] = []
     at = FIRST_FAULT_S
-    kinds = _shuffled_rounds(rng)
+    drawn = [kind for kind in KINDS if kind.__name__ not in left_out]
+    kinds = _shuffled_rounds(rng, drawn)
     while at < duration_s:
         fault = _draw_fault(next(kinds), rng, scope, duration_s - at)
         schedule.append(Timed(at, fault))
@@ -214,15 +230,13 @@
     return tuple(schedule)
 
 
-def _shuffled_rounds(rng: random.Random) -> Iterator[type]:
-    rounds = (_shuffled_kinds(rng) for _ in itertools.count())
+def _shuffled_rounds(
+    rng: random.Random, kinds: Sequence[type]
+) -> Iterator[type]:
+    rounds = (rng.sample(kinds, len(kinds)) for _ in itertools.count())
     return itertools.chain.from_iterable(rounds)
 
 
-def _shuffled_kinds(rng: random.Random) -> list[type]:
-    return rng.sample(KINDS, len(KINDS))
-
-
 def _draw_fault(
     kind: type, rng: random.Random, scope: Scope, remaining_s: float
 ) -> Any:
@@ -236,6 +250,7 @@
         'share': functools.partial(rng.choice, FAILURE_FRACTIONS),
         'delay_ms': functools.partial(rng.choice, PLATFORM_DELAYS_MS),
         'lag_ms': functools.partial(rng.choice, READ_LAGS_MS),
+        'answers': functools.partial(rng.choice, FAULTY),
     }
     fields = {field.name: draws[field.name]() for field in attrs.fields(kind)}
     return kind(**fields)
@@ -273,4 +288,5 @@
     ZoneOut,
     StopNode,
     StopTarget,
+    FaultyAnswers,
 )
--- a/standins/target.py
+++ b/standins/target.py
@@ -11,10 +11,12 @@
 import cyclopts
 
 from daisyline.transport.loop import Loop
+from daisyline.transport.sockets import Connection
 from standins import target_messages as msg
 from standins.http import LostCall, Message
 from standins.http_client import Client, ClientPool
 from standins.http_server import Exchange, Server
+from standins.target_answers import DELIVERIES, deliver
 from standins.target_model import OK, TargetModel
 from standins.target_plan import TargetFaults, TargetPlan
 from standins.target_report import Reporter
@@ -102,8 +104,15 @@
             'Daisyline-Call': self._parents.pop(exchange, ''),
         }
         headers = {name: text for name, text in repeated.items() if text}
+        exchange.write_answer = functools.partial(
+            self._deliver, exchange.connection
+        )
         exchange.answer(effect.status, effect.content, headers)
 
+    def _deliver(self, connection: Connection, octets: bytes) -> None:
+        delivery = DELIVERIES[self._model.faults.answers]
+        deliver(delivery, octets, connection, self._loop)
+
     @carry_out.register
     def _call_on(self, effect: msg.CallService) -> None:
         plan = self._model.plan
--- a/standins/target_plan.py
+++ b/standins/target_plan.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from standins.target_answers import DELIVERIES
+
 MS_PER_S = 1000
 FIXED_FRACTION = 0.25
 INSTANT_PATH = '/instant'
@@ -66,6 +68,7 @@
             for all paths.
         bad_above: Faults apply only above this number of running calls.
         misleading_load: The load endpoint always reports that nothing runs.
+        answers: How answers are delivered, a name of `DELIVERIES`.
     """
 
     slow_factor: float = 1
@@ -73,6 +76,9 @@
     bad_route: str = ''
     bad_above: int = 0
     misleading_load: bool = False
+    answers: str = attrs.field(
+        default='whole', validator=attrs.validators.in_(DELIVERIES)
+    )
 
     @classmethod
     def from_fields(cls, fields: dict[str, Any]) -> 'TargetFaults':
