Make few calls on the platform when nodes start

In a model of the start 2,180 calls came within 12 s of it, and 12 a restart: each node was chosen as a reader while it knew nobody, and went on for 3 s more once it met the others, with two lists and three watches; who lost the race for the first seeds waited for 1 to 3 s, alone; all nodes of a zone with few seeds added themselves. Change: only a node that has read hands over. After a conflict the seeds are listed again at once. Two members of a zone write its seeds. Lists of seeds may be stale, at a tenth of the price; an empty one is repeated with a current one.

--- a/daisyline/coordination/effects.py
+++ b/daisyline/coordination/effects.py
@@ -40,10 +40,13 @@
     Attributes:
         token: Returned in the reply.
         kind: The kind of the objects.
+        may_be_stale: Whether the platform may return what it held some seconds
+            ago, which costs it less.
     """
 
     token: str
     kind: str
+    may_be_stale: bool = False
 
 
 @attrs.frozen
--- a/daisyline/coordination/reader_role.py
+++ b/daisyline/coordination/reader_role.py
@@ -159,7 +159,10 @@
                 short=self._name in chosen[:SHORT_WATCH_READERS]
             )
         elif was_chosen:
-            self._reading_until = now + HANDOVER_OVERLAP_S
+            # A node that has just started is the only member it knows, so it
+            # is chosen until it meets the others. It has nothing to hand over.
+            overlap_s = HANDOVER_OVERLAP_S if self._reading else 0
+            self._reading_until = now + overlap_s
         self._update_reading(now)
 
     def tick(self, member_count: int, now: float) -> list[Any]:
--- a/daisyline/coordination/seeds.py
+++ b/daisyline/coordination/seeds.py
@@ -1,5 +1,6 @@
 """Finds other nodes through peer addresses and the platform's `seeds`."""
 
+import heapq
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -12,6 +13,7 @@
     PlatformWrite,
 )
 from daisyline.coordination.jitter import jittered, new_nonce
+from daisyline.coordination.overlay import stable_hash
 from daisyline.state.members import Member
 
 SEEDS_KIND = 'seeds'
@@ -24,12 +26,14 @@
 RETRY_MAX_S = 8.0
 FIRST_WRITE_DELAY_S = 0.1
 ALONE_REVIEW_MIN_S = 0.5
-MAX_DOUBLINGS = 8
 REVIEW_S_PER_MEMBER = 10.0
 REVIEW_MIN_S = 60.0
 FIRST_REVIEW_MIN_S = 5.0
 MAX_DOUBLINGS = 20
+# Of the members of a zone that can reach the platform, so many write its seeds.
+WRITERS_PER_ZONE = 2
 _OK = 200
+_CONFLICT = 409
 _TOKEN_PREFIX = 'fleet-seeds-'
 
 Address = tuple[str, int]
@@ -50,6 +54,10 @@
     ]
 
 
+def _rank(name: str) -> int:
+    return stable_hash(f'seeds/{name}')
+
+
 @attrs.define
 class SeedDiscovery:
     """Discovers other nodes and keeps the zone's `seeds` object up to date.
@@ -72,6 +80,8 @@
     _review_count: int = 0
     _peers_contacted: bool = False
     _lone_review_count: int = 0
+    _needs_current_list: bool = False
+    _is_list_stale: bool = False
 
     def next_at(self) -> float:
         """Return when `tick` must be called next, in monotonic seconds."""
@@ -104,7 +114,7 @@
             if writes:
                 return contacts, writes
         if now >= self._next_review_at:
-            return contacts, [PlatformList(self._new_token(now), SEEDS_KIND)]
+            return contacts, [self._list(now)]
         return contacts, []
 
     def handle_reply(
@@ -114,6 +124,9 @@
         if reply.token != self._token:
             return []
         live = tuple(members)
+        if reply.status == _CONFLICT:
+            self._review_currently(now)
+            return []
         if reply.status != _OK:
             self._schedule_retry(len(live), now)
             return []
@@ -162,6 +175,10 @@
                 self._zone_seeds = tuple(addresses_in(value))
             else:
                 other_seeds.extend(addresses_in(value))
+        if self._is_list_stale and not (other_seeds or self._zone_seeds):
+            # The seeds may be newer than this list.
+            self._review_currently(now)
+            return []
         self._write_at = now + self._write_pause(other_seeds)
         zone_contacts = self._sample_unknown(
             self._zone_seeds, live, MAX_CONTACTS // 2
@@ -192,6 +209,8 @@
         self, live: tuple[Member, ...], now: float
     ) -> list[Any]:
         """Return a write that adds this node, if too few seeds are live."""
+        if not self._writes_seeds(live):
+            return []
         own = (self._own_member.host, self._own_member.port)
         known = {
             (member.host, member.port)
@@ -217,6 +236,35 @@
             )
         ]
 
+    def _writes_seeds(self, live: Iterable[Member]) -> bool:
+        """Return whether this node is one of the zone's writers.
+
+        A node that knows no other node of its zone is.
+        """
+        names = [
+            member.name
+            for member in live
+            if member.zone == self._own_member.zone
+            and not member.platform_unreadable
+        ]
+        writers = heapq.nsmallest(WRITERS_PER_ZONE, names, key=_rank)
+        return self._own_member.name in writers
+
+    def _list(self, now: float) -> PlatformList:
+        """Return a list of the seeds, which is stale unless that misleads."""
+        self._is_list_stale = not self._needs_current_list
+        self._needs_current_list = False
+        return PlatformList(
+            self._new_token(now), SEEDS_KIND, may_be_stale=self._is_list_stale
+        )
+
+    def _review_currently(self, now: float) -> None:
+        """Schedule a list of the present seeds soon."""
+        self._token = ''
+        self._failures = 0
+        self._needs_current_list = True
+        self._next_review_at = now + jittered(self._rng, FIRST_WRITE_DELAY_S)
+
     def _new_token(self, now: float) -> str:
         nonce = new_nonce(self._rng)
         self._token = f'{_TOKEN_PREFIX}{nonce}'
--- a/daisyline/platform/store.py
+++ b/daisyline/platform/store.py
@@ -91,7 +91,8 @@
 
 @_encode_call.register
 def _(effect: PlatformList, kind: Kind) -> tuple[bytes, str, Any]:
-    return (b'GET', _kind_path(kind), None)
+    query = '?allowStale=1' if effect.may_be_stale else ''
+    return (b'GET', f'{_kind_path(kind)}{query}', None)
 
 
 @_encode_call.register
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -23,6 +23,7 @@
     SettingsChanged,
     SettingsRefused,
 )
+from daisyline.coordination.platform_reading import PlatformReadConfig
 from daisyline.state.members import Member
 from tests.support import fixture
 
@@ -87,10 +88,12 @@
             return 409, current
         return 200, self.put(effect.kind, effect.name, effect.content)
 
-    def list_kind(self, kind: str) -> tuple[int, list[_ListedObject]]:
+    def list_kind(
+        self, kind: str, *, may_be_stale: bool = False
+    ) -> tuple[int, list[_ListedObject]]:
         """List the objects of a kind; a share of the lists is stale."""
         until = self.revision
-        if self.rng.random() < self.stale_read_share:
+        if may_be_stale or self.rng.random() < self.stale_read_share:
             until = self.rng.randint(max(0, until - 3), until)
         latest: dict[str, _ListedObject] = {}
         for revision, of_kind, name, content in self.log:
@@ -154,6 +157,7 @@
         on_platform: Called with each platform request.
         refused_nodes: Nodes that get an error from the platform.
         unanswered_nodes: Nodes that get no reply from the platform.
+        read_config: What nodes read from the platform.
         nodes: The nodes, by name.
     """
 
@@ -168,6 +172,7 @@
     on_platform: Callable[[Any], None] = _ignore
     refused_nodes: frozenset[str] = frozenset()
     unanswered_nodes: frozenset[str] = frozenset()
+    read_config: PlatformReadConfig = attrs.field(factory=PlatformReadConfig)
     nodes: dict[str, Node] = attrs.field(factory=dict)
     _by_address: dict[tuple[str, int], str] = attrs.field(factory=dict)
     _queue: list[_ScheduledAction] = attrs.field(factory=list)
@@ -186,7 +191,12 @@
         )
         addresses = tuple((f'10.0.0.{peer}', PORT) for peer in peers)
         fleet = Fleet.from_config(
-            me, 'test', addresses, random.Random(self.rng.random()), self.now
+            me,
+            'test',
+            addresses,
+            random.Random(self.rng.random()),
+            self.now,
+            self.read_config,
         )
         if me.name in self.nodes:
             self.stop(me.name)
@@ -306,7 +316,11 @@
             return PlatformReply(effect.token, *self.platform.write(effect))
         if isinstance(effect, PlatformList):
             return PlatformReply(
-                effect.token, 200, *self.platform.list_kind(effect.kind)
+                effect.token,
+                200,
+                *self.platform.list_kind(
+                    effect.kind, may_be_stale=effect.may_be_stale
+                ),
             )
         changes = self.platform.changes_since(effect.kind, effect.since)
         if not changes and self.now < started_at + effect.wait_ms / 1000:
