Spread updates mostly within availability zones

Cause: updates of members went to both neighbours on four rings of all members, so four in five copies crossed zones in a fleet of five zones. Change: updates go to the neighbours on three rings of the node's own zone and on one of all members. Pings, and with them the detection of failures, keep the four rings of all members.

--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/fleet.py
@@ -170,7 +170,7 @@
         record = MemberRecord(self.own_member, MemberState.LEFT)
         return [
             effect
-            for name in self._gossip.members.overlay.neighbours()
+            for name in self._gossip.members.overlay.recipients()
             for effect in update_messages(name, (compact(record),))
         ]
 
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/gossip.py
@@ -317,7 +317,7 @@
         return update_messages(node, map(compact, disputed))
 
     def _push_to_neighbours(self, now: float) -> list[Any]:
-        neighbours = self.members.overlay.neighbours()
+        neighbours = self.members.overlay.recipients()
         effects: list[Any] = []
         if now >= self.outbox.next_at():
             effects, overflowed = self.outbox.flush(neighbours)
--- a/daisyline/coordination/gossip_handlers.py
+++ b/daisyline/coordination/gossip_handlers.py
@@ -169,7 +169,7 @@
 def _on_settings_content(
     message: SettingsContent, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
-    neighbours = gossip.members.overlay.neighbours()
+    neighbours = gossip.members.overlay.recipients()
     return gossip.settings.handle_content(message, neighbours, now)
 
 
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership.py
@@ -84,7 +84,7 @@
         """Create the view of a node that knows no other node."""
         membership = cls(
             own_member=own_member,
-            overlay=Overlay(own_member.name),
+            overlay=Overlay(own_member.name, own_member.zone),
             digest=digest,
         )
         membership.upsert_live(own_member)
@@ -207,10 +207,12 @@
     def upsert_live(self, member: Member) -> None:
         """Add or replace a live member."""
         held = self._live.get(member.name)
-        if held is None:
-            self._overlay.add(member.name)
-        else:
+        if held is not None:
             self._toggle(held)
+        if held is None or held.zone != member.zone:
+            if held is not None:
+                self._overlay.remove(held.name, held.zone)
+            self._overlay.add(member.name, member.zone)
         self._live[member.name] = member
         self._toggle(member)
         self._changed[member.name] = None
@@ -278,7 +280,7 @@
         held = self._live.pop(name, None)
         if held is not None:
             self._toggle(held)
-            self._overlay.remove(name)
+            self._overlay.remove(name, held.zone)
             self._changed.pop(name, None)
             self._removed[name] = None
         self._suspects.pop(name, None)
--- a/daisyline/coordination/overlay.py
+++ b/daisyline/coordination/overlay.py
@@ -1,20 +1,27 @@
 """The overlay network: the few members that a node exchanges gossip with.
 
 The live members are arranged on several rings, each ordered by its own hash of
-the names. A node pings its successor on each ring and forwards updates to both
-neighbours. The union of a few random rings is an expander graph, so an update
-reaches all members in few steps over streams that stay open.
+the names. A node pings its successor on each ring. The union of a few random
+rings is an expander graph, so each member is watched by a few others anywhere.
+
+Updates go to both neighbours on one of these rings, and on rings that have only
+the members of the node's availability zone. An update then reaches all members
+in few steps over streams that stay open, and few copies of it cross zones.
 """
 
 import bisect
+import functools
 import hashlib
-import itertools
 from collections.abc import Container, Iterable, Iterator
 
 import attrs
 
 RING_COUNT = 4
+ZONE_RING_COUNT = 3
+# A node sends updates to at least so many others, if there are as many.
+FANOUT = 6
 _HASH_BYTES = 8
+_BOTH = (1, -1)
 
 _RingEntry = tuple[int, str]
 _Ring = list[_RingEntry]
@@ -36,8 +43,35 @@
     return ring[index - 1][1], ring[index % len(ring)][1]
 
 
-def _empty_rings() -> list[_Ring]:
-    return [[] for _ in range(RING_COUNT)]
+def _empty_rings(count: int) -> list[_Ring]:
+    return [[] for _ in range(count)]
+
+
+def _insert(rings: list[_Ring], name: str) -> None:
+    for number, ring in enumerate(rings):
+        bisect.insort(ring, _ring_entry(name, number))
+
+
+def _delete(rings: list[_Ring], name: str) -> None:
+    for number, ring in enumerate(rings):
+        index = bisect.bisect_left(ring, _ring_entry(name, number))
+        assert ring[index][1] == name
+        ring.pop(index)
+
+
+def _walk(ring: _Ring, own: _RingEntry, step: int) -> Iterator[str]:
+    """Yield the other members along a ring in steps of 1 or -1."""
+    start = bisect.bisect_left(ring, own)
+    for offset in range(len(ring) - 1):
+        yield ring[(start + step * (offset + 1)) % len(ring)][1]
+
+
+def _first_of(walk: Iterator[str], skipped: Container[str]) -> str:
+    return next((name for name in walk if name not in skipped), '')
+
+
+def _distinct(names: Iterable[str]) -> list[str]:
+    return list(dict.fromkeys(name for name in names if name))
 
 
 @attrs.define
@@ -45,7 +79,13 @@
     """The rings of the live members that one node knows."""
 
     _own_name: str
-    _rings: list[_Ring] = attrs.field(factory=_empty_rings)
+    _own_zone: str = ''
+    _rings: list[_Ring] = attrs.field(
+        factory=functools.partial(_empty_rings, RING_COUNT)
+    )
+    _zone_rings: list[_Ring] = attrs.field(
+        factory=functools.partial(_empty_rings, ZONE_RING_COUNT)
+    )
     _generation: int = 0
 
     @property
@@ -53,19 +93,19 @@
         """Return a counter of the members added and removed."""
         return self._generation
 
-    def add(self, name: str) -> None:
+    def add(self, name: str, zone: str = '') -> None:
         """Add a member, which must not be on the rings yet."""
         self._generation += 1
-        for number, ring in enumerate(self._rings):
-            bisect.insort(ring, _ring_entry(name, number))
+        _insert(self._rings, name)
+        if zone == self._own_zone:
+            _insert(self._zone_rings, name)
 
-    def remove(self, name: str) -> None:
-        """Remove a member, which must be on the rings."""
+    def remove(self, name: str, zone: str = '') -> None:
+        """Remove a member, which must be on the rings of its zone."""
         self._generation += 1
-        for number, ring in enumerate(self._rings):
-            index = bisect.bisect_left(ring, _ring_entry(name, number))
-            assert ring[index][1] == name
-            ring.pop(index)
+        _delete(self._rings, name)
+        if zone == self._own_zone:
+            _delete(self._zone_rings, name)
 
     def successors(self, skipped: Container[str] = ()) -> list[str]:
         """Return the next member on each ring, without repeats.
@@ -73,9 +113,7 @@
         Args:
             skipped: Members to leave out, such as suspects.
         """
-        return self._first_on_sides(
-            itertools.product(range(RING_COUNT), (1,)), skipped
-        )
+        return _distinct(self._nearest(self._rings, (1,), skipped))
 
     def neighbours(self, skipped: Container[str] = ()) -> list[str]:
         """Return both neighbours on each ring, without repeats.
@@ -83,8 +121,27 @@
         Args:
             skipped: Members to leave out, such as suspects.
         """
-        sides = itertools.product(range(RING_COUNT), (1, -1))
-        return self._first_on_sides(sides, skipped)
+        return _distinct(self._nearest(self._rings, _BOTH, skipped))
+
+    def recipients(self, skipped: Container[str] = ()) -> list[str]:
+        """Return the members that updates are sent to, without repeats.
+
+        They are the neighbours in the zone and those on one ring of all
+        members, or on more rings if the zone is small.
+
+        Args:
+            skipped: Members to leave out, such as suspects.
+        """
+        found = _distinct(self._nearest(self._zone_rings, _BOTH, skipped))
+        for number, ring in enumerate(self._rings):
+            if number and len(found) >= FANOUT:
+                break
+            own = _ring_entry(self._own_name, number)
+            sides = (
+                _first_of(_walk(ring, own, step), skipped) for step in _BOTH
+            )
+            found = _distinct((*found, *sides))
+        return found
 
     def is_neighbour(self, name: str) -> bool:
         """Return whether a member that was removed was a neighbour.
@@ -97,20 +154,20 @@
             for number, ring in enumerate(self._rings)
         )
 
-    def _first_on_sides(
-        self, sides: Iterable[tuple[int, int]], skipped: Container[str]
-    ) -> list[str]:
-        found = (
-            next(
-                (name for name in self._walk(*side) if name not in skipped), ''
-            )
-            for side in sides
-        )
-        return list(dict.fromkeys(name for name in found if name))
-
-    def _walk(self, number: int, step: int) -> Iterator[str]:
-        """Yield the other members along a ring in steps of 1 or -1."""
-        ring = self._rings[number]
-        start = bisect.bisect_left(ring, _ring_entry(self._own_name, number))
-        for offset in range(len(ring) - 1):
-            yield ring[(start + step * (offset + 1)) % len(ring)][1]
+    def _nearest(
+        self,
+        rings: list[_Ring],
+        steps: tuple[int, ...],
+        skipped: Container[str],
+    ) -> Iterator[str]:
+        """Yield the first members along rings; an empty name if there is none.
+
+        Args:
+            rings: The rings.
+            steps: The directions, 1 or -1.
+            skipped: Members to leave out.
+        """
+        for number, ring in enumerate(rings):
+            own = _ring_entry(self._own_name, number)
+            for step in steps:
+                yield _first_of(_walk(ring, own, step), skipped)
--- a/daisyline/coordination/platform_reading.py
+++ b/daisyline/coordination/platform_reading.py
@@ -41,7 +41,7 @@
         read_config: What the node reads of the platform.
         now: Monotonic seconds.
     """
-    neighbours = gossip.members.overlay.neighbours()
+    neighbours = gossip.members.overlay.recipients()
     effects: list[Any] = []
     is_settings_kind = result.kind == SETTINGS_KIND
     if is_settings_kind and read_config.lists_are_current:
--- a/daisyline/coordination/settings_holders.py
+++ b/daisyline/coordination/settings_holders.py
@@ -62,7 +62,7 @@
             return []
         self._next_at = _NEVER
         self._refresh()
-        neighbours = self._members.overlay.neighbours(self._members.suspects)
+        neighbours = self._members.overlay.recipients(self._members.suspects)
         if self._is_complete() or now >= self._exchange_until or not neighbours:
             return []
         self._next_at = now + jittered(self._rng, EXCHANGE_INTERVAL_S)
--- a/tests/coordination/test_overlay.py
+++ b/tests/coordination/test_overlay.py
@@ -1,6 +1,6 @@
 """The overlay connects all members in few steps."""
 
-from daisyline.coordination.overlay import Overlay
+from daisyline.coordination.overlay import FANOUT, Overlay
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -27,7 +27,7 @@
     while len(reached) < SIZE:
         reached_next = set()
         for name in frontier:
-            reached_next.update(Overlay(name, rings._rings).neighbours())
+            reached_next.update(Overlay(name, rings=rings._rings).neighbours())
         frontier = reached_next - reached
         reached |= reached_next
         steps += 1
@@ -47,3 +47,45 @@
     second = overlay.successors(first)
     assert len(second) >= len(first) - 1
     assert not set(first).intersection(second)
+
+
+def zone_of(name: str) -> str:
+    number = int(name.removeprefix('n'))
+    return 'abcde'[number % 5]
+
+
+def zoned_overlay(name: str, names: list[str]) -> Overlay:
+    overlay = Overlay(name, zone_of(name))
+    for other in names:
+        overlay.add(other, zone_of(other))
+    return overlay
+
+
+def test_updates_reach_all_members_and_few_cross_zones() -> None:
+    for size in (12, 195):
+        names = [f'n{number}' for number in range(size)]
+        recipients = {
+            name: zoned_overlay(name, names).recipients() for name in names
+        }
+        reached = {'n0'}
+        for _ in range(MAX_STEPS + 1):
+            reached.update(*(recipients[name] for name in reached))
+        assert reached == set(names)
+        assert max(map(len, recipients.values())) <= FANOUT + 2
+    crossing = sum(
+        zone_of(name) != zone_of(other)
+        for name in names
+        for other in recipients[name]
+    )
+    assert crossing / size <= 2
+
+
+def test_a_member_that_moves_to_another_zone_is_no_zone_neighbour() -> None:
+    overlay = Overlay('n0', 'z0')
+    overlay.add('n0', 'z0')
+    overlay.add('n1', 'z0')
+    overlay.remove('n1', 'z0')
+    overlay.add('n1', 'z1')
+    assert overlay.recipients() == ['n1']
+    overlay.remove('n1', 'z1')
+    assert not overlay.recipients()
