--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import messages as msg
 from daisyline.coordination import node_handlers
-from daisyline.coordination.gossip_messages import RecordUpdates
-from daisyline.coordination.gossip_records import MemberRecord
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.membership.gossip_messages import RecordUpdates
+from daisyline.coordination.membership.gossip_records import MemberRecord
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
 from daisyline.state.routes import DEFAULT_PRIORITY
--- a/bench/capacity_evidence.py
+++ b/bench/capacity_evidence.py
@@ -12,12 +12,12 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.coordination.evidence import (
+from daisyline.coordination.rollouts.evidence import (
     LARGE_FLEET_INTERVAL_S,
     Collector,
 )
-from daisyline.coordination.evidence_messages import Evidence
-from daisyline.coordination.rollout_judge import Judge
+from daisyline.coordination.rollouts.evidence_messages import Evidence
+from daisyline.coordination.rollouts.rollout_judge import Judge
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import CallSample
--- a/bench/capacity_members.py
+++ b/bench/capacity_members.py
@@ -7,7 +7,7 @@
 
 from bench.capacity_core import SERVICE, CoreRig, make_answer, minimum_us
 from bench.capacity_fit import Series, TargetSize
-from daisyline.coordination.answer_records import (
+from daisyline.coordination.calls.answer_records import (
     MAX_RECORDS,
     AnswerRecords,
     Record,
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -15,9 +15,9 @@
 import attrs
 import msgpack
 
-from daisyline.coordination.fleet_events import GossipMessageReceived
-from daisyline.coordination.gossip_messages import RecordUpdates
-from daisyline.coordination.gossip_records import MemberRecord
+from daisyline.coordination.membership.fleet_events import GossipMessageReceived
+from daisyline.coordination.membership.gossip_messages import RecordUpdates
+from daisyline.coordination.membership.gossip_records import MemberRecord
 from daisyline.state.targets import Phase, Target
 from tests.coordination.pump import PORT, Pump, make_pump, settings_value
 
--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -8,15 +8,15 @@
 from bench.model import scenarios
 from bench.model.clock import Clock
 from bench.model.targets import MEAN_SERVICE_S, ModelTarget
-from daisyline.coordination.fair_queue import Ticket
-from daisyline.coordination.policies import Candidate, Policy
-from daisyline.coordination.retries import (
+from daisyline.coordination.admission.fair_queue import Ticket
+from daisyline.coordination.calls.retries import (
     Attempt,
     Retry,
     RetryBudget,
     decide_retry,
 )
-from daisyline.coordination.routing import Router
+from daisyline.coordination.routing.policies import Candidate, Policy
+from daisyline.coordination.routing.routing import Router
 from daisyline.state.failures import Failure
 from daisyline.state.settings import Limits
 from daisyline.state.targets import LoadReport
--- a/bench/model/targets.py
+++ b/bench/model/targets.py
@@ -8,8 +8,8 @@
 
 from bench.model import scenarios
 from bench.model.clock import Clock
-from daisyline.coordination.admission import Admission, Queued
-from daisyline.coordination.fair_queue import Ticket
+from daisyline.coordination.admission.admission import Admission, Queued
+from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import LoadReport
--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -13,8 +13,8 @@
     PlatformWrite,
     Send,
 )
-from daisyline.coordination.fact_events import FactChanged, PutFact
-from daisyline.coordination.rollout import Rollouts
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
+from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import CallSample, RolloutState, fact_name_of
 
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -7,7 +7,7 @@
 
 from bench.model import scenarios
 from bench.model.fleet import Fleet, Size
-from daisyline.coordination import policies
+from daisyline.coordination.routing import policies
 
 PERCENTILES = (50, 99, 99.9)
 LOAD = 0.7
--- /dev/null
+++ b/daisyline/coordination/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls a target gets at what time, and which are queued or refused."""
--- a/daisyline/coordination/admission.py
+++ b/daisyline/coordination/admission/admission.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from daisyline.coordination.breaker import CircuitBreaker
-from daisyline.coordination.concurrency import ConcurrencyLimit
-from daisyline.coordination.fair_queue import Ticket
-from daisyline.coordination.ranked_queue import RankedQueue
-from daisyline.coordination.rate_limit import RateLimit
+from daisyline.coordination.admission.breaker import CircuitBreaker
+from daisyline.coordination.admission.concurrency import ConcurrencyLimit
+from daisyline.coordination.admission.fair_queue import Ticket
+from daisyline.coordination.admission.ranked_queue import RankedQueue
+from daisyline.coordination.admission.rate_limit import RateLimit
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import LoadReport, Phase
--- a/daisyline/coordination/pace_check.py
+++ b/daisyline/coordination/admission/pace_check.py
@@ -2,10 +2,10 @@
 
 import math
 
-from daisyline.coordination import messages as msg
-from daisyline.coordination.pace_events import ProbeTarget
-from daisyline.coordination.target_call import TargetCall
-from daisyline.coordination.target_side import Effects, TargetSide
+from daisyline.coordination.admission.pace_events import ProbeTarget
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.target_call import TargetCall
+from daisyline.coordination.calls.target_side import Effects, TargetSide
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.targets import Phase
 
--- a/daisyline/coordination/ranked_queue.py
+++ b/daisyline/coordination/admission/ranked_queue.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.coordination.fair_queue import FairQueue, Ticket
+from daisyline.coordination.admission.fair_queue import FairQueue, Ticket
 
 # Whether the answer would be late, and the priority. The lowest goes first.
 _Rank = tuple[bool, int]
--- a/daisyline/coordination/answer_records.py
+++ b/daisyline/coordination/calls/answer_records.py
@@ -2,8 +2,12 @@
 
 import attrs
 
-from daisyline.coordination.messages import AnswerHead, CallRefused, RunCall
-from daisyline.coordination.quarantine import fingerprint
+from daisyline.coordination.calls.messages import (
+    AnswerHead,
+    CallRefused,
+    RunCall,
+)
+from daisyline.coordination.calls.quarantine import fingerprint
 
 # Longer than an entry node takes to detect a broken stream and to ask for the
 # outcome of its calls, in seconds.
--- a/daisyline/coordination/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.coordination.messages import Headers, RunCall
+from daisyline.coordination.calls.messages import Headers, RunCall
 from daisyline.state.failures import Failure
 from daisyline.state.routes import Route
 from daisyline.state.targets import Target
--- a/daisyline/coordination/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -11,10 +11,9 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
-from daisyline.coordination.effects import Send
-from daisyline.coordination.entry_call import (
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls.entry_call import (
     EXCLUDING_REASONS,
     REROUTED_REASONS,
     EntryCall,
@@ -26,9 +25,8 @@
     pick_node_for_key,
     retried_event,
 )
-from daisyline.coordination.messages import CancelCall
-from daisyline.coordination.policies import ExpectedWait, Policy, ZoneAwareWait
-from daisyline.coordination.retries import (
+from daisyline.coordination.calls.messages import CancelCall
+from daisyline.coordination.calls.retries import (
     MAX_ATTEMPTS,
     Attempt,
     RetryBudgets,
@@ -36,17 +34,26 @@
     outgoing_retry_mark,
     retry_after_s,
 )
-from daisyline.coordination.routing import (
+from daisyline.coordination.effects import Send
+from daisyline.coordination.rollouts.version_trial import (
+    VersionTrial,
+    concentrate_share,
+)
+from daisyline.coordination.routing.policies import (
+    ExpectedWait,
+    Policy,
+    ZoneAwareWait,
+)
+from daisyline.coordination.routing.routing import (
     Candidate,
     Router,
     zone_preference_ms,
 )
-from daisyline.coordination.target_table import (
+from daisyline.coordination.routing.target_table import (
     TargetTable,
     VersionShares,
     weight_by_share,
 )
-from daisyline.coordination.version_trial import VersionTrial, concentrate_share
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
--- a/daisyline/coordination/entry_call.py
+++ b/daisyline/coordination/calls/entry_call.py
@@ -6,13 +6,16 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import internal_effects
-from daisyline.coordination.messages import NO_OBJECTIVE, RunCall
-from daisyline.coordination.policies import Candidate
-from daisyline.coordination.retries import MAX_ATTEMPTS, Retry
-from daisyline.coordination.target_table import VersionShares, weight_by_share
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls.messages import NO_OBJECTIVE, RunCall
+from daisyline.coordination.calls.retries import MAX_ATTEMPTS, Retry
+from daisyline.coordination.routing.policies import Candidate
+from daisyline.coordination.routing.target_table import (
+    VersionShares,
+    weight_by_share,
+)
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.routes import DEFAULT_PRIORITY
 
--- a/daisyline/coordination/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -3,14 +3,17 @@
 import functools
 from typing import Any
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import internal_effects
-from daisyline.coordination import messages as msg
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.entry import Effects, Entry
+from daisyline.coordination.calls.entry_call import (
+    EntryCall,
+    parent_retry_effects,
+)
+from daisyline.coordination.calls.retries import charge_downstream
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry import Effects, Entry
-from daisyline.coordination.entry_call import EntryCall, parent_retry_effects
-from daisyline.coordination.retries import charge_downstream
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.targets import LoadReport
 
--- a/daisyline/coordination/key_handover.py
+++ b/daisyline/coordination/calls/key_handover.py
@@ -11,13 +11,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from daisyline.coordination.answer_records import request_fingerprint
-from daisyline.coordination.call_events import StartTargetCall
+from daisyline.coordination.calls.answer_records import request_fingerprint
+from daisyline.coordination.calls.call_events import StartTargetCall
+from daisyline.coordination.calls.entry import Entry
+from daisyline.coordination.calls.entry_call import pick_node_for_key
+from daisyline.coordination.calls.messages import KeysUsed
+from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry import Entry
-from daisyline.coordination.entry_call import pick_node_for_key
-from daisyline.coordination.messages import KeysUsed
-from daisyline.coordination.target_side import TargetSide
 
 # Keeps a message near 30 KB, well below the largest frame.
 MAX_KEYS_PER_MESSAGE = 500
--- a/daisyline/coordination/quarantine.py
+++ b/daisyline/coordination/calls/quarantine.py
@@ -7,7 +7,7 @@
 import attrs
 
 from daisyline.coordination.events import EventLog, Quarantined
-from daisyline.coordination.fact_events import FactChanged, PutFact
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from daisyline.state.facts import Fact
 
 FACT_KIND = 'quarantine'
--- a/daisyline/coordination/target_call.py
+++ b/daisyline/coordination/calls/target_call.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from daisyline.coordination.answer_records import MAX_RECORD_BYTES
-from daisyline.coordination.messages import AnswerHead, RunCall
+from daisyline.coordination.calls.answer_records import MAX_RECORD_BYTES
+from daisyline.coordination.calls.messages import AnswerHead, RunCall
 
 # Bytes of an answer that may be unacknowledged by the caller before reading
 # from the target stops.
--- a/daisyline/coordination/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -7,17 +7,17 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import internal_effects
-from daisyline.coordination import messages as msg
-from daisyline.coordination.admission import Admission, Admitted
-from daisyline.coordination.answer_records import AnswerRecords
-from daisyline.coordination.entry_call import REROUTED_REASONS
-from daisyline.coordination.fair_queue import Ticket
-from daisyline.coordination.pace import Pace
-from daisyline.coordination.registration import Registration
-from daisyline.coordination.target_call import TargetCall
+from daisyline.coordination.admission.admission import Admission, Admitted
+from daisyline.coordination.admission.fair_queue import Ticket
+from daisyline.coordination.admission.pace import Pace
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.answer_records import AnswerRecords
+from daisyline.coordination.calls.entry_call import REROUTED_REASONS
+from daisyline.coordination.calls.registration import Registration
+from daisyline.coordination.calls.target_call import TargetCall
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.limits import Limits
 from daisyline.state.settings import Settings
--- a/daisyline/coordination/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -5,18 +5,22 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import messages as msg
-from daisyline.coordination import pace_check
-from daisyline.coordination.answer_records import (
+from daisyline.coordination.admission import pace_check
+from daisyline.coordination.admission.pace_events import TargetPaceReported
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.answer_records import (
     RECORD_TTL_S,
     Record,
     request_fingerprint,
 )
-from daisyline.coordination.entry_call import REROUTED_REASONS
-from daisyline.coordination.pace_events import TargetPaceReported
-from daisyline.coordination.target_call import TargetCall
-from daisyline.coordination.target_side import MS_PER_S, Effects, TargetSide
+from daisyline.coordination.calls.entry_call import REROUTED_REASONS
+from daisyline.coordination.calls.target_call import TargetCall
+from daisyline.coordination.calls.target_side import (
+    MS_PER_S,
+    Effects,
+    TargetSide,
+)
 from daisyline.state.failures import Failure, Outcome, Reason
 
 
--- a/daisyline/coordination/internal_effects.py
+++ b/daisyline/coordination/internal_effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from daisyline.coordination.messages import RunCall
+from daisyline.coordination.calls.messages import RunCall
 from daisyline.state.targets import Target
 
 
--- a/daisyline/coordination/anti_entropy.py
+++ b/daisyline/coordination/membership/anti_entropy.py
@@ -7,22 +7,22 @@
 
 from typing import Any
 
-from daisyline.coordination.digest import BUCKET_COUNT
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip import Gossip
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.digest import BUCKET_COUNT
+from daisyline.coordination.membership.gossip import Gossip
+from daisyline.coordination.membership.gossip_messages import (
     BucketContents,
     BucketHashes,
     RecordsRequest,
     RecordUpdates,
 )
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
     MemberRecord,
     MemberStateNotice,
     Stamp,
 )
-from daisyline.coordination.outbox import update_messages
+from daisyline.coordination.membership.outbox import update_messages
 
 
 def answer_bucket_hashes(
--- a/daisyline/coordination/digest.py
+++ b/daisyline/coordination/membership/digest.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.coordination.overlay import stable_hash
+from daisyline.coordination.membership.overlay import stable_hash
 
 BUCKET_COUNT = 64
 _BUCKET_CACHE_SIZE = 4096
--- a/daisyline/coordination/fact_store.py
+++ b/daisyline/coordination/membership/fact_store.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from daisyline.coordination.digest import Digest, bucket_of
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.digest import Digest, bucket_of
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
 )
 from daisyline.state.facts import Fact
--- a/daisyline/coordination/failure_detector.py
+++ b/daisyline/coordination/membership/failure_detector.py
@@ -13,16 +13,16 @@
 import attrs
 
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.jitter import jittered, new_nonce
+from daisyline.coordination.membership.gossip_messages import (
     GossipPing,
     ProbeAnswer,
     ProbeRequest,
 )
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.gossip_records import (
     Summary,
 )
-from daisyline.coordination.jitter import jittered, new_nonce
-from daisyline.coordination.membership import Membership
+from daisyline.coordination.membership.membership import Membership
 
 PING_INTERVAL_S = 0.5
 ANSWER_TIMEOUT_S = 0.6
--- a/daisyline/coordination/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -8,25 +8,25 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.fleet_events import (
+from daisyline.coordination.membership.fleet_events import (
     GossipMessageReceived,
     MembersChanged,
     NodeUnreachable,
     StreamLost,
 )
-from daisyline.coordination.gossip import Gossip
-from daisyline.coordination.gossip_handlers import receive
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.gossip import Gossip
+from daisyline.coordination.membership.gossip_handlers import receive
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
     MemberRecord,
     MemberState,
 )
-from daisyline.coordination.outbox import compact, update_messages
-from daisyline.coordination.platform_reading import (
+from daisyline.coordination.membership.outbox import compact, update_messages
+from daisyline.coordination.membership.seeds import SeedDiscovery
+from daisyline.coordination.settings.platform_reading import (
     PlatformReadConfig,
     apply_read_result,
 )
-from daisyline.coordination.seeds import SeedDiscovery
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
 from daisyline.state.orders import Orders
--- a/daisyline/coordination/gossip.py
+++ b/daisyline/coordination/membership/gossip.py
@@ -7,32 +7,42 @@
 
 import attrs
 
-from daisyline.coordination.digest import Digest, bucket_of
 from daisyline.coordination.effects import Send
-from daisyline.coordination.fact_events import FactChanged
-from daisyline.coordination.fact_store import FactStore
-from daisyline.coordination.failure_detector import FailureDetector
-from daisyline.coordination.fleet_events import SendToAddress
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.digest import Digest, bucket_of
+from daisyline.coordination.membership.fact_events import FactChanged
+from daisyline.coordination.membership.fact_store import FactStore
+from daisyline.coordination.membership.failure_detector import FailureDetector
+from daisyline.coordination.membership.fleet_events import SendToAddress
+from daisyline.coordination.membership.gossip_messages import (
     BucketHashes,
     GossipPing,
     Join,
     RecordsRequest,
     RecordUpdates,
 )
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
     MemberRecord,
     MemberState,
     MemberStateNotice,
     Summary,
 )
-from daisyline.coordination.membership import Membership, MergeResult
-from daisyline.coordination.outbox import Outbox, compact, update_messages
-from daisyline.coordination.reader_role import SETTINGS_KIND, ReaderRole
-from daisyline.coordination.rejoin import INTERVAL_MIN_S, RejoinCalls
-from daisyline.coordination.settings_holders import HolderTally
-from daisyline.coordination.settings_spread import START_WAIT_S, SettingsSpread
+from daisyline.coordination.membership.membership import Membership, MergeResult
+from daisyline.coordination.membership.outbox import (
+    Outbox,
+    compact,
+    update_messages,
+)
+from daisyline.coordination.membership.rejoin import INTERVAL_MIN_S, RejoinCalls
+from daisyline.coordination.settings.reader_role import (
+    SETTINGS_KIND,
+    ReaderRole,
+)
+from daisyline.coordination.settings.settings_holders import HolderTally
+from daisyline.coordination.settings.settings_spread import (
+    START_WAIT_S,
+    SettingsSpread,
+)
 from daisyline.state.members import Member
 
 COMPARISON_QUIET_S = 0.4
--- a/daisyline/coordination/gossip_handlers.py
+++ b/daisyline/coordination/membership/gossip_handlers.py
@@ -3,13 +3,13 @@
 import functools
 from typing import Any
 
-from daisyline.coordination.anti_entropy import (
+from daisyline.coordination.effects import Send
+from daisyline.coordination.membership.anti_entropy import (
     answer_bucket_contents,
     answer_bucket_hashes,
 )
-from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip import Gossip
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.gossip import Gossip
+from daisyline.coordination.membership.gossip_messages import (
     BucketContents,
     BucketHashes,
     GossipAck,
@@ -25,8 +25,11 @@
     SettingsRequest,
     SettingsVersionNotice,
 )
-from daisyline.coordination.gossip_records import MemberRecord, Summary
-from daisyline.coordination.outbox import update_messages
+from daisyline.coordination.membership.gossip_records import (
+    MemberRecord,
+    Summary,
+)
+from daisyline.coordination.membership.outbox import update_messages
 
 
 @functools.singledispatch
--- a/daisyline/coordination/gossip_messages.py
+++ b/daisyline/coordination/membership/gossip_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
     MemberRecord,
     MemberStateNotice,
--- a/daisyline/coordination/membership.py
+++ b/daisyline/coordination/membership/membership.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from daisyline.coordination.digest import Digest
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.membership.digest import Digest
+from daisyline.coordination.membership.gossip_records import (
     MemberRecord,
     MemberState,
 )
-from daisyline.coordination.overlay import Overlay
+from daisyline.coordination.membership.overlay import Overlay
 from daisyline.state.members import Member
 
 SUSPICION_TIMEOUT_S = 3.0
--- a/daisyline/coordination/outbox.py
+++ b/daisyline/coordination/membership/outbox.py
@@ -7,14 +7,14 @@
 import attrs
 
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip_messages import RecordUpdates
-from daisyline.coordination.gossip_records import (
+from daisyline.coordination.jitter import jittered
+from daisyline.coordination.membership.gossip_messages import RecordUpdates
+from daisyline.coordination.membership.gossip_records import (
     FactRecord,
     MemberRecord,
     MemberState,
     MemberStateNotice,
 )
-from daisyline.coordination.jitter import jittered
 
 FLUSH_DELAY_S = 0.04
 MAX_PUSHED_UPDATES = 64
--- a/daisyline/coordination/rejoin.py
+++ b/daisyline/coordination/membership/rejoin.py
@@ -11,9 +11,9 @@
 
 import attrs
 
-from daisyline.coordination.gossip_records import MemberState
 from daisyline.coordination.jitter import jittered
-from daisyline.coordination.membership import Membership, Tombstone
+from daisyline.coordination.membership.gossip_records import MemberState
+from daisyline.coordination.membership.membership import Membership, Tombstone
 from daisyline.state.members import Member
 
 INTERVAL_S_PER_MEMBER = 0.5
--- a/daisyline/coordination/seeds.py
+++ b/daisyline/coordination/membership/seeds.py
@@ -13,7 +13,7 @@
     PlatformWrite,
 )
 from daisyline.coordination.jitter import jittered, new_nonce
-from daisyline.coordination.overlay import stable_hash
+from daisyline.coordination.membership.overlay import stable_hash
 from daisyline.state.members import Member
 
 SEEDS_KIND = 'seeds'
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -7,16 +7,16 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import internal_effects
-from daisyline.coordination import messages as msg
-from daisyline.coordination.entry import Entry
-from daisyline.coordination.fleet import Fleet
-from daisyline.coordination.platform_reading import PlatformReadConfig
-from daisyline.coordination.quarantine import Quarantine, fingerprint
-from daisyline.coordination.rollout import Rollouts
-from daisyline.coordination.target_side import TargetSide
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.entry import Entry
+from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
+from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.membership.fleet import Fleet
+from daisyline.coordination.rollouts.rollout import Rollouts
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
 from daisyline.state.members import Member
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -9,22 +9,22 @@
 from collections import deque
 from typing import Any
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import (
+from daisyline.coordination import events as log
+from daisyline.coordination import internal_effects
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import (
     entry_handlers,
-    fleet_events,
-    internal_effects,
     key_handover,
     target_side_handlers,
 )
-from daisyline.coordination import events as log
-from daisyline.coordination import messages as msg
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.effects import PlatformReply, Send
-from daisyline.coordination.evidence_messages import Evidence
-from daisyline.coordination.fact_events import FactChanged, PutFact
+from daisyline.coordination.membership import fleet_events
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from daisyline.coordination.node_core import Effects, NodeCore
-from daisyline.coordination.registration import Announcement
-from daisyline.coordination.settings_events import (
+from daisyline.coordination.rollouts.evidence_messages import Evidence
+from daisyline.coordination.settings.settings_events import (
     member_events,
     zone_events,
 )
--- a/daisyline/coordination/evidence.py
+++ b/daisyline/coordination/rollouts/evidence.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from daisyline.coordination.evidence_messages import (
+from daisyline.coordination.rollouts.evidence_messages import (
     BUCKETS_PER_OCTAVE,
     Evidence,
     EvidenceRow,
--- a/daisyline/coordination/rollout.py
+++ b/daisyline/coordination/rollouts/rollout.py
@@ -15,16 +15,16 @@
 
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.events import EventLog, RolloutMoved
-from daisyline.coordination.evidence import (
+from daisyline.coordination.membership.fact_events import FactChanged
+from daisyline.coordination.rollouts.evidence import (
     EVIDENCE_INTERVAL_S,
     Collector,
     choose_judges,
     evidence_interval_s,
 )
-from daisyline.coordination.evidence_messages import Evidence
-from daisyline.coordination.fact_events import FactChanged
-from daisyline.coordination.rollout_progress import Progress
-from daisyline.coordination.version_trial import VersionTrial
+from daisyline.coordination.rollouts.evidence_messages import Evidence
+from daisyline.coordination.rollouts.rollout_progress import Progress
+from daisyline.coordination.rollouts.version_trial import VersionTrial
 from daisyline.state.facts import Fact
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
--- a/daisyline/coordination/rollout_judge.py
+++ b/daisyline/coordination/rollouts/rollout_judge.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from daisyline.coordination.evidence import (
+from daisyline.coordination.rollouts.evidence import (
     EVIDENCE_INTERVAL_S,
     MAX_ROUTES,
     OTHER_ROUTES,
 )
-from daisyline.coordination.evidence_messages import Evidence
-from daisyline.coordination.rollout_rates import (
+from daisyline.coordination.rollouts.evidence_messages import Evidence
+from daisyline.coordination.rollouts.rollout_rates import (
     GROUP_COUNT,
     Block,
     Group,
@@ -23,7 +23,7 @@
     combine_log_gains,
     log_gains_of,
 )
-from daisyline.coordination.rollout_routes import RouteCounts
+from daisyline.coordination.rollouts.rollout_routes import RouteCounts
 from daisyline.state.rollout_plan import RolloutPlan
 
 # The highest probability that a version which is no worse is rolled back.
--- a/daisyline/coordination/rollout_progress.py
+++ b/daisyline/coordination/rollouts/rollout_progress.py
@@ -7,16 +7,16 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.evidence_messages import Evidence
-from daisyline.coordination.fact_events import PutFact
-from daisyline.coordination.rollout_judge import Judge
-from daisyline.coordination.rollout_record import RolloutRecordSync
-from daisyline.coordination.rollout_schedule import (
+from daisyline.coordination.membership.fact_events import PutFact
+from daisyline.coordination.rollouts.evidence_messages import Evidence
+from daisyline.coordination.rollouts.rollout_judge import Judge
+from daisyline.coordination.rollouts.rollout_record import RolloutRecordSync
+from daisyline.coordination.rollouts.rollout_schedule import (
     decide,
     done_due_fraction,
     settle_s,
 )
-from daisyline.coordination.version_trial import VersionTrial
+from daisyline.coordination.rollouts.version_trial import VersionTrial
 from daisyline.state.facts import DEFAULT_TTL_MS, Fact
 from daisyline.state.rollout_plan import PlanState, RolloutPlan
 from daisyline.state.rollout_state import (
--- a/daisyline/coordination/rollout_rates.py
+++ b/daisyline/coordination/rollouts/rollout_rates.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from daisyline.coordination.sequential_test import (
+from daisyline.coordination.rollouts.sequential_test import (
     Alternatives,
     Comparison,
     Counts,
--- a/daisyline/coordination/rollout_routes.py
+++ b/daisyline/coordination/rollouts/rollout_routes.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from daisyline.coordination.evidence_messages import EvidenceRow
-from daisyline.coordination.rollout_rates import Block, Group, Rate
-from daisyline.coordination.sequential_test import Counts
+from daisyline.coordination.rollouts.evidence_messages import EvidenceRow
+from daisyline.coordination.rollouts.rollout_rates import Block, Group, Rate
+from daisyline.coordination.rollouts.sequential_test import Counts
 
 # Calls of the old version needed as a baseline before latency is compared.
 MIN_BASELINE_CALLS = 50
--- a/daisyline/coordination/rollout_schedule.py
+++ b/daisyline/coordination/rollouts/rollout_schedule.py
@@ -3,7 +3,7 @@
 Fractions of time are fractions of the plan's `finish_in_s`.
 """
 
-from daisyline.coordination.rollout_judge import Judgement
+from daisyline.coordination.rollouts.rollout_judge import Judgement
 from daisyline.state.rollout_plan import FULL_PERCENT, RolloutPlan
 from daisyline.state.rollout_state import FIRST_SHARE, RolloutState, Stage
 
--- a/daisyline/coordination/version_trial.py
+++ b/daisyline/coordination/rollouts/version_trial.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from daisyline.coordination.overlay import stable_hash
-from daisyline.coordination.policies import Candidate
+from daisyline.coordination.membership.overlay import stable_hash
+from daisyline.coordination.routing.policies import Candidate
 
 # The load of a loaded target in a burst, as a multiple of the load of a target
 # of another version. With 3 its slots are full if the service as a whole uses
--- a/daisyline/coordination/routing.py
+++ b/daisyline/coordination/routing/routing.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-from daisyline.coordination.pace import NORMAL_PACE_PERCENT
-from daisyline.coordination.policies import (
+from daisyline.coordination.admission.pace import NORMAL_PACE_PERCENT
+from daisyline.coordination.calls.retries import MAX_ATTEMPTS
+from daisyline.coordination.routing.policies import (
     Candidate,
     Estimate,
     Policy,
     choose,
 )
-from daisyline.coordination.retries import MAX_ATTEMPTS
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.limits import PERCENT, Limits
 from daisyline.state.routes import Route
--- a/daisyline/coordination/target_table.py
+++ b/daisyline/coordination/routing/target_table.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from daisyline.coordination.routing import Candidate
-from daisyline.coordination.weight_ramp import ramp_fraction
+from daisyline.coordination.routing.routing import Candidate
+from daisyline.coordination.routing.weight_ramp import ramp_fraction
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Phase, Target
--- /dev/null
+++ b/daisyline/coordination/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and orders: read from the platform, spread and changed."""
--- a/daisyline/coordination/order_reading.py
+++ b/daisyline/coordination/settings/order_reading.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from daisyline.coordination.kind_reader import ReadObject, ReadResult
+from daisyline.coordination.settings.kind_reader import ReadObject, ReadResult
 from daisyline.state.facts import Fact
 from daisyline.state.orders import (
     ROLLOUT_ORDER,
--- a/daisyline/coordination/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -4,11 +4,14 @@
 
 import attrs
 
-from daisyline.coordination.gossip import Gossip
-from daisyline.coordination.gossip_records import FactRecord
-from daisyline.coordination.kind_reader import ReadResult
-from daisyline.coordination.order_reading import orders_in
-from daisyline.coordination.reader_role import SETTINGS_KIND, SETTINGS_NAME
+from daisyline.coordination.membership.gossip import Gossip
+from daisyline.coordination.membership.gossip_records import FactRecord
+from daisyline.coordination.settings.kind_reader import ReadResult
+from daisyline.coordination.settings.order_reading import orders_in
+from daisyline.coordination.settings.reader_role import (
+    SETTINGS_KIND,
+    SETTINGS_NAME,
+)
 
 
 @attrs.frozen
--- a/daisyline/coordination/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -10,10 +10,16 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.fleet_events import PlatformReadabilityChanged
 from daisyline.coordination.jitter import jittered
-from daisyline.coordination.kind_reader import WATCH_MS, KindReader, ReadResult
-from daisyline.coordination.overlay import stable_hash
+from daisyline.coordination.membership.fleet_events import (
+    PlatformReadabilityChanged,
+)
+from daisyline.coordination.membership.overlay import stable_hash
+from daisyline.coordination.settings.kind_reader import (
+    WATCH_MS,
+    KindReader,
+    ReadResult,
+)
 from daisyline.state.members import Member
 
 SETTINGS_KIND = 'settings'
--- a/daisyline/coordination/settings_change.py
+++ b/daisyline/coordination/settings/settings_change.py
@@ -12,13 +12,13 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.coordination.settings_intents import (
+from daisyline.coordination.settings.settings_intents import (
     base_tree_of,
     describe_change,
     intended_tree,
     replaces_stored_tree,
 )
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_results import (
     Applied,
     Author,
     ChangeResult,
--- a/daisyline/coordination/settings_holders.py
+++ b/daisyline/coordination/settings/settings_holders.py
@@ -12,11 +12,11 @@
 import attrs
 
 from daisyline.coordination.effects import Send
-from daisyline.coordination.gossip_messages import SettingsHolders
 from daisyline.coordination.jitter import jittered
-from daisyline.coordination.membership import Membership
-from daisyline.coordination.overlay import stable_hash
-from daisyline.coordination.settings_spread import SettingsSpread
+from daisyline.coordination.membership.gossip_messages import SettingsHolders
+from daisyline.coordination.membership.membership import Membership
+from daisyline.coordination.membership.overlay import stable_hash
+from daisyline.coordination.settings.settings_spread import SettingsSpread
 
 EXCHANGE_INTERVAL_S = 0.25
 EXCHANGE_DURATION_S = 30.0
--- a/daisyline/coordination/settings_spread.py
+++ b/daisyline/coordination/settings/settings_spread.py
@@ -11,11 +11,11 @@
 import attrs
 
 from daisyline.coordination.effects import Send
-from daisyline.coordination.fleet_events import (
+from daisyline.coordination.membership.fleet_events import (
     SettingsChanged,
     SettingsRefused,
 )
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.gossip_messages import (
     SettingsContent,
     SettingsRequest,
     SettingsVersionNotice,
--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -1,8 +1,11 @@
 """The front end of a node on the users' platform."""
 
-from daisyline.coordination.order_reading import ROLLOUTS_KIND, ZONES_KIND
-from daisyline.coordination.platform_reading import PlatformReadConfig
-from daisyline.coordination.reader_role import SETTINGS_KIND
+from daisyline.coordination.settings.order_reading import (
+    ROLLOUTS_KIND,
+    ZONES_KIND,
+)
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
+from daisyline.coordination.settings.reader_role import SETTINGS_KIND
 from daisyline.platform import wire
 from daisyline.platform.boot import Boot
 from daisyline.platform.notices import NoticeReader, acknowledge
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -7,12 +7,9 @@
 
 import attrs
 
-from daisyline.coordination import (
-    order_reading,
-    reader_role,
-    rollout_record,
-    seeds,
-)
+from daisyline.coordination.membership import seeds
+from daisyline.coordination.rollouts import rollout_record
+from daisyline.coordination.settings import order_reading, reader_role
 from daisyline.platform.boot import Boot
 from daisyline.platform.manifest import settings_tree
 from daisyline.state.limits import PERCENT
--- a/daisyline/platform/notices.py
+++ b/daisyline/platform/notices.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from daisyline.coordination.registration import Announcement
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.platform import wire
 from daisyline.platform.boot import Address, Boot
 from daisyline.protocol.announcements import is_short_text
--- a/daisyline/programs/operator_config.py
+++ b/daisyline/programs/operator_config.py
@@ -8,7 +8,7 @@
 from cyclopts import App, Parameter
 
 from daisyline.coordination.effects import PlatformRead
-from daisyline.coordination.settings_intents import (
+from daisyline.coordination.settings.settings_intents import (
     PutTree,
     SetZone,
     StartRollout,
--- a/daisyline/programs/operator_errors.py
+++ b/daisyline/programs/operator_errors.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_results import (
     Conflicted,
     InvalidTree,
 )
--- a/daisyline/programs/operator_settings.py
+++ b/daisyline/programs/operator_settings.py
@@ -12,9 +12,11 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.coordination.settings_change import SettingsChange
-from daisyline.coordination.settings_propagation import SettingsPropagation
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_change import SettingsChange
+from daisyline.coordination.settings.settings_propagation import (
+    SettingsPropagation,
+)
+from daisyline.coordination.settings.settings_results import (
     Applied,
     Author,
     Pause,
--- a/daisyline/protocol/announcements.py
+++ b/daisyline/protocol/announcements.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any
 
-from daisyline.coordination.registration import Announcement
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Finding
 from daisyline.state.targets import Phase, Target
--- a/daisyline/protocol/answer_reader.py
+++ b/daisyline/protocol/answer_reader.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.answer_check import AnswerCheck, Verdict
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_client import ClientCodec
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -8,9 +8,9 @@
 import attrs
 import msgpack
 
-from daisyline.coordination import evidence_messages as evidence
-from daisyline.coordination import gossip_messages as gossip
-from daisyline.coordination import messages
+from daisyline.coordination.calls import messages
+from daisyline.coordination.membership import gossip_messages as gossip
+from daisyline.coordination.rollouts import evidence_messages as evidence
 
 PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 8_388_608
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -5,10 +5,10 @@
 
 import attrs
 
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import TARGET_LEASE_S
-from daisyline.coordination.platform_reading import PlatformReadConfig
-from daisyline.coordination.registration import Announcement
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.protocol import announcements
 from daisyline.protocol import platform as object_api
 from daisyline.protocol.dialect import Dialect
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.state.failures import Failure
 
 MAX_HEAD_BYTES = 65_536
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.http_messages import (
     MAX_HEAD_BYTES,
     ContinueExpected,
--- a/daisyline/protocol/refusals.py
+++ b/daisyline/protocol/refusals.py
@@ -4,7 +4,7 @@
 import types
 from http import HTTPStatus
 
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.dialect import Dialect
 from daisyline.state.failures import Failure, Outcome, Reason
 
--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     AnswerBytesDelivered,
     AnswerCaller,
     CallerDisconnected,
 )
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.http_server import AnswerCodec
 from daisyline.protocol.refusals import body_of, headers_of
 from daisyline.state.failures import Failure
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     AnswerCaller,
     AnswerCallerPart,
     RefuseCaller,
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import internal_effects
+from daisyline.coordination.admission.pace_events import ProbeTarget
+from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -15,9 +16,11 @@
     PlatformWrite,
     Send,
 )
-from daisyline.coordination.fleet_events import SendToAddress, SettingsRefused
+from daisyline.coordination.membership.fleet_events import (
+    SendToAddress,
+    SettingsRefused,
+)
 from daisyline.coordination.node_core import NodeCore
-from daisyline.coordination.pace_events import ProbeTarget
 from daisyline.protocol.front_end import FrontEnd
 from daisyline.transport.loop import Loop
 from daisyline.transport.platform_client import PlatformClient
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -11,7 +11,7 @@
 import attrs
 
 from daisyline.coordination import node_handlers
-from daisyline.coordination.call_events import ProcessPaused
+from daisyline.coordination.calls.call_events import ProcessPaused
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol.front_end import FrontEnd
 from daisyline.state.members import Member
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from daisyline.coordination.call_events import AnswerCaller, RefuseCaller
+from daisyline.coordination.calls.call_events import AnswerCaller, RefuseCaller
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol import operator_views
 from daisyline.protocol.http_messages import Request
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -4,15 +4,15 @@
 from http import HTTPStatus
 from typing import Any
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     AnswerCaller,
     CallerDisconnected,
     RefuseCaller,
     TargetAnnounced,
     TargetLeaving,
 )
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.node_core import NodeCore
-from daisyline.coordination.registration import Announcement
 from daisyline.protocol.front_end import FrontEnd, LeaveNotice, Notice
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
--- a/daisyline/transport/request_reader.py
+++ b/daisyline/transport/request_reader.py
@@ -7,14 +7,14 @@
 
 import attrs
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     RequestReceived,
     RequestUnroutable,
 )
-from daisyline.coordination.caller_timeouts import CallerTimeouts
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.caller_timeouts import CallerTimeouts
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.node_core import NodeCore
-from daisyline.coordination.traffic_split import TrafficSplit
+from daisyline.coordination.routing.traffic_split import TrafficSplit
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from daisyline.coordination.messages import Hello, Ping, Pong
+from daisyline.coordination.calls.messages import Hello, Ping, Pong
 from daisyline.protocol.frames import (
     PROTOCOL_VERSION,
     BadFrame,
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     CallMessageReceived,
     InboundStreamLost,
     MessageUndelivered,
     StreamLost,
 )
-from daisyline.coordination.messages import Hello
+from daisyline.coordination.calls.messages import Hello
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.loop import Loop
--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     StartTargetCall,
     TargetAnswerHead,
     TargetAnswerPart,
     TargetCallFailed,
 )
-from daisyline.coordination.messages import Headers
+from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.answer_reader import AnswerReader, Declined
 from daisyline.protocol.dialect import Dialect, parse_pace
 from daisyline.protocol.http_messages import (
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -7,7 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from daisyline.coordination.call_events import StartTargetCall, TargetCallFailed
+from daisyline.coordination.calls.call_events import (
+    StartTargetCall,
+    TargetCallFailed,
+)
 from daisyline.protocol.dialect import Dialect
 from daisyline.state.targets import Target
 from daisyline.transport.loop import Loop
--- a/daisyline/transport/target_probe.py
+++ b/daisyline/transport/target_probe.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from daisyline.coordination.pace_events import TargetPaceReported
+from daisyline.coordination.admission.pace_events import TargetPaceReported
 from daisyline.protocol.dialect import Dialect, parse_pace
 from daisyline.protocol.http_client import ClientCodec
 from daisyline.protocol.http_messages import (
--- a/standins/soak_zone.py
+++ b/standins/soak_zone.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from daisyline.coordination.effects import PlatformRead, PlatformWrite
-from daisyline.coordination.settings_change import SettingsChange
-from daisyline.coordination.settings_intents import SetZone
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_change import SettingsChange
+from daisyline.coordination.settings.settings_intents import SetZone
+from daisyline.coordination.settings.settings_results import (
     Applied,
     Author,
     Pause,
--- a/tests/bench/test_capacity_core.py
+++ b/tests/bench/test_capacity_core.py
@@ -1,7 +1,7 @@
 """The rig that measures a node's decisions runs calls on both sides."""
 
 from bench.capacity_core import CoreRig, make_run_call
-from daisyline.coordination import messages as msg
+from daisyline.coordination.calls import messages as msg
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from daisyline.coordination.messages import RunCall
+from daisyline.coordination.calls.messages import RunCall
 
 
 def run_message(call: str, **changes: Any) -> RunCall:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -13,15 +13,15 @@
     run_state_machine_as_test,
 )
 
-from daisyline.coordination.admission import (
+from daisyline.coordination.admission.admission import (
     LATE_WAIT_FRACTION,
     Admission,
     Admitted,
     Queued,
 )
-from daisyline.coordination.breaker import FAILURES_TO_OPEN
-from daisyline.coordination.fair_queue import Ticket
-from daisyline.coordination.rate_limit import MAX_BURST_STARTS
+from daisyline.coordination.admission.breaker import FAILURES_TO_OPEN
+from daisyline.coordination.admission.fair_queue import Ticket
+from daisyline.coordination.admission.rate_limit import MAX_BURST_STARTS
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import Phase
--- a/tests/coordination/test_concurrency.py
+++ b/tests/coordination/admission/test_concurrency.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.concurrency import ConcurrencyLimit
+from daisyline.coordination.admission.concurrency import ConcurrencyLimit
 from daisyline.state.settings import Limits
 from tests.support import fixture, function_tests
 
--- a/tests/coordination/test_fair_queue.py
+++ b/tests/coordination/admission/test_fair_queue.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.fair_queue import FairQueue, Ticket
+from daisyline.coordination.admission.fair_queue import FairQueue, Ticket
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_overload.py
+++ b/tests/coordination/admission/test_overload.py
@@ -10,8 +10,12 @@
 
 import attrs
 
-from daisyline.coordination.admission import Admission, Admitted, Queued
-from daisyline.coordination.fair_queue import Ticket
+from daisyline.coordination.admission.admission import (
+    Admission,
+    Admitted,
+    Queued,
+)
+from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.state.settings import Limits
 from daisyline.state.targets import Phase
 from tests.support import function_tests
--- a/tests/coordination/test_pace.py
+++ b/tests/coordination/admission/test_pace.py
@@ -4,17 +4,24 @@
 
 import attrs
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import messages as msg
-from daisyline.coordination.events import EventLog
-from daisyline.coordination.pace import (
+from daisyline.coordination.admission.pace import (
     MAX_REPORT_AGE_S,
     PROBE_TIMEOUT_S,
     SLOW_PACE_PERCENT,
 )
-from daisyline.coordination.pace_events import ProbeTarget, TargetPaceReported
-from daisyline.coordination.target_side import TargetSide
-from daisyline.coordination.target_side_handlers import handle, offer, tick
+from daisyline.coordination.admission.pace_events import (
+    ProbeTarget,
+    TargetPaceReported,
+)
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.calls.target_side_handlers import (
+    handle,
+    offer,
+    tick,
+)
+from daisyline.coordination.events import EventLog
 from daisyline.state.failures import Reason
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Phase, Target
--- a/tests/coordination/test_ranked_queue.py
+++ b/tests/coordination/admission/test_ranked_queue.py
@@ -6,9 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.fair_queue import MAX_TENANT_FRACTION, Ticket
-from daisyline.coordination.ranked_queue import RankedQueue
-from daisyline.coordination.rate_limit import WINDOW_S, RateLimit
+from daisyline.coordination.admission.fair_queue import (
+    MAX_TENANT_FRACTION,
+    Ticket,
+)
+from daisyline.coordination.admission.ranked_queue import RankedQueue
+from daisyline.coordination.admission.rate_limit import WINDOW_S, RateLimit
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_caller_timeouts.py
+++ b/tests/coordination/calls/test_caller_timeouts.py
@@ -2,7 +2,10 @@
 
 import random
 
-from daisyline.coordination.caller_timeouts import MAX_ROUTES, CallerTimeouts
+from daisyline.coordination.calls.caller_timeouts import (
+    MAX_ROUTES,
+    CallerTimeouts,
+)
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_calls.py
+++ b/tests/coordination/calls/test_calls.py
@@ -15,13 +15,13 @@
     run_state_machine_as_test,
 )
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import entry_handlers, target_side_handlers
-from daisyline.coordination import messages as msg
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import entry_handlers, target_side_handlers
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.entry import Entry
+from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry import Entry
 from daisyline.coordination.events import EventLog
-from daisyline.coordination.target_side import TargetSide
 from daisyline.state.failures import Outcome, Reason
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
--- a/tests/coordination/test_entry_call.py
+++ b/tests/coordination/calls/test_entry_call.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from daisyline.coordination.entry_call import pick_node_for_key
-from daisyline.coordination.policies import Candidate
+from daisyline.coordination.calls.entry_call import pick_node_for_key
+from daisyline.coordination.routing.policies import Candidate
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_key_handover.py
+++ b/tests/coordination/calls/test_key_handover.py
@@ -3,13 +3,13 @@
 import random
 from typing import Any
 
-from daisyline.coordination import call_events as ev
-from daisyline.coordination import messages as msg
 from daisyline.coordination import node_handlers
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.entry_call import pick_node_for_key
 from daisyline.coordination.effects import Send
-from daisyline.coordination.entry_call import pick_node_for_key
-from daisyline.coordination.gossip_messages import RecordUpdates
-from daisyline.coordination.gossip_records import MemberRecord
+from daisyline.coordination.membership.gossip_messages import RecordUpdates
+from daisyline.coordination.membership.gossip_records import MemberRecord
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.failures import Outcome, Reason
 from daisyline.state.members import Member
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/calls/test_quarantine.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
 from daisyline.coordination.events import EventLog, Quarantined
-from daisyline.coordination.fact_events import FactChanged, PutFact
-from daisyline.coordination.quarantine import Quarantine, fingerprint
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_registration.py
+++ b/tests/coordination/calls/test_registration.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from daisyline.coordination.registration import Announcement, Registration
+from daisyline.coordination.calls.registration import Announcement, Registration
 from daisyline.state.targets import Phase, Target
 from tests.support import function_tests
 
--- a/tests/coordination/test_retries.py
+++ b/tests/coordination/calls/test_retries.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.retries import (
+from daisyline.coordination.calls.retries import (
     MAX_ATTEMPTS,
     Attempt,
     Retry,
--- a/tests/coordination/test_fact_store.py
+++ b/tests/coordination/membership/test_fact_store.py
@@ -3,9 +3,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.digest import Digest
-from daisyline.coordination.fact_store import FactStore
-from daisyline.coordination.gossip_records import FactRecord
+from daisyline.coordination.membership.digest import Digest
+from daisyline.coordination.membership.fact_store import FactStore
+from daisyline.coordination.membership.gossip_records import FactRecord
 from daisyline.state.facts import Fact
 from tests.support import function_tests
 
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/membership/test_fleet.py
@@ -1,8 +1,8 @@
 """Nodes discover each other and converge without a leader."""
 
-from daisyline.coordination.failure_detector import ANSWER_TIMEOUT_S
-from daisyline.coordination.fleet_events import NodeUnreachable
-from daisyline.coordination.membership import SUSPICION_TIMEOUT_S
+from daisyline.coordination.membership.failure_detector import ANSWER_TIMEOUT_S
+from daisyline.coordination.membership.fleet_events import NodeUnreachable
+from daisyline.coordination.membership.membership import SUSPICION_TIMEOUT_S
 from daisyline.state.targets import Phase, Target
 from tests.coordination.pump import Pump, settings_value
 from tests.support import function_tests
--- a/tests/coordination/test_fleet_machine.py
+++ b/tests/coordination/membership/test_fleet_machine.py
@@ -12,7 +12,7 @@
     run_state_machine_as_test,
 )
 
-from daisyline.coordination.fleet import Fleet
+from daisyline.coordination.membership.fleet import Fleet
 from daisyline.state.facts import Fact
 from daisyline.state.targets import Phase, Target
 from tests.coordination.pump import ZONES, Pump, make_pump, settings_value
--- a/tests/coordination/test_gossip_messages.py
+++ b/tests/coordination/membership/test_gossip_messages.py
@@ -7,7 +7,7 @@
 import attrs
 import msgpack
 
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.gossip_messages import (
     BucketContents,
     BucketHashes,
     FactRecord,
@@ -20,7 +20,10 @@
     Stamp,
     Summary,
 )
-from daisyline.coordination.gossip_records import MemberState, MemberStateNotice
+from daisyline.coordination.membership.gossip_records import (
+    MemberState,
+    MemberStateNotice,
+)
 from daisyline.state.facts import Fact
 from daisyline.state.members import Member
 from daisyline.state.targets import Target
@@ -28,7 +31,9 @@
 
 load_tests = function_tests(__name__)
 
-MODULE = importlib.import_module('daisyline.coordination.gossip_messages')
+MODULE = importlib.import_module(
+    'daisyline.coordination.membership.gossip_messages'
+)
 TARGET = Target('docs', 'v1', 'i', '10.0.0.1', 80)
 RECORD = MemberRecord(
     Member('n', '10.0.0.1', 7000, 'recife', 'nordeste', 5, 1, TARGET)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -5,9 +5,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.digest import Digest
-from daisyline.coordination.gossip_records import MemberRecord, MemberState
-from daisyline.coordination.membership import (
+from daisyline.coordination.membership.digest import Digest
+from daisyline.coordination.membership.gossip_records import (
+    MemberRecord,
+    MemberState,
+)
+from daisyline.coordination.membership.membership import (
     SUSPICION_TIMEOUT_S,
     TOMBSTONE_OVERRIDE_AGE_S,
     Membership,
--- a/tests/coordination/test_overlay.py
+++ b/tests/coordination/membership/test_overlay.py
@@ -1,6 +1,6 @@
 """The overlay connects all members in few steps."""
 
-from daisyline.coordination.overlay import FANOUT, Overlay
+from daisyline.coordination.membership.overlay import FANOUT, Overlay
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_rejoin.py
+++ b/tests/coordination/membership/test_rejoin.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from daisyline.coordination.gossip_messages import Join
-from daisyline.coordination.overlay import RING_COUNT
-from daisyline.coordination.rejoin import (
+from daisyline.coordination.membership.gossip_messages import Join
+from daisyline.coordination.membership.overlay import RING_COUNT
+from daisyline.coordination.membership.rejoin import (
     INTERVAL_S_PER_MEMBER,
     RECENT_INTERVAL_S,
     RECENT_WINDOW_S,
--- a/tests/coordination/test_seeds.py
+++ b/tests/coordination/membership/test_seeds.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from daisyline.coordination.seeds import (
+from daisyline.coordination.membership.seeds import (
     MAX_LISTED_SEEDS,
     MIN_LIVE_SEEDS,
     addresses_in,
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -16,14 +16,14 @@
     PlatformWrite,
     Send,
 )
-from daisyline.coordination.fleet import Fleet
-from daisyline.coordination.fleet_events import (
+from daisyline.coordination.membership.fleet import Fleet
+from daisyline.coordination.membership.fleet_events import (
     GossipMessageReceived,
     SendToAddress,
     SettingsChanged,
     SettingsRefused,
 )
-from daisyline.coordination.platform_reading import PlatformReadConfig
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.state.members import Member
 from tests.support import fixture
 
--- a/tests/coordination/test_evidence.py
+++ b/tests/coordination/rollouts/test_evidence.py
@@ -5,15 +5,18 @@
 
 import attrs
 
-from daisyline.coordination.evidence import (
+from daisyline.coordination.rollouts.evidence import (
     MAX_COLD_S,
     MAX_ROUTES,
     Collector,
     bucket_of,
     choose_judges,
 )
-from daisyline.coordination.evidence_messages import Evidence, EvidenceRow
-from daisyline.coordination.rollout_judge import IGNORED_CRASHES, Judge
+from daisyline.coordination.rollouts.evidence_messages import (
+    Evidence,
+    EvidenceRow,
+)
+from daisyline.coordination.rollouts.rollout_judge import IGNORED_CRASHES, Judge
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import CallSample
 from tests.support import fixture, function_tests
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/rollouts/test_rollout.py
@@ -14,17 +14,20 @@
 
 from bench import rollout as faults
 from bench.rollout_fleet import SERVICE, TICK_S, Fleet
-from daisyline.coordination.evidence_messages import Evidence, EvidenceRow
-from daisyline.coordination.fact_events import FactChanged, PutFact
-from daisyline.coordination.rollout import Rollouts
-from daisyline.coordination.rollout_judge import (
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
+from daisyline.coordination.rollouts.evidence_messages import (
+    Evidence,
+    EvidenceRow,
+)
+from daisyline.coordination.rollouts.rollout import Rollouts
+from daisyline.coordination.rollouts.rollout_judge import (
     GUARDED_ALPHA,
     INCONCLUSIVE_E_VALUE,
     MIN_COMPARED_CALLS,
     Judge,
     Judgement,
 )
-from daisyline.coordination.rollout_schedule import decide, settle_s
+from daisyline.coordination.rollouts.rollout_schedule import decide, settle_s
 from daisyline.state.facts import Fact
 from daisyline.state.rollout_plan import RolloutPlan
 from daisyline.state.rollout_state import (
--- a/tests/coordination/test_sequential_test.py
+++ b/tests/coordination/rollouts/test_sequential_test.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.sequential_test import (
+from daisyline.coordination.rollouts.sequential_test import (
     Alternatives,
     Bet,
     Comparison,
--- a/tests/coordination/test_version_trial.py
+++ b/tests/coordination/rollouts/test_version_trial.py
@@ -4,9 +4,7 @@
 import random
 from collections import Counter
 
-from daisyline.coordination.policies import Candidate
-from daisyline.coordination.target_table import weight_by_share
-from daisyline.coordination.version_trial import (
+from daisyline.coordination.rollouts.version_trial import (
     BURST_LOAD_FACTOR,
     BURST_PERIOD_S,
     BURST_SHARE_FRACTION,
@@ -14,6 +12,8 @@
     VersionTrial,
     concentrate_share,
 )
+from daisyline.coordination.routing.policies import Candidate
+from daisyline.coordination.routing.target_table import weight_by_share
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.policies import (
+from daisyline.coordination.calls.retries import MAX_ATTEMPTS
+from daisyline.coordination.routing.policies import (
     Candidate,
     ExpectedWait,
     LeastOutstanding,
@@ -14,9 +15,8 @@
     WeightedRandom,
     ZoneAwareWait,
 )
-from daisyline.coordination.retries import MAX_ATTEMPTS
-from daisyline.coordination.routing import Router
-from daisyline.coordination.weight_ramp import ramp_fraction
+from daisyline.coordination.routing.routing import Router
+from daisyline.coordination.routing.weight_ramp import ramp_fraction
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.targets import LoadReport
 from tests.support import function_tests
--- a/tests/coordination/test_target_table.py
+++ b/tests/coordination/routing/test_target_table.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-from daisyline.coordination.target_table import MAX_LEFT_TARGETS, TargetTable
+from daisyline.coordination.routing.target_table import (
+    MAX_LEFT_TARGETS,
+    TargetTable,
+)
 from daisyline.state.members import Member
 from daisyline.state.targets import Phase, Target
 from tests.support import function_tests
--- a/tests/coordination/test_traffic_split.py
+++ b/tests/coordination/routing/test_traffic_split.py
@@ -6,7 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisyline.coordination.traffic_split import MAX_ROUTES, TrafficSplit
+from daisyline.coordination.routing.traffic_split import (
+    MAX_ROUTES,
+    TrafficSplit,
+)
 from daisyline.state.routes import Route
 from tests.support import function_tests
 
--- a/tests/coordination/test_zone_choice.py
+++ b/tests/coordination/routing/test_zone_choice.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from daisyline.coordination.policies import Candidate, ZoneAwareWait
-from daisyline.coordination.routing import Router, zone_preference_ms
+from daisyline.coordination.routing.policies import Candidate, ZoneAwareWait
+from daisyline.coordination.routing.routing import Router, zone_preference_ms
 from daisyline.state.limits import Limits
 from daisyline.state.routes import Route
 from daisyline.state.targets import LoadReport
--- a/tests/coordination/test_kind_reader.py
+++ b/tests/coordination/settings/test_kind_reader.py
@@ -7,7 +7,7 @@
     PlatformReply,
     PlatformWatch,
 )
-from daisyline.coordination.kind_reader import (
+from daisyline.coordination.settings.kind_reader import (
     REPLY_GRACE_S,
     RETRY_MAX_S,
     WATCH_MS,
--- a/tests/coordination/test_platform_calls.py
+++ b/tests/coordination/settings/test_platform_calls.py
@@ -4,9 +4,12 @@
 from typing import Any
 
 from daisyline.coordination.effects import PlatformList
-from daisyline.coordination.order_reading import ROLLOUTS_KIND, ZONES_KIND
-from daisyline.coordination.platform_reading import PlatformReadConfig
-from daisyline.coordination.reader_role import SETTINGS_KIND
+from daisyline.coordination.settings.order_reading import (
+    ROLLOUTS_KIND,
+    ZONES_KIND,
+)
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
+from daisyline.coordination.settings.reader_role import SETTINGS_KIND
 from tests.coordination.pump import Pump, make_pump, settings_value
 from tests.support import fixture, function_tests
 
--- a/tests/coordination/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -3,7 +3,7 @@
 import random
 
 from daisyline.coordination.effects import PlatformWatch
-from daisyline.coordination.reader_role import (
+from daisyline.coordination.settings.reader_role import (
     FIRST_WATCH_DELAY_S,
     HANDOVER_OVERLAP_S,
     SETTINGS_KIND,
--- a/tests/coordination/test_settings_change.py
+++ b/tests/coordination/settings/test_settings_change.py
@@ -5,14 +5,14 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from daisyline.coordination.settings_change import SettingsChange
-from daisyline.coordination.settings_intents import (
+from daisyline.coordination.settings.settings_change import SettingsChange
+from daisyline.coordination.settings.settings_intents import (
     PutTree,
     SetZone,
     StartRollout,
     StopRollout,
 )
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_results import (
     Applied,
     Conflicted,
     InvalidTree,
--- a/tests/coordination/test_settings_events.py
+++ b/tests/coordination/settings/test_settings_events.py
@@ -3,7 +3,10 @@
 import attrs
 
 from daisyline.coordination.events import MemberChanged, ZoneChanged
-from daisyline.coordination.settings_events import member_events, zone_events
+from daisyline.coordination.settings.settings_events import (
+    member_events,
+    zone_events,
+)
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from tests.support import function_tests
--- a/tests/coordination/test_settings_propagation.py
+++ b/tests/coordination/settings/test_settings_propagation.py
@@ -1,6 +1,8 @@
 """A change is in force once every node that was ever seen has it."""
 
-from daisyline.coordination.settings_propagation import SettingsPropagation
+from daisyline.coordination.settings.settings_propagation import (
+    SettingsPropagation,
+)
 from daisyline.state.fleet_status import FleetStatus, MemberStatus
 from tests.support import function_tests
 
--- a/tests/coordination/test_settings_spread.py
+++ b/tests/coordination/settings/test_settings_spread.py
@@ -6,15 +6,15 @@
 from hypothesis import strategies as st
 
 from daisyline.coordination.effects import Send
-from daisyline.coordination.fleet_events import (
+from daisyline.coordination.membership.fleet_events import (
     SettingsChanged,
     SettingsRefused,
 )
-from daisyline.coordination.gossip_messages import (
+from daisyline.coordination.membership.gossip_messages import (
     SettingsContent,
     SettingsRequest,
 )
-from daisyline.coordination.settings_spread import (
+from daisyline.coordination.settings.settings_spread import (
     MAX_CONTENT_BYTES,
     OTHER_ANSWERS_WAIT_S,
     START_WAIT_S,
--- a/tests/coordination/settings_platform.py
+++ b/tests/coordination/settings_platform.py
@@ -11,9 +11,9 @@
     PlatformReply,
     PlatformWrite,
 )
-from daisyline.coordination.settings_change import SettingsChange
-from daisyline.coordination.settings_intents import PutTree
-from daisyline.coordination.settings_results import (
+from daisyline.coordination.settings.settings_change import SettingsChange
+from daisyline.coordination.settings.settings_intents import PutTree
+from daisyline.coordination.settings.settings_results import (
     Applied,
     Author,
     Pause,
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -3,13 +3,13 @@
 import random
 from typing import Any
 
-from daisyline.coordination import call_events as ev
 from daisyline.coordination import events as log
 from daisyline.coordination import node_handlers
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls.quarantine import fingerprint
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import NodeCore
-from daisyline.coordination.quarantine import fingerprint
-from daisyline.coordination.reader_role import SETTINGS_KIND
+from daisyline.coordination.settings.reader_role import SETTINGS_KIND
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Phase, Target
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from daisyline.coordination.registration import Announcement
+from daisyline.coordination.calls.registration import Announcement
 from daisyline.platform.boot import Boot
 from daisyline.platform.notices import NoticeReader
 from daisyline.protocol.front_end import LeaveNotice
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -9,7 +9,7 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from daisyline.coordination import messages as msg
+from daisyline.coordination.calls import messages as msg
 from daisyline.protocol.frames import (
     MAX_FRAME_BYTES,
     BadFrame,
@@ -17,7 +17,7 @@
     FrameEncoder,
 )
 from tests.builders import run_message
-from tests.coordination.test_gossip_messages import MESSAGES
+from tests.coordination.membership.test_gossip_messages import MESSAGES
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/state/test_orders.py
+++ b/tests/state/test_orders.py
@@ -2,8 +2,8 @@
 
 import types
 
-from daisyline.coordination.kind_reader import ReadObject, ReadResult
-from daisyline.coordination.order_reading import (
+from daisyline.coordination.settings.kind_reader import ReadObject, ReadResult
+from daisyline.coordination.settings.order_reading import (
     ROLLOUTS_KIND,
     ZONES_KIND,
     orders_in,
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -15,16 +15,11 @@
 
 import attrs
 
-from daisyline.coordination import (
-    events,
-    evidence_messages,
-    gossip_records,
-    order_reading,
-    quarantine,
-    reader_role,
-    rollout_record,
-    seeds,
-)
+from daisyline.coordination import events
+from daisyline.coordination.calls import quarantine
+from daisyline.coordination.membership import gossip_records, seeds
+from daisyline.coordination.rollouts import evidence_messages, rollout_record
+from daisyline.coordination.settings import order_reading, reader_role
 from daisyline.platform.boot import Boot
 from daisyline.platform.kinds import kinds_of
 from daisyline.programs import node_settings, operator
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     AnswerBytesDelivered,
     AnswerCaller,
     AnswerCallerPart,
--- a/tests/transport/test_faulty_targets.py
+++ b/tests/transport/test_faulty_targets.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     StartTargetCall,
     TargetAnswerHead,
     TargetCallFailed,
--- a/tests/transport/test_ports.py
+++ b/tests/transport/test_ports.py
@@ -6,7 +6,10 @@
 
 import attrs
 
-from daisyline.coordination.call_events import AnswerCaller, RequestReceived
+from daisyline.coordination.calls.call_events import (
+    AnswerCaller,
+    RequestReceived,
+)
 from daisyline.state.settings import Settings
 from daisyline.transport.ports import Ports
 from tests.support import fixture, function_tests
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     CallMessageReceived,
     InboundStreamLost,
     MessageUndelivered,
     StreamLost,
 )
-from daisyline.coordination.messages import (
+from daisyline.coordination.calls.messages import (
     CancelCall,
     Hello,
     Ping,
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -3,7 +3,7 @@
 import itertools
 from unittest import mock
 
-from daisyline.coordination.call_events import (
+from daisyline.coordination.calls.call_events import (
     StartTargetCall,
     TargetAnswerHead,
     TargetAnswerPart,
