Do work for the members that changed, not for all

Cause: each change of a member, such as the phase of its target, compared the records of all members, rebuilt the table of targets and chose the readers anew. Change: the log, the table of targets and the choice of readers take the names that changed. The judges of rollouts are chosen again only if a member joined or left.

--- a/daisyline/coordination/calls/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -133,9 +133,17 @@
         self.budgets.use_settings(settings)
         self.table.use_settings(settings, now)
 
-    def use_members(self, members: Iterable[Member], now: float) -> None:
-        """Replace the members, which share the reserve of retries."""
-        self.table.use_members(members, now)
+    def update_members(
+        self, changed: Iterable[Member], removed: Iterable[str], now: float
+    ) -> None:
+        """Apply changes of the members, which share the reserve of retries.
+
+        Args:
+            changed: The members that are new or have changed.
+            removed: The names of the members to remove.
+            now: Monotonic seconds.
+        """
+        self.table.update_members(changed, removed, now)
         self.budgets.use_nodes(len(self.table.members))
 
     def accept(self, request: ev.RequestReceived, now: float) -> Effects:
--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -245,7 +245,7 @@
         for name in removed:
             effects.extend(gossip.forget_member(name, now))
         if changed or removed:
-            gossip.reader_role.update_role(self.members.values(), now)
+            gossip.reader_role.update_role(self.members, changed, removed, now)
             effects.append(MembersChanged(changed, removed))
         gossip.holders.restart_if_changed(now)
         return effects
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -120,7 +120,7 @@
         core.entry.is_suspect = core.is_suspect
         core.entry.suspected_nodes = lambda: core.fleet.suspects
         core.target_side.check_call = core.check_call
-        core.entry.use_members(core.fleet.members.values(), now)
+        core.entry.update_members(core.fleet.members.values(), (), now)
         return core
 
     def next_at(self) -> float:
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -211,11 +211,15 @@
 def _(
     effect: fleet_events.MembersChanged, core: NodeCore, now: float
 ) -> Effects:
-    members = core.entry.table.members
-    for event in member_events(members, core.fleet.members, now):
+    known, live = core.entry.table.members, core.fleet.members
+    changed = [live[name] for name in effect.changed if name in live]
+    has_joined = any(name not in known for name in effect.changed)
+    names = (*effect.changed, *effect.removed)
+    for event in member_events(names, known, live, now):
         core.events.add(event)
-    core.entry.use_members(core.fleet.members.values(), now)
-    core.rollouts.replace_members(tuple(core.fleet.members))
+    core.entry.update_members(changed, effect.removed, now)
+    if has_joined or effect.removed:
+        core.rollouts.replace_members(tuple(live))
     return []
 
 
--- a/daisyline/coordination/routing/target_table.py
+++ b/daisyline/coordination/routing/target_table.py
@@ -85,21 +85,35 @@
         self._cache.clear()
 
     def use_members(self, members: Iterable[Member], now: float) -> None:
-        """Replace the members.
+        """Replace all members."""
+        by_name = {member.name: member for member in members}
+        removed = set(self._members) - set(by_name)
+        self.update_members(by_name.values(), removed, now)
+
+    def update_members(
+        self, changed: Iterable[Member], removed: Iterable[str], now: float
+    ) -> None:
+        """Add or replace members, and remove others.
 
         Targets known from the first update on already serve calls. Only
         targets that appear later start with a part of their weight.
+
+        Args:
+            changed: The members that are new or have changed.
+            removed: The names of the members to remove.
+            now: Monotonic seconds.
         """
         if self._started_at is None:
             self._started_at = now
-        by_name = {member.name: member for member in members}
-        for name, member in by_name.items():
+        for member in changed:
+            self._members[member.name] = member
             if member.target is not None:
-                self._record_first_seen(name, member.target.instance, now)
+                instance = member.target.instance
+                self._record_first_seen(member.name, instance, now)
                 self._record_leaving(member.target)
-        for name in set(self._first_seen) - set(by_name):
-            self._first_seen.pop(name)
-        self._members = by_name
+        for name in removed:
+            self._members.pop(name, None)
+            self._first_seen.pop(name, None)
         self._cache.clear()
 
     def candidates(self, service: str, now: float) -> tuple[Candidate, ...]:
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -4,7 +4,7 @@
 import heapq
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -44,6 +44,8 @@
 RETRY_S_PER_MEMBER = 1.0
 _MAX_CACHED_RANKS = 4096
 
+_Traits = tuple[str, str, bool]
+
 
 def select_readers(members: Iterable[Member], region: str) -> list[str]:
     """Return the names of the members that read the platform for a region.
@@ -71,6 +73,11 @@
     return chosen + heapq.nsmallest(missing, spare, key=_rank)
 
 
+def _traits_of(member: Member) -> _Traits:
+    """Return what decides whether a member is a reader."""
+    return (member.region, member.zone, member.platform_unreadable)
+
+
 @functools.lru_cache(maxsize=_MAX_CACHED_RANKS)
 def _rank(name: str) -> int:
     return stable_hash(f'reader/{name}')
@@ -95,6 +102,7 @@
     _has_peers: bool = False
     _reading_until: float = 0
     _unreadable: set[str] = attrs.field(factory=set)
+    _traits: dict[str, _Traits] = attrs.field(factory=dict)
 
     @classmethod
     def from_kinds(
@@ -155,9 +163,33 @@
             self._platform_confirmations = confirmations
             self._confirmed_at = now
 
-    def update_role(self, members: Iterable[Member], now: float) -> None:
-        """Start or stop being a reader after a change of the members."""
-        chosen = select_readers(members, self._region)
+    def update_role(
+        self,
+        members: Mapping[str, Member],
+        changed: Iterable[str],
+        removed: Iterable[str],
+        now: float,
+    ) -> None:
+        """Start or stop being a reader after a change of the members.
+
+        Args:
+            members: The live members, by name.
+            changed: The names of the members that are new or have changed.
+            removed: The names of the members that were removed.
+            now: Monotonic seconds.
+        """
+        traits = {name: _traits_of(members[name]) for name in changed}
+        is_same = all(
+            self._traits.get(name) == new for name, new in traits.items()
+        )
+        self._traits.update(traits)
+        for name in removed:
+            is_same = False
+            self._traits.pop(name, None)
+        # Targets change often, which is no reason to choose anew.
+        if is_same:
+            return
+        chosen = select_readers(members.values(), self._region)
         was_chosen = math.isinf(self._reading_until)
         if self._name in chosen:
             self._reading_until = math.inf
--- a/daisyline/coordination/settings/settings_events.py
+++ b/daisyline/coordination/settings/settings_events.py
@@ -1,6 +1,6 @@
 """Builds the recorded events that changed settings and members lead to."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from daisyline.coordination.events import Event, MemberChanged, ZoneChanged
 from daisyline.state.members import Member
@@ -30,17 +30,21 @@
 
 
 def member_events(
-    old: Mapping[str, Member], new: Mapping[str, Member], now: float
+    names: Iterable[str],
+    old: Mapping[str, Member],
+    new: Mapping[str, Member],
+    now: float,
 ) -> list[Event]:
     """Return an event for each member that joined, changed or was removed.
 
     Args:
+        names: The names of the members that may have changed.
         old: The members known before, by name.
         new: The members known now, by name.
         now: Monotonic seconds.
     """
     events: list[Event] = []
-    for name in sorted({*old, *new}):
+    for name in sorted(set(names)):
         before, after = old.get(name), new.get(name)
         known = after or before
         if before != after and known is not None:
--- a/tests/coordination/routing/test_target_table.py
+++ b/tests/coordination/routing/test_target_table.py
@@ -1,5 +1,7 @@
 """Targets that have left are not used again after a node restarts."""
 
+import random
+
 import attrs
 
 from daisyline.coordination.routing.target_table import (
@@ -58,3 +60,25 @@
         left = attrs.evolve(LEAVING, instance=f'i-{number}')
         table.use_members([_member(left)], number)
     assert len(table._left) == MAX_LEFT_TARGETS
+
+
+def test_changes_one_by_one_lead_to_the_same_candidates() -> None:
+    rng = random.Random(1)
+    whole, by_changes = TargetTable(), TargetTable()
+    members: dict[str, Member] = {}
+    for now in range(200):
+        name = f'n{rng.randrange(12)}'
+        removed = [name] if rng.randrange(3) == 0 else []
+        changed = []
+        if removed:
+            members.pop(name, None)
+        else:
+            phase = rng.choice(list(Phase))
+            target = attrs.evolve(TARGET, phase=phase, instance=f'i-{now}')
+            members[name] = attrs.evolve(_member(target), name=name)
+            changed.append(members[name])
+        whole.use_members(members.values(), now)
+        by_changes.update_members(changed, removed, now)
+        assert set(whole.candidates('docs', now)) == set(
+            by_changes.candidates('docs', now)
+        )
--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -1,6 +1,7 @@
 """Only a few nodes read the platform, and readers that fail are replaced."""
 
 import random
+from unittest import mock
 
 from daisyline.coordination.effects import PlatformWatch
 from daisyline.coordination.settings.reader_role import (
@@ -10,11 +11,14 @@
     ReaderRole,
 )
 from daisyline.state.members import Member
+from daisyline.state.targets import Phase, Target
 from tests.coordination.pump import Pump, make_pump, settings_value
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
 
+MODULE = 'daisyline.coordination.settings.reader_role'
+
 # The required time until an acknowledged change is in force.
 IN_FORCE_S = 2.0
 
@@ -154,3 +158,19 @@
     return all(
         fleet.settings.version == version for fleet in pump.live().values()
     )
+
+
+def test_a_change_of_a_target_chooses_no_readers_anew(
+    twelve_nodes: Pump,
+) -> None:
+    fleet = twelve_nodes.live()['n3']
+    target = Target('docs', '1', 'i', '10.0.0.3', 80, Phase.READY)
+    with mock.patch(f'{MODULE}.select_readers') as select:
+        effects = fleet.set_target(target, twelve_nodes.now)
+        twelve_nodes.carry_out('n3', effects)
+        twelve_nodes.run(1)
+    assert not select.called
+    assert all(
+        fleet.members['n3'].target == target
+        for fleet in twelve_nodes.live().values()
+    )
--- a/tests/coordination/settings/test_settings_events.py
+++ b/tests/coordination/settings/test_settings_events.py
@@ -40,7 +40,7 @@
         'moved': attrs.evolve(changed, revision=1),
         'late': attrs.evolve(unchanged, name='late'),
     }
-    assert member_events(old, new, 5) == [
+    assert member_events({*old, *new}, old, new, 5) == [
         MemberChanged(5, node='gone', zone='ghent-b', state='gone'),
         MemberChanged(5, node='late', zone='ghent-a', state='joined'),
         MemberChanged(5, node='moved', zone='ghent-a', state='changed'),
