Let daisyline explain read the logs of nodes

A call is found by its caller's id, too. Measured: test_decisions_are_read_from_logs_without_any_node.

--- a/daisyline/programs/operator_fleet.py
+++ b/daisyline/programs/operator_fleet.py
@@ -2,10 +2,12 @@
 
 import functools
 import operator
-from typing import Any, Literal
+import pathlib
+from typing import Annotated, Any, Literal
 from urllib import parse as urls
 
 import attrs
+import cyclopts
 
 from daisyline.programs.operator_context import (
     DEFAULT_FLAGS,
@@ -25,6 +27,7 @@
     print_progress,
     print_table,
 )
+from daisyline.protocol.decision_lines import find_decisions
 from daisyline.protocol.operator_answers import (
     MAX_MERGED_SERIES,
     merge_histograms,
@@ -68,6 +71,9 @@
     /,
     *,
     every_node: bool = False,
+    log: Annotated[
+        tuple[pathlib.Path, ...], cyclopts.Parameter(negative='')
+    ] = (),
     common: CommonFlags = DEFAULT_FLAGS,
 ) -> int:
     """Show the decisions of nodes on a call, target, zone or rollout.
@@ -76,12 +82,16 @@
         kind: The kind of object.
         name: The object's name or id.
         every_node: Query all nodes, not only those listed by --nodes.
+        log: Read the nodes' logs from files in place of asking nodes.
         common: Flags of every command.
     """
-    query = urls.urlencode({'kind': kind, 'name': name})
-    events = _query_events(
-        urls_to_query(common, every_node), f'/explain?{query}'
-    )
+    if log:
+        events = _logged_events(log, kind, name)
+    else:
+        query = urls.urlencode({'kind': kind, 'name': name})
+        events = _query_events(
+            urls_to_query(common, every_node), f'/explain?{query}'
+        )
     if common.as_json:
         print_json({'events': [attrs.asdict(event) for event in events]})
     else:
@@ -110,6 +120,26 @@
     return ExitCode.DONE
 
 
+def _logged_events(
+    paths: tuple[pathlib.Path, ...], kind: str, name: str
+) -> list[RecordedEvent]:
+    """Return the decisions in log files, oldest first.
+
+    Raises:
+        UserError: If a file can't be read.
+    """
+    events: list[RecordedEvent] = []
+    for path in paths:
+        try:
+            with path.open(encoding='utf-8', errors='replace') as lines:
+                events.extend(find_decisions(lines, kind, name))
+        except OSError as error:
+            raise UserError(
+                (f'{path}: {error.strerror}',), ExitCode.FAILED
+            ) from error
+    return sorted(events, key=operator.attrgetter('at'))
+
+
 def _query_events(node_urls: list[str], path: str) -> list[RecordedEvent]:
     """Return the events of the nodes, oldest first.
 
--- a/daisyline/transport/request_reader.py
+++ b/daisyline/transport/request_reader.py
@@ -15,6 +15,7 @@
 from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.routing.traffic_split import TrafficSplit
+from daisyline.protocol.decision_lines import CALLER_ID_END
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
@@ -142,7 +143,7 @@
         if not request_id:
             return own_id
         named = request_id[:_MAX_REQUEST_ID_BYTES].decode('latin-1')
-        return f'{named}~{own_id}'
+        return f'{named}{CALLER_ID_END}{own_id}'
 
     def _routing_failure(self, route: Route | None) -> Failure | None:
         """Return why a request cannot be routed, or None."""
--- a/tests/programs/test_operator.py
+++ b/tests/programs/test_operator.py
@@ -276,3 +276,33 @@
     code, _, messages = rig.command('config', 'show')
     assert code == 4
     assert 'platform' in messages
+
+
+def test_decisions_are_read_from_logs_without_any_node(rig: Rig) -> None:
+    lines = (
+        '{"time": 2.5, "at_node": "n2", "event": "Admitted", "call": "c1~n1-7"}',
+        '0.1 n1 {"time": 1.5, "at_node": "n1", "event": "Picked", '
+        '"call": "c1~n1-7", "target": "n2", "attempt": 1}',
+        '{"time": 3, "at_node": "n1", "event": "Answered", "call": "c12"}',
+        'not a decision {"time": "x", "event": 1, "call": "c1"}',
+        '{"time": 1, "call": "c1"',
+        '[' * 10_000,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        log = pathlib.Path(folder, 'node.log')
+        log.write_text('\n'.join(lines))
+        by_caller = rig.command('explain', 'call', 'c1', '--log', str(log))
+        whole = rig.command(
+            'explain', 'call', 'c1~n1-7', '--log', str(log), '--json'
+        )
+        absent = rig.command('explain', 'call', 'c1', '--log', f'{log}.gone')
+    code, output, _ = by_caller
+    shown = output.splitlines()
+    assert (code, len(shown)) == (0, 3)
+    assert 'Picked' in shown[1]
+    assert 'target=n2' in shown[1]
+    assert 'Admitted' in shown[2]
+    events = json.loads(whole[1])['events']
+    assert [event['at'] for event in events] == [1.5, 2.5]
+    assert absent[0] != 0
+    assert 'node.log.gone' in absent[2]
