Let the writers of a zone's seeds list members other than themselves

Cause: since two members of a zone write its seeds, both could be listed while a third was not, and nobody added it: a node added itself only. Found by test_seeds_of_stopped_nodes_are_replaced with other random numbers. A write that always conflicts, as with an object that lists leave out, brought a list and a write every quarter of a second. Change: a writer adds any live member of its zone while fewer than three are listed. The list after a conflict comes later the more writes in a row met one. Measured: test_seeds_of_stopped_nodes_are_replaced_whatever_the_order over three seeds, and test_writes_that_always_conflict_bring_few_calls, which fails before (over 90 calls in 60 s).

--- a/daisyline/coordination/membership/seeds.py
+++ b/daisyline/coordination/membership/seeds.py
@@ -80,6 +80,7 @@
     _review_count: int = 0
     _peers_contacted: bool = False
     _lone_review_count: int = 0
+    _conflicts: int = 0
     _needs_current_list: bool = False
     _is_list_stale: bool = False
 
@@ -125,6 +126,7 @@
             return []
         live = tuple(members)
         if reply.status == _CONFLICT:
+            self._conflicts = min(self._conflicts + 1, MAX_DOUBLINGS)
             self._review_currently(now)
             return []
         if reply.status != _OK:
@@ -135,6 +137,7 @@
         if isinstance(reply.content, (list, tuple)):
             self._next_review_at = now + self._review_pause(len(live))
             return self._process_list(reply.content, live, now)
+        self._conflicts = 0
         # Nodes that started together were not in the list yet, so the next
         # review comes soon.
         pause_s = FIRST_WRITE_DELAY_S if len(live) == 1 else FIRST_REVIEW_MIN_S
@@ -218,9 +221,10 @@
             if member.zone == self._own_member.zone
         }
         live_seeds = [entry for entry in self._zone_seeds if entry in known]
-        if own in live_seeds or len(live_seeds) >= MIN_LIVE_SEEDS:
+        lacking = known.difference(live_seeds)
+        if len(live_seeds) >= MIN_LIVE_SEEDS or not lacking:
             return []
-        kept = [own, *live_seeds]
+        kept = [own, *live_seeds] if own in lacking else live_seeds
         spare = sorted(known.difference(kept))
         added = self._rng.sample(
             spare, min(len(spare), MAX_LISTED_SEEDS - len(kept))
@@ -259,11 +263,16 @@
         )
 
     def _review_currently(self, now: float) -> None:
-        """Schedule a list of the present seeds soon."""
+        """Schedule a list of the present seeds.
+
+        It comes soon after a race that was lost, and later the more writes in a
+        row met a conflict.
+        """
         self._token = ''
         self._failures = 0
         self._needs_current_list = True
-        self._next_review_at = now + jittered(self._rng, FIRST_WRITE_DELAY_S)
+        pause_s = min(RETRY_MAX_S, FIRST_WRITE_DELAY_S * 2**self._conflicts)
+        self._next_review_at = now + jittered(self._rng, pause_s)
 
     def _new_token(self, now: float) -> str:
         nonce = new_nonce(self._rng)
--- a/tests/coordination/membership/test_seeds.py
+++ b/tests/coordination/membership/test_seeds.py
@@ -1,12 +1,16 @@
 """The platform lists a few live nodes of each zone, despite races."""
 
 import functools
+import random
 
+from daisyline.coordination.effects import PlatformReply, PlatformWrite
 from daisyline.coordination.membership.seeds import (
     MAX_LISTED_SEEDS,
     MIN_LIVE_SEEDS,
+    SeedDiscovery,
     addresses_in,
 )
+from daisyline.state.members import Member
 from tests.coordination.pump import PORT, ZONES, Pump, make_pump
 from tests.support import function_tests
 
@@ -14,6 +18,9 @@
 
 FAULTS_S = 30
 JOIN_BOUND_S = 120
+CONFLICT_S = 60
+#: A write and two lists, at most once in two seconds.
+CONFLICT_CALLS = 90
 
 
 def seeds_of(pump: Pump, zone: str) -> list[tuple[str, int]]:
@@ -29,7 +36,20 @@
         )
 
 
+def test_seeds_of_stopped_nodes_are_replaced_whatever_the_order() -> None:
+    for seed in range(3):
+        pump = make_pump(seed)
+        for number in range(12):
+            pump.start(number)
+        pump.run(20)
+        _replace_two_seeds(pump)
+
+
 def test_seeds_of_stopped_nodes_are_replaced(twelve_nodes: Pump) -> None:
+    _replace_two_seeds(twelve_nodes)
+
+
+def _replace_two_seeds(twelve_nodes: Pump) -> None:
     for number in (0, 4):
         twelve_nodes.stop(f'n{number}')
     twelve_nodes.start(12)
@@ -68,3 +88,23 @@
         {'addresses': [1, ['a'], [1, 1]]},
     ):
         assert not addresses_in(malformed)
+
+
+def test_writes_that_always_conflict_bring_few_calls() -> None:
+    member = Member('n1', '10.0.0.1', PORT, 'ghent-a', 'flanders', 1)
+    discovery = SeedDiscovery(member, (), random.Random(1), 0)
+    calls = 0
+    while discovery.next_at() < CONFLICT_S:
+        now = discovery.next_at()
+        for effect in discovery.tick([member], now)[1]:
+            calls += 1
+            is_write = isinstance(effect, PlatformWrite)
+            # The object exists, but a list doesn't return it.
+            reply = PlatformReply(
+                effect.token,
+                409 if is_write else 200,
+                1,
+                None if is_write else (),
+            )
+            discovery.handle_reply(reply, [member], now)
+    assert calls < CONFLICT_CALLS
