--- a/tests/coordination/calls/test_target_side.py
+++ b/tests/coordination/calls/test_target_side.py
@@ -257,3 +257,39 @@
         effects += target_side_handlers.handle(part, side, now)
         effects += target_side_handlers.tick(side, now)
     return effects
+
+
+def test_a_call_whose_deadline_passed_in_a_pause_does_not_start() -> None:
+    for pause_s in (1, 3, 10, 60):
+        side = TargetSide.from_config('n', 'z', EventLog.from_config())
+        limits = {'services': {'docs': {'slots_per_upstream': 1}}}
+        side.use_settings(Settings.from_tree(1, limits), 0)
+        side.use_target(Target('docs', 'v1', 'i', '127.0.0.1', 1), 0)
+        for call in ('running', 'waiting'):
+            run = run_message(call, budget_ms=900)
+            received = ev.CallMessageReceived('e', run)
+            target_side_handlers.handle(received, side, 0)
+        now = float(pause_s)
+        effects = [
+            *target_side_handlers.handle(ev.ProcessPaused(now), side, now),
+            # The answer lay in the socket of the target's connection.
+            *target_side_handlers.handle(
+                ev.TargetAnswerHead('running', 200, (), b'', last=True),
+                side,
+                now,
+            ),
+            *target_side_handlers.tick(side, now),
+        ]
+        started = [
+            effect.call
+            for effect in effects
+            if isinstance(effect, ev.StartTargetCall)
+        ]
+        refused = [
+            effect.message.call
+            for effect in effects
+            if isinstance(effect, ev.SendReply)
+            and isinstance(effect.message, msg.CallRefused)
+        ]
+        assert not started, pause_s
+        assert refused == ['waiting'], pause_s
