Take no malformed answer for a crash of its target

Cause: a call whose answer could not be read failed as if its target had crashed, as this node closes the connection then. Change: only a connection that the target ends, or that breaks, counts as a crash. Measured: test_a_malformed_answer_is_no_crash_of_its_target fails before; test_a_connection_that_ends_before_its_answer_may_be_a_crash holds before and after.

--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -13,6 +13,7 @@
 from daisyline.protocol.answer_reader import AnswerReader, Declined
 from daisyline.protocol.dialect import Dialect, parse_pace
 from daisyline.protocol.http_messages import (
+    BrokenAnswer,
     End,
     Head,
     Part,
@@ -79,6 +80,7 @@
         self._sent = False
         self._head_reported = False
         self._cancelled = False
+        self._has_ended = False
         self.target = target
         self.call = ''
         self.started_at = pool.loop.now()
@@ -160,6 +162,7 @@
 
     def handle_eof(self) -> None:
         """Report the rest of an answer whose end the closing may mark."""
+        self._has_ended = True
         self._answers.feed(b'')
         if self.call:
             self._report_answer()
@@ -189,6 +192,8 @@
         self._report(self._answer_event(b''.join(body), last=False))
         if isinstance(event, Declined):
             self._report_failure('the target declined it', declined=True)
+        elif isinstance(event, BrokenAnswer) and not self._has_ended:
+            self._report_failure('the answer is malformed', crashed=False)
         if event is not None:
             self._connection.abort()
 
@@ -252,13 +257,23 @@
         if event is not None:
             self._pool.on_event(event)
 
-    def _report_failure(self, detail: str, *, declined: bool = False) -> None:
+    def _report_failure(
+        self, detail: str, *, declined: bool = False, crashed: bool = True
+    ) -> None:
+        """Report the call in progress, if any, as failed.
+
+        Args:
+            detail: The cause.
+            declined: Whether the target reported that it did not run the call.
+            crashed: Whether the target may have closed the connection, as it
+                does when it crashes.
+        """
         call = self.call
         self.call = ''
         if call:
             sent = self._sent
             self._pool.on_event(
-                TargetCallFailed(call, sent, sent, detail, declined)
+                TargetCallFailed(call, sent, sent and crashed, detail, declined)
             )
 
 
--- a/tests/transport/test_faulty_targets.py
+++ b/tests/transport/test_faulty_targets.py
@@ -27,6 +27,7 @@
     request_id=b'x-id', declined=b'x-declined', signature=b'x-signed'
 )
 DIALECTS = (OWN_IDS, CALLER_IDS)
+LONG = b'a' * (MAX_HEAD_BYTES + 1)
 
 
 @attrs.define
@@ -265,3 +266,31 @@
         assert target.wait_for_failure().sent
         assert not target.answers()
         driver.events.clear()
+
+
+def test_a_malformed_answer_is_no_crash_of_its_target(
+    driver: LoopDriver,
+) -> None:
+    for answer in (b'HTTP/1.1 200 %s' % LONG, b'no answer\r\n\r\n'):
+        target = FaultyTarget.from_dialect(driver, CALLER_IDS)
+        target.start('a')
+        target.accept().send(answer)
+        failure = target.wait_for_failure()
+        assert failure.sent
+        assert not failure.crashed, answer[:20]
+        driver.events.clear()
+
+
+def test_a_connection_that_ends_before_its_answer_may_be_a_crash(
+    driver: LoopDriver,
+) -> None:
+    for missing_bytes in (1, 20):
+        target = FaultyTarget.from_dialect(driver, CALLER_IDS)
+        target.start('a')
+        peer = target.accept()
+        peer.send(target.answer('a')[:-missing_bytes])
+        peer.sock.close()
+        failure = target.wait_for_failure()
+        assert failure.sent
+        assert failure.crashed
+        driver.events.clear()
