--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -350,6 +350,15 @@
         heapq.heappush(self._queue, (when, next(self._order), action))
 
 
+def readers_of(pump: Pump) -> list[str]:
+    """Return the names of the live nodes that read the platform for others."""
+    return [
+        name
+        for name, fleet in pump.live().items()
+        if fleet._gossip.reader_role._reading
+    ]
+
+
 def make_pump(seed: int) -> Pump:
     """Return a pump without nodes."""
     rng = random.Random(seed)
--- a/tests/coordination/settings/test_pauses.py
+++ b/tests/coordination/settings/test_pauses.py
@@ -2,7 +2,12 @@
 
 import functools
 
-from tests.coordination.pump import Pump, make_pump, settings_value
+from tests.coordination.pump import (
+    Pump,
+    make_pump,
+    readers_of,
+    settings_value,
+)
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -22,14 +27,6 @@
     return pump
 
 
-def readers_of(pump: Pump) -> list[str]:
-    return [
-        name
-        for name, fleet in pump.live().items()
-        if fleet._gossip.reader_role._reading
-    ]
-
-
 def has_in_force(pump: Pump, version: int) -> bool:
     return all(
         fleet.settings.version == version for fleet in pump.live().values()
--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -12,7 +12,12 @@
 )
 from daisyline.state.members import Member
 from daisyline.state.targets import Phase, Target
-from tests.coordination.pump import Pump, make_pump, settings_value
+from tests.coordination.pump import (
+    Pump,
+    make_pump,
+    readers_of,
+    settings_value,
+)
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -45,11 +50,7 @@
 
 
 def test_readers_that_stop_are_replaced(twelve_nodes: Pump) -> None:
-    reading = [
-        name
-        for name, fleet in twelve_nodes.live().items()
-        if fleet._gossip.reader_role._reading
-    ]
+    reading = readers_of(twelve_nodes)
     # One in each of three zones, and two in the region that has one zone.
     assert len(reading) == 5
     for name in reading:
@@ -93,7 +94,7 @@
 def test_readers_that_the_platform_refuses_are_replaced_in_time(
     twelve_nodes: Pump,
 ) -> None:
-    first_readers = _reader_names(twelve_nodes)
+    first_readers = set(readers_of(twelve_nodes))
     assert len(first_readers) == 5
     twelve_nodes.refused_nodes = frozenset(first_readers)
     version = twelve_nodes.platform.put('settings', 'tree', settings_value())
@@ -101,16 +102,16 @@
         lambda: _all_have_version(twelve_nodes, version), IN_FORCE_S
     )
     twelve_nodes.run(HANDOVER_OVERLAP_S + 1)
-    assert not _reader_names(twelve_nodes) & first_readers
+    assert not set(readers_of(twelve_nodes)) & first_readers
     twelve_nodes.refused_nodes = frozenset()
     twelve_nodes.run(40)
-    assert _reader_names(twelve_nodes) == first_readers
+    assert set(readers_of(twelve_nodes)) == first_readers
 
 
 def test_readers_without_answers_of_the_platform_are_replaced(
     twelve_nodes: Pump,
 ) -> None:
-    twelve_nodes.unanswered_nodes = frozenset(_reader_names(twelve_nodes))
+    twelve_nodes.unanswered_nodes = frozenset(set(readers_of(twelve_nodes)))
     version = twelve_nodes.platform.put('settings', 'tree', settings_value())
     twelve_nodes.run_until(
         lambda: _all_have_version(twelve_nodes, version), IN_FORCE_S
@@ -127,7 +128,7 @@
     pump.run(FIRST_WATCH_DELAY_S - 0.1)
     assert PlatformWatch not in set(map(type, watches))
     pump.run(20)
-    assert len(_reader_names(pump)) == 5
+    assert len(set(readers_of(pump))) == 5
 
 
 def test_a_joining_node_with_peers_reads_only_the_settings() -> None:
@@ -146,14 +147,6 @@
         assert [call.kind for call in calls] == kinds
 
 
-def _reader_names(pump: Pump) -> set[str]:
-    return {
-        name
-        for name, fleet in pump.live().items()
-        if fleet._gossip.reader_role._reading
-    }
-
-
 def _all_have_version(pump: Pump, version: int) -> bool:
     return all(
         fleet.settings.version == version for fleet in pump.live().values()
