Log who reads the platform and how old a confirmation is

ReaderChanged says when a node was chosen or replaced, with the readers that it selects, the members that cannot read, and the age of its settings; a refusal for want of a route names the version and that age. The selection moves to a module of its own; its behaviour is unchanged.

Tests of settings, membership and external names pass.

--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -29,12 +29,6 @@
     return entry.accept(event, now)
 
 
-@handle.register
-def _(event: ev.RequestUnroutable, entry: Entry, now: float) -> Effects:
-    entry.record_refusal(event.call, '', event.failure, now)
-    return [ev.RefuseCaller(event.call, event.failure)]
-
-
 @handle.register
 def _(event: ev.CallMessageReceived, entry: Entry, now: float) -> Effects:
     call = entry.calls.get(getattr(event.message, 'call', ''))
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -156,6 +156,17 @@
     status: int = 0
 
 
+@attrs.frozen(slots=True)
+class ReaderChanged(Event):
+    """This node began or ceased to read the platform for other nodes."""
+
+    state: str = ''
+    age_ms: int = 0
+    readers: str = ''
+    unreadable: int = 0
+    members: int = 0
+
+
 @attrs.frozen(slots=True)
 class SettingsChanged(Event):
     """New settings came into force here."""
--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -42,8 +42,12 @@
 
     Methods take events and the time in monotonic seconds, and return effects.
     The caller must call `tick` no later than the time that `next_at` returns.
+
+    Attributes:
+        cluster: The name of the cluster.
     """
 
+    cluster: str
     _gossip: Gossip
     _seed_discovery: SeedDiscovery
     _read_config: PlatformReadConfig = attrs.field(factory=PlatformReadConfig)
@@ -76,6 +80,7 @@
         )
         seed_discovery = SeedDiscovery(own_member, peers, rng, now)
         return cls(
+            cluster=cluster,
             gossip=gossip,
             seed_discovery=seed_discovery,
             read_config=read_config,
@@ -86,11 +91,6 @@
         """Return this node's own member entry."""
         return self._gossip.members.own_member
 
-    @property
-    def cluster(self) -> str:
-        """Return the name of the cluster."""
-        return self._gossip.cluster
-
     @property
     def members(self) -> Mapping[str, Member]:
         """Return the live members by name, this node included."""
@@ -111,6 +111,10 @@
         """Return the facts by kind and name."""
         return self._gossip.fact_store.facts
 
+    def settings_age_s(self, now: float) -> float:
+        """Return the time since a read of the platform confirmed them."""
+        return self._gossip.reader_role.confirmation_age_s(now)
+
     @property
     def settings_versions(self) -> Mapping[str, int]:
         """Return the settings version known of each live member, by name."""
--- a/daisyline/coordination/membership/fleet_events.py
+++ b/daisyline/coordination/membership/fleet_events.py
@@ -85,6 +85,25 @@
     status: int
 
 
+@attrs.frozen
+class ReaderRoleChanged:
+    """This node began or ceased to read the platform for other nodes.
+
+    Attributes:
+        state: `chosen` or `replaced`.
+        age_s: The time since the settings were last confirmed, in seconds.
+        readers: The names of the readers that this node selects.
+        unreadable: The number of members that can't read the platform.
+        members: The number of live members.
+    """
+
+    state: str
+    age_s: float
+    readers: tuple[str, ...]
+    unreadable: int
+    members: int
+
+
 @attrs.frozen
 class MembersChanged:
     """Members have been added, changed or removed.
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -9,6 +9,8 @@
 from collections import deque
 from typing import Any
 
+import attrs
+
 from daisyline.coordination import events as log
 from daisyline.coordination import internal_effects
 from daisyline.coordination.calls import call_events as ev
@@ -26,11 +28,13 @@
 from daisyline.coordination.rollouts.evidence_messages import Evidence
 from daisyline.coordination.settings.settings_events import (
     member_events,
+    reading_event,
     zone_events,
 )
 from daisyline.state.orders import ORDER_KINDS
 
 _US_PER_S = 1_000_000
+_MS_PER_S = 1000
 
 _CALL_MESSAGES = (
     msg.RunCall,
@@ -117,6 +121,17 @@
     return core.fleet.handle(received, now)
 
 
+@_dispatch.register
+def _(event: ev.RequestUnroutable, core: NodeCore, now: float) -> Effects:
+    age_ms = int(core.fleet.settings_age_s(now) * _MS_PER_S)
+    version = core.fleet.settings.version
+    detail = f'settings {version} confirmed {age_ms} ms ago'
+    core.entry.record_refusal(
+        event.call, '', attrs.evolve(event.failure, detail=detail), now
+    )
+    return [ev.RefuseCaller(event.call, event.failure)]
+
+
 @_dispatch.register
 def _(event: ev.TargetAnnounced, core: NodeCore, now: float) -> Effects:
     if event.target is None:
@@ -241,16 +256,10 @@
     ]
 
 
-@_apply.register
-def _(
-    effect: fleet_events.PlatformReadabilityChanged, core: NodeCore, now: float
-) -> Effects:
-    state = 'regained' if effect.readable else 'lost'
-    core.events.add(
-        log.PlatformRead(
-            at=now, kind=effect.kind, state=state, status=effect.status
-        )
-    )
+@_apply.register(fleet_events.PlatformReadabilityChanged)
+@_apply.register(fleet_events.ReaderRoleChanged)
+def _(effect: Any, core: NodeCore, now: float) -> Effects:
+    core.events.add(reading_event(effect, now))
     return []
 
 
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -1,7 +1,5 @@
-"""Selects the nodes that read the platform, and schedules a node's reads."""
+"""Schedules one node's reads of the platform on behalf of the fleet."""
 
-import functools
-import heapq
 import math
 import random
 from collections.abc import Iterable, Mapping
@@ -13,22 +11,20 @@
 from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership.fleet_events import (
     PlatformReadabilityChanged,
+    ReaderRoleChanged,
 )
-from daisyline.coordination.membership.overlay import stable_hash
 from daisyline.coordination.settings.kind_reader import (
     WATCH_MS,
     KindReader,
     ReadResult,
 )
+from daisyline.coordination.settings.reader_selection import select_readers
 from daisyline.state.members import Member
 
 SETTINGS_KIND = 'settings'
 SETTINGS_NAME = 'tree'
 # Settings have to be in force within 2 s, also if a watch fails silently.
 SETTINGS_WATCH_MS = 1_000
-# If more nodes of a region than this can't read the platform, the platform
-# itself is assumed to be down, and replacing the readers would not help.
-MAX_UNREADABLE_NODES = 8
 # How long a reader continues after another node has replaced it.
 HANDOVER_OVERLAP_S = 3.0
 # A node that has just started only lists. Its first watch is delayed, so that
@@ -36,53 +32,18 @@
 FIRST_WATCH_DELAY_S = 1.0
 # How many of a region's readers watch the settings with the short watch.
 SHORT_WATCH_READERS = 2
-# With one reader in each zone, the loss of a zone never removes all readers.
-READERS_PER_ZONE = 1
-MIN_READERS_PER_REGION = 2
 # Without a confirmation by a reader for this long, any node reads by itself.
 CONFIRMATION_TIMEOUT_S = 5.0
 RETRY_S_PER_MEMBER = 1.0
-_MAX_CACHED_RANKS = 4096
 
 _Traits = tuple[str, str, bool]
 
 
-def select_readers(members: Iterable[Member], region: str) -> list[str]:
-    """Return the names of the members that read the platform for a region.
-
-    Members that can't read the platform are skipped, unless there are more of
-    them than `MAX_UNREADABLE_NODES` or no member can read it. The order is the
-    same on every node that knows the same members.
-    """
-    ranked = sorted(
-        (member for member in members if member.region == region),
-        key=lambda member: _rank(member.name),
-    )
-    served = [member for member in ranked if not member.platform_unreadable]
-    if served and len(ranked) - len(served) <= MAX_UNREADABLE_NODES:
-        ranked = served
-    zones: dict[str, int] = {}
-    chosen = []
-    for member in ranked:
-        taken = zones.get(member.zone, 0)
-        if taken < READERS_PER_ZONE:
-            zones[member.zone] = taken + 1
-            chosen.append(member.name)
-    missing = max(0, MIN_READERS_PER_REGION - len(chosen))
-    spare = (one.name for one in ranked if one.name not in chosen)
-    return chosen + heapq.nsmallest(missing, spare, key=_rank)
-
-
 def _traits_of(member: Member) -> _Traits:
     """Return what decides whether a member is a reader."""
     return (member.region, member.zone, member.platform_unreadable)
 
 
-@functools.lru_cache(maxsize=_MAX_CACHED_RANKS)
-def _rank(name: str) -> int:
-    return stable_hash(f'reader/{name}')
-
-
 @attrs.define
 class ReaderRole:
     """Schedules one node's reads of the platform on behalf of the fleet.
@@ -102,6 +63,7 @@
     _has_peers: bool = False
     _reading_until: float = 0
     _unreadable: set[str] = attrs.field(factory=set)
+    _role_changes: list[ReaderRoleChanged] = attrs.field(factory=list)
     _traits: dict[str, _Traits] = attrs.field(factory=dict)
 
     @classmethod
@@ -144,6 +106,10 @@
         """Return whether the last read of at least one kind failed."""
         return any(reader.failures for reader in self._kind_readers)
 
+    def confirmation_age_s(self, now: float) -> float:
+        """Return the time since the settings were last confirmed."""
+        return now - self._confirmed_at
+
     def next_at(self) -> float:
         """Return when `tick` must be called next, in monotonic seconds."""
         next_read_at = min(reader.next_at() for reader in self._kind_readers)
@@ -191,6 +157,19 @@
             return
         chosen = select_readers(members.values(), self._region)
         was_chosen = math.isinf(self._reading_until)
+        if was_chosen != (self._name in chosen):
+            self._role_changes.append(
+                ReaderRoleChanged(
+                    state='replaced' if was_chosen else 'chosen',
+                    age_s=self.confirmation_age_s(now),
+                    readers=tuple(chosen),
+                    unreadable=sum(
+                        member.platform_unreadable
+                        for member in members.values()
+                    ),
+                    members=len(members),
+                )
+            )
         if self._name in chosen:
             self._reading_until = math.inf
             self._set_watch_length(
@@ -232,9 +211,10 @@
                 self._delay_retry(reader, member_count, now)
         return None
 
-    def take_changes(self) -> list[PlatformReadabilityChanged]:
-        """Return the kinds whose readability changed since the last call."""
-        changes = []
+    def take_changes(self) -> list[Any]:
+        """Return the changes of role and readability since the last call."""
+        changes: list[Any] = list(self._role_changes)
+        self._role_changes.clear()
         for reader in self._kind_readers:
             readable = not reader.failures
             if readable == (reader.kind in self._unreadable):
--- a/daisyline/coordination/settings/settings_events.py
+++ b/daisyline/coordination/settings/settings_events.py
@@ -1,8 +1,20 @@
 """Builds the recorded events that changed settings and members lead to."""
 
+import functools
 from collections.abc import Iterable, Mapping
+from typing import Any
 
-from daisyline.coordination.events import Event, MemberChanged, ZoneChanged
+from daisyline.coordination.events import (
+    Event,
+    MemberChanged,
+    PlatformRead,
+    ReaderChanged,
+    ZoneChanged,
+)
+from daisyline.coordination.membership.fleet_events import (
+    PlatformReadabilityChanged,
+    ReaderRoleChanged,
+)
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 
@@ -11,6 +23,7 @@
 MEMBER_JOINED = 'joined'
 MEMBER_CHANGED = 'changed'
 MEMBER_REMOVED = 'gone'
+_MS_PER_S = 1000
 
 
 def zone_events(old: Settings, new: Settings, now: float) -> list[Event]:
@@ -55,6 +68,40 @@
     return events
 
 
+@functools.singledispatch
+def reading_event(effect: Any, now: float) -> Event:
+    """Return the event for a change in how the platform is read.
+
+    Args:
+        effect: The change.
+        now: Monotonic seconds.
+
+    Raises:
+        TypeError: If the effect is of another kind.
+    """
+    raise TypeError(f'{effect!r} is no change in how the platform is read')
+
+
+@reading_event.register
+def _(effect: PlatformReadabilityChanged, now: float) -> Event:
+    state = 'regained' if effect.readable else 'lost'
+    return PlatformRead(
+        now, kind=effect.kind, state=state, status=effect.status
+    )
+
+
+@reading_event.register
+def _(effect: ReaderRoleChanged, now: float) -> Event:
+    return ReaderChanged(
+        now,
+        state=effect.state,
+        age_ms=int(effect.age_s * _MS_PER_S),
+        readers=' '.join(effect.readers),
+        unreadable=effect.unreadable,
+        members=effect.members,
+    )
+
+
 def _zones_of(settings: Settings) -> set[str]:
     return {*settings.tree.get('zones', {}), *settings.zones_out}
 
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -19,6 +19,7 @@
 from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.membership.fleet_events import (
     GossipMessageReceived,
+    ReaderRoleChanged,
     SendToAddress,
     SettingsChanged,
     SettingsRefused,
@@ -35,6 +36,8 @@
     ('recife', 'nordeste'),
 )
 
+_RECORDED_EFFECTS = (ReaderRoleChanged, SettingsChanged, SettingsRefused)
+
 _Key = tuple[str, str]
 _ListedObject = tuple[str, int, Any]
 _VersionedContent = tuple[int, Any]
@@ -120,7 +123,7 @@
         stopped: Whether its process has ended.
         next_tick_at: The time of its next tick, in virtual seconds.
         deferred_events: Events that arrived while it was suspended.
-        effects: The settings effects of the node.
+        effects: The changes of settings and of the reader role on the node.
         settings_version: The version of the settings that it has applied.
     """
 
@@ -277,7 +280,7 @@
             self.platform.calls += 1
             self.on_platform(effect)
             self._after(lambda: self._ask_platform(name, effect, self.now))
-        elif isinstance(effect, (SettingsChanged, SettingsRefused)):
+        elif isinstance(effect, _RECORDED_EFFECTS):
             node.effects.append(effect)
 
     def _transmit(self, sender: str, receiver: str, message: Any) -> None:
--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -167,3 +167,19 @@
         fleet.members['n3'].target == target
         for fleet in twelve_nodes.live().values()
     )
+
+
+def test_a_node_reports_when_it_becomes_a_reader_and_when_it_is_replaced() -> (
+    None
+):
+    pump = running_fleet(12)
+    reader = readers_of(pump)[0]
+    before = {name: len(one.effects) for name, one in pump.nodes.items()}
+    pump.refused_nodes = frozenset((reader,))
+    pump.run(3)
+    states = {
+        name: [change.state for change in one.effects[before[name] :]]
+        for name, one in pump.nodes.items()
+    }
+    assert states.pop(reader) == ['replaced']
+    assert sorted(filter(None, states.values())) == [['chosen']]
--- a/tests/coordination/settings/test_settings_events.py
+++ b/tests/coordination/settings/test_settings_events.py
@@ -2,9 +2,15 @@
 
 import attrs
 
-from daisyline.coordination.events import MemberChanged, ZoneChanged
+from daisyline.coordination.events import (
+    MemberChanged,
+    ReaderChanged,
+    ZoneChanged,
+)
+from daisyline.coordination.membership.fleet_events import ReaderRoleChanged
 from daisyline.coordination.settings.settings_events import (
     member_events,
+    reading_event,
     zone_events,
 )
 from daisyline.state.members import Member
@@ -45,3 +51,17 @@
         MemberChanged(5, node='late', zone='ghent-a', state='joined'),
         MemberChanged(5, node='moved', zone='ghent-a', state='changed'),
     ]
+
+
+def test_a_change_of_reader_names_the_readers_and_the_age_of_the_settings() -> (
+    None
+):
+    change = ReaderRoleChanged('chosen', 1.25, ('n1', 'n2'), 3, 9)
+    assert reading_event(change, 5) == ReaderChanged(
+        5,
+        state='chosen',
+        age_ms=1250,
+        readers='n1 n2',
+        unreadable=3,
+        members=9,
+    )
