Add failing tests of settings on the only node that can read

In the model of the fleet a change is not in force within 2 s on the only node that the platform answers, with 9 nodes and with 60, nor on a node that can read again.

--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -1,9 +1,11 @@
 """Only a few nodes read the platform, and readers that fail are replaced."""
 
+import functools
 import random
 from unittest import mock
 
 from daisyline.coordination.effects import PlatformWatch
+from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.settings.reader_role import (
     FIRST_WATCH_DELAY_S,
     HANDOVER_OVERLAP_S,
@@ -26,6 +28,8 @@
 
 # The required time until an acknowledged change is in force.
 IN_FORCE_S = 2.0
+# Promises hold for a node that has been without disturbance for this long.
+CALM_S = 3.0
 
 
 def calls_during(pump: Pump, seconds: float) -> int:
@@ -183,3 +187,52 @@
     }
     assert states.pop(reader) == ['replaced']
     assert sorted(filter(None, states.values())) == [['chosen']]
+
+
+def _cut_off_all_but(pump: Pump, name: str, seconds: float) -> None:
+    """Leave all nodes but one without answers, and change the settings."""
+    pump.unanswered_nodes = frozenset(set(pump.nodes) - {name})
+    until = pump.now + seconds
+    while pump.now < until:
+        version = pump.platform.put('settings', 'tree', settings_value())
+        fleet = pump.live()[name]
+        pump.run_until(
+            functools.partial(_has_version, fleet, version), IN_FORCE_S
+        )
+        pump.run(IN_FORCE_S / 2)
+    pump.unanswered_nodes = frozenset()
+
+
+def _has_version(fleet: Fleet, version: int) -> bool:
+    return fleet.settings.version == version
+
+
+def test_a_change_is_in_force_in_time_on_the_only_node_that_can_read() -> None:
+    for size in (9, 60):
+        pump = running_fleet(size)
+        for name in sorted(pump.nodes)[:9]:
+            _cut_off_all_but(pump, name, seconds=8)
+            pump.run(IN_FORCE_S)
+
+
+def test_a_node_that_can_read_again_has_a_change_in_time() -> None:
+    pump = running_fleet(9)
+    for name in sorted(pump.nodes):
+        pump.unanswered_nodes = frozenset(pump.nodes)
+        pump.run(8)
+        pump.unanswered_nodes -= {name}
+        pump.run(CALM_S)
+        _cut_off_all_but(pump, name, seconds=4)
+        pump.run(IN_FORCE_S)
+
+
+def test_a_read_by_another_node_keeps_nodes_from_reading_by_themselves(
+    twelve_nodes: Pump,
+) -> None:
+    twelve_nodes.run(10)
+    calls = calls_during(twelve_nodes, 60)
+    twelve_nodes.unanswered_nodes = frozenset(readers_of(twelve_nodes))
+    twelve_nodes.run(10)
+    twelve_nodes.unanswered_nodes = frozenset()
+    twelve_nodes.run(30)
+    assert calls_during(twelve_nodes, 60) < 1.2 * calls
