Let nodes rely on a reader of the platform for 1.4 s only

Callers at a node in touch with the store got 404 for routes that had been added seconds before, or were handled by an older version, while the store answered few nodes. Cause: every node delegated its reads to a few readers and noticed their failure through marks in member records. Readers were replaced in series, each after its own time-out; a mark outlived its cause by about a second for each member; with more than eight marks the marked readers were kept. The class of fault is trust in a delegate without an end: nothing bound the time for which a node took its settings for current.

Now each successful read is passed on as a numbered confirmation and renews a lease of 1.4 s on the settings of every node. A node whose lease lapses reads by itself, at a time spread so that few of a large fleet read at once, abandons a watch that may be silent, and stands in for the readers for 5 s, orders included. Failed reads are repeated at 0.15 of the time since the lapse, by stale reads. Marks only choose who reads first; the limit of eight is gone. Confirmations use the acknowledgement of a ping with a reserved nonce, so that nodes of the build before understand them.

--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -197,7 +197,7 @@
     def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
         gossip = self._gossip
         effects: list[Any] = []
-        result = gossip.reader_role.handle_reply(event, len(self.members), now)
+        result = gossip.reader_role.handle_reply(event, now)
         if result is not None:
             effects.extend(
                 apply_read_result(result, gossip, self._read_config, now)
--- a/daisyline/coordination/membership/fleet_events.py
+++ b/daisyline/coordination/membership/fleet_events.py
@@ -90,18 +90,19 @@
     """This node began or ceased to read the platform for other nodes.
 
     Attributes:
-        state: `chosen` or `replaced`.
+        state: `chosen` or `replaced`, or `stand-in` if no reader has confirmed
+            the settings and a read of this node has succeeded.
         age_s: The time since the settings were last confirmed, in seconds.
+        members: The number of live members.
         readers: The names of the readers that this node selects.
         unreadable: The number of members that can't read the platform.
-        members: The number of live members.
     """
 
     state: str
     age_s: float
-    readers: tuple[str, ...]
-    unreadable: int
     members: int
+    readers: tuple[str, ...] = ()
+    unreadable: int = 0
 
 
 @attrs.frozen
--- a/daisyline/coordination/membership/gossip.py
+++ b/daisyline/coordination/membership/gossip.py
@@ -14,7 +14,9 @@
 from daisyline.coordination.membership.failure_detector import FailureDetector
 from daisyline.coordination.membership.fleet_events import SendToAddress
 from daisyline.coordination.membership.gossip_messages import (
+    CONFIRMATION_NONCE,
     BucketHashes,
+    GossipAck,
     GossipPing,
     Join,
     RecordsRequest,
@@ -261,6 +263,19 @@
             )
         ]
 
+    def pass_on_confirmation(self, sender: str = '') -> list[Any]:
+        """Pass a confirmation of the settings on to the neighbours.
+
+        Args:
+            sender: The node that it came from; empty if it is this node's.
+        """
+        confirmation = GossipAck(CONFIRMATION_NONCE, self.summary())
+        return [
+            Send(name, confirmation)
+            for name in self.members.overlay.recipients(self.members.suspects)
+            if name != sender
+        ]
+
     def tick(self, now: float) -> list[Any]:
         """Run the timers that have expired and return the effects."""
         if self.members.expire(now):
--- a/daisyline/coordination/membership/gossip_handlers.py
+++ b/daisyline/coordination/membership/gossip_handlers.py
@@ -10,6 +10,7 @@
 )
 from daisyline.coordination.membership.gossip import Gossip
 from daisyline.coordination.membership.gossip_messages import (
+    CONFIRMATION_NONCE,
     BucketContents,
     BucketHashes,
     GossipAck,
@@ -55,12 +56,31 @@
 
     The settings version is ignored unless the peer is a live member.
     """
-    gossip.reader_role.record_confirmation(summary.platform_confirmations, now)
-    effects = gossip.start_comparison(node, summary.root, now)
-    if node in gossip.members.live:
-        version = summary.settings_version
-        effects.extend(gossip.settings.handle_peer_version(node, version, now))
-    return effects
+    gossip.reader_role.record_confirmation(summary.platform_confirmations)
+    return [
+        *gossip.start_comparison(node, summary.root, now),
+        *_on_peer_version(summary.settings_version, gossip, node, now),
+    ]
+
+
+def _on_peer_version(
+    version: int, gossip: Gossip, node: str, now: float
+) -> list[Any]:
+    if node not in gossip.members.live:
+        return []
+    return gossip.settings.handle_peer_version(node, version, now)
+
+
+def _on_confirmation(
+    summary: Summary, gossip: Gossip, node: str, now: float
+) -> list[Any]:
+    """Handle a confirmation of the settings, and pass it on if it is new."""
+    effects: list[Any] = []
+    if gossip.reader_role.renew(summary.platform_confirmations, now):
+        effects.extend(gossip.pass_on_confirmation(node))
+    return effects + _on_peer_version(
+        summary.settings_version, gossip, node, now
+    )
 
 
 @receive.register
@@ -75,10 +95,8 @@
         effects.append(
             Send(node, BucketHashes(gossip.reported_member_count(now), hashes))
         )
-    if node in gossip.members.live:
-        version = message.summary.settings_version
-        effects.extend(gossip.settings.handle_peer_version(node, version, now))
-    return effects
+    version = message.summary.settings_version
+    return effects + _on_peer_version(version, gossip, node, now)
 
 
 @receive.register
@@ -101,6 +119,8 @@
 def _on_ack(
     message: GossipAck, gossip: Gossip, node: str, now: float
 ) -> list[Any]:
+    if message.nonce == CONFIRMATION_NONCE:
+        return _on_confirmation(message.summary, gossip, node, now)
     forwarded = gossip.detector.handle_answer(message.nonce)
     return forwarded + _on_summary(message.summary, gossip, node, now)
 
--- a/daisyline/coordination/membership/gossip_messages.py
+++ b/daisyline/coordination/membership/gossip_messages.py
@@ -12,6 +12,9 @@
     Summary,
 )
 
+# An acknowledgement with this nonce answers no ping: its sender passes on that
+# a read has just confirmed the settings.
+CONFIRMATION_NONCE = -1
 _INTEGER = attrs.validators.instance_of(int)
 _TEXT = attrs.validators.instance_of(str)
 
@@ -117,7 +120,7 @@
     """Answer a `GossipPing`.
 
     Attributes:
-        nonce: The nonce of the ping.
+        nonce: The nonce of the ping, or `CONFIRMATION_NONCE`.
         summary: The summary of what the sender holds.
     """
 
--- a/daisyline/coordination/settings/kind_reader.py
+++ b/daisyline/coordination/settings/kind_reader.py
@@ -20,9 +20,13 @@
 # after each failed read, up to `MAX_REPLY_GRACE_S`, so that a slow platform can
 # still answer.
 REPLY_GRACE_S = 0.5
-MAX_REPLY_GRACE_S = 3.0
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 3.0
+MAX_REPLY_GRACE_S = 1.5
+# Reads that fail are repeated at intervals that are a share of the time for
+# which they have failed, so that the end of a short outage is noticed soon.
+RETRY_MIN_S = 0.3
+RETRY_MAX_S = 4.0
+RETRY_SHARE = 0.15
+_FIRST_WATCH_JITTER_S = 0.1
 _MAX_DOUBLINGS = 8
 _MS_PER_S = 1000
 _OK = 200
@@ -71,16 +75,25 @@
         next_read_at: When the next read is due, in monotonic seconds.
         watch_ms: How long the platform holds a watch open while nothing
             changes, in milliseconds.
+        retry_max_s: The longest interval between reads that fail, in seconds.
+        probes_first: Whether failed reads are repeated by stale reads, which
+            cost the platform less, until one succeeds.
     """
 
     kind: str
     _rng: Random
     next_read_at: float
     watch_ms: int = WATCH_MS
+    retry_max_s: float = RETRY_MAX_S
+    probes_first: bool = False
     _revision: int = 0
     _listed: bool = False
     _watching: bool = False
+    _probing: bool = False
+    _is_reachable: bool = False
     _token: str = ''
+    _started_at: float = 0
+    _failing_since: float = 0
     _timeout_at: float = float('inf')
     _failures: int = 0
     _last_status: int = 0
@@ -109,9 +122,21 @@
 
         It resumes from the revision that was read last.
         """
-        soon = now + jittered(self._rng, RETRY_MIN_S)
+        soon = now + jittered(self._rng, _FIRST_WATCH_JITTER_S)
         self.next_read_at = min(self.next_read_at, soon)
 
+    def list_now(self, now: float) -> None:
+        """List at once in place of a watch, which may have silently failed.
+
+        Further tries follow as closely as after a first failure.
+        """
+        self._failing_since = now
+        if self._token and not self._watching:
+            return
+        self._token = ''
+        self._listed = False
+        self.next_read_at = now
+
     def expire(self, now: float) -> bool:
         """Time out a read without an answer; return whether there was one."""
         if not self._token or now < self._timeout_at:
@@ -131,11 +156,15 @@
             return []
         nonce = new_nonce(self._rng)
         self._token = f'fleet-{self.kind}-{nonce}'
+        self._started_at = now
         self._watching = watch and self._listed
+        self._probing = (
+            self.probes_first and self._failures > 0 and not self._is_reachable
+        )
         grace_s = REPLY_GRACE_S * 2 ** min(self._failures, _MAX_DOUBLINGS)
         self._timeout_at = now + min(MAX_REPLY_GRACE_S, grace_s)
         if not self._watching:
-            return [PlatformList(self._token, self.kind)]
+            return [PlatformList(self._token, self.kind, self._probing)]
         self._timeout_at += self.watch_ms / _MS_PER_S
         return [
             PlatformWatch(self._token, self.kind, self._revision, self.watch_ms)
@@ -162,6 +191,10 @@
                 self.next_read_at = now
             return None
         self._token = ''
+        if self._probing:
+            self._is_reachable = True
+            self.next_read_at = now
+            return None
         self._failures = 0
         self._listed = True
         self._revision = max(self._revision, reply.version)
@@ -174,10 +207,14 @@
         )
 
     def _schedule_retry(self, now: float) -> None:
-        """Schedule a new list after an exponential, jittered delay."""
+        """Schedule a new list after a jittered delay."""
         self._token = ''
         self._listed = False
+        self._is_reachable = False
+        if not self._failures:
+            self._failing_since = now
         self._failures += 1
-        doubled_s = RETRY_MIN_S * 2 ** min(self._failures, _MAX_DOUBLINGS)
-        wait_s = jittered(self._rng, min(RETRY_MAX_S, doubled_s))
-        self.next_read_at = now + wait_s
+        failing_s = now - self._failing_since
+        interval_s = max(RETRY_MIN_S, RETRY_SHARE * failing_s)
+        wait_s = jittered(self._rng, min(self.retry_max_s, interval_s))
+        self.next_read_at = max(now, self._started_at + wait_s)
--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -60,6 +60,8 @@
                     read_object.version, read_object.content, neighbours, now
                 )
             )
+    if is_settings_kind and gossip.reader_role.confirm(now):
+        effects.extend(gossip.pass_on_confirmation())
     for order in orders_in(result, gossip.fact_store.facts):
         fact = order.to_fact()
         record = FactRecord(fact, fact.ttl_ms)
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -8,12 +8,15 @@
 import attrs
 
 from daisyline.coordination.effects import PlatformReply
-from daisyline.coordination.jitter import jittered
 from daisyline.coordination.membership.fleet_events import (
     PlatformReadabilityChanged,
     ReaderRoleChanged,
 )
+from daisyline.coordination.settings.confirmation_lease import (
+    ConfirmationLease,
+)
 from daisyline.coordination.settings.kind_reader import (
+    RETRY_MAX_S,
     WATCH_MS,
     KindReader,
     ReadResult,
@@ -32,9 +35,11 @@
 FIRST_WATCH_DELAY_S = 1.0
 # How many of a region's readers watch the settings with the short watch.
 SHORT_WATCH_READERS = 2
-# Without a confirmation by a reader for this long, any node reads by itself.
-CONFIRMATION_TIMEOUT_S = 5.0
-RETRY_S_PER_MEMBER = 1.0
+# For how long a node that had to read by itself reads for the others, too.
+STAND_IN_S = 5.0
+# The longest interval between failed reads of a node that isn't a reader grows
+# with the fleet, so that a long outage of the platform brings few calls.
+RETRY_S_PER_MEMBER = 2.0
 
 _Traits = tuple[str, str, bool]
 
@@ -48,17 +53,18 @@
 class ReaderRole:
     """Schedules one node's reads of the platform on behalf of the fleet.
 
-    A node that isn't a reader reads once at its start, and again when no
-    confirmation by a reader has reached it for `CONFIRMATION_TIMEOUT_S`.
+    A node that isn't a reader reads once at its start, and again when its
+    lease on the settings lapses. If that succeeds, it stands in for the
+    readers, whoever they are.
     """
 
     _region: str
     _name: str
     _rng: random.Random
     _kind_readers: tuple[KindReader, ...]
-    _confirmed_at: float
+    _lease: ConfirmationLease
     _first_watch_at: float
-    _platform_confirmations: int = 0
+    _member_count: int = 1
     _reading: bool = False
     _has_peers: bool = False
     _reading_until: float = 0
@@ -89,7 +95,7 @@
             own_member.name,
             rng,
             kind_readers,
-            now,
+            ConfirmationLease.from_start(rng, now),
             first_watch_at,
         )
 
@@ -99,35 +105,54 @@
 
         A reader raises the count each time it has read the settings.
         """
-        return self._platform_confirmations
+        return self._lease.count
 
     @property
     def is_platform_unreadable(self) -> bool:
-        """Return whether the last read of at least one kind failed."""
-        return any(reader.failures for reader in self._kind_readers)
+        """Return whether the last read of a kind that it reads failed."""
+        return any(
+            reader.failures
+            for reader in self._kind_readers
+            if self._reading or reader.kind == SETTINGS_KIND
+        )
 
     def confirmation_age_s(self, now: float) -> float:
         """Return the time since the settings were last confirmed."""
-        return now - self._confirmed_at
+        return self._lease.age_s(now)
 
     def next_at(self) -> float:
         """Return when `tick` must be called next, in monotonic seconds."""
-        next_read_at = min(reader.next_at() for reader in self._kind_readers)
+        next_read_at = min(
+            self._lease.read_at,
+            *(reader.next_at() for reader in self._kind_readers),
+        )
         if self._reading or not math.isinf(self._reading_until):
             return next_read_at
         return min(next_read_at, self._first_watch_at)
 
-    def record_confirmation(self, confirmations: int, now: float) -> None:
-        """Record a confirmation that another node has forwarded.
+    def record_confirmation(self, confirmations: int) -> None:
+        """Record a count of confirmations that another node holds."""
+        self._has_peers = True
+        self._lease.observe(confirmations)
 
-        Args:
-            confirmations: The count of confirmations; larger is newer.
-            now: Monotonic seconds.
+    def renew(self, confirmations: int, now: float) -> bool:
+        """Apply a confirmation that another node has just passed on.
+
+        Returns:
+            Whether it has to be passed on.
         """
         self._has_peers = True
-        if confirmations > self._platform_confirmations:
-            self._platform_confirmations = confirmations
-            self._confirmed_at = now
+        return self._lease.renew(confirmations, self._member_count, now)
+
+    def confirm(self, now: float) -> bool:
+        """Confirm the settings by a read of this node.
+
+        Returns:
+            Whether the confirmation has to be passed on.
+        """
+        if self._lease.has_lapsed(now) and not self._reading:
+            self._stand_in(now)
+        return self._lease.confirm(self._member_count, now)
 
     def update_role(
         self,
@@ -161,13 +186,13 @@
             self._role_changes.append(
                 ReaderRoleChanged(
                     state='replaced' if was_chosen else 'chosen',
-                    age_s=self.confirmation_age_s(now),
+                    age_s=self._lease.age_s(now),
+                    members=len(members),
                     readers=tuple(chosen),
                     unreadable=sum(
                         member.platform_unreadable
                         for member in members.values()
                     ),
-                    members=len(members),
                 )
             )
         if self._name in chosen:
@@ -185,30 +210,31 @@
     def tick(self, member_count: int, now: float) -> list[Any]:
         """Return the effects that start the reads that are due."""
         effects: list[Any] = []
+        self._member_count = member_count
         self._update_reading(now)
+        has_lapsed = now >= self._lease.read_at
+        if has_lapsed:
+            self._lease.record_read_start()
         for reader in self._kind_readers:
-            if reader.expire(now):
-                self._delay_retry(reader, member_count, now)
+            if has_lapsed and reader.kind == SETTINGS_KIND:
+                reader.list_now(now)
+            reader.expire(now)
             if now < reader.next_read_at:
                 continue
-            if self._should_read(reader, now):
+            if self._should_read(reader):
                 effects += reader.tick(now, watch=self._reading)
             else:
-                self._wait_for_confirmation(reader)
+                reader.next_read_at = math.inf
         return effects
 
     def handle_reply(
-        self, reply: PlatformReply, member_count: int, now: float
+        self, reply: PlatformReply, now: float
     ) -> ReadResult | None:
         """Process the platform's answer; return the objects read, if any."""
         for reader in self._kind_readers:
-            failures_before = reader.failures
             result = reader.handle_reply(reply, now)
             if result is not None:
-                self._record_read(reader, now)
                 return result
-            if reader.failures > failures_before:
-                self._delay_retry(reader, member_count, now)
         return None
 
     def take_changes(self) -> list[Any]:
@@ -225,25 +251,17 @@
                 )
         return changes
 
-    def _record_read(self, reader: KindReader, now: float) -> None:
-        if reader.kind == SETTINGS_KIND:
-            self._platform_confirmations += 1
-            self._confirmed_at = now
-        if not self._reading:
-            self._wait_for_confirmation(reader)
-
-    def _delay_retry(
-        self, reader: KindReader, member_count: int, now: float
-    ) -> None:
-        """Delay the next try of a node that isn't a reader.
-
-        The delay grows with the fleet, so that an outage of the platform
-        doesn't make all nodes read it often.
-        """
-        if not self._reading:
-            wait_s = member_count * RETRY_S_PER_MEMBER
-            later = now + jittered(self._rng, wait_s)
-            reader.next_read_at = max(reader.next_read_at, later)
+    def _stand_in(self, now: float) -> None:
+        self._role_changes.append(
+            ReaderRoleChanged(
+                state='stand-in',
+                age_s=self._lease.age_s(now),
+                members=self._member_count,
+            )
+        )
+        self._reading_until = max(self._reading_until, now + STAND_IN_S)
+        self._set_watch_length(short=True)
+        self._update_reading(now)
 
     def _set_watch_length(self, *, short: bool) -> None:
         for reader in self._kind_readers:
@@ -253,24 +271,18 @@
     def _update_reading(self, now: float) -> None:
         """Start or stop reading as a reader, according to the time."""
         reading = self._first_watch_at <= now < self._reading_until
-        if reading and not self._reading:
-            for reader in self._kind_readers:
+        retry_max_s = max(RETRY_MAX_S, RETRY_S_PER_MEMBER * self._member_count)
+        for reader in self._kind_readers:
+            reader.retry_max_s = RETRY_MAX_S if reading else retry_max_s
+            reader.probes_first = not reading
+            if reading and not self._reading:
                 reader.watch_soon(now)
         self._reading = reading
 
-    def _should_read(self, reader: KindReader, now: float) -> bool:
-        if self._reading or self._is_overdue(now):
+    def _should_read(self, reader: KindReader) -> bool:
+        if self._reading:
             return True
         if reader.is_untried:
             return reader.kind == SETTINGS_KIND or not self._has_peers
         # A failed read is repeated, to notice when the platform recovers.
-        return reader.failures > 0
-
-    def _is_overdue(self, now: float) -> bool:
-        return now >= self._confirmed_at + CONFIRMATION_TIMEOUT_S
-
-    def _wait_for_confirmation(self, reader: KindReader) -> None:
-        wait_s = CONFIRMATION_TIMEOUT_S + jittered(
-            self._rng, CONFIRMATION_TIMEOUT_S
-        )
-        reader.next_read_at = self._confirmed_at + wait_s
+        return reader.kind == SETTINGS_KIND and reader.failures > 0
--- a/daisyline/coordination/settings/reader_selection.py
+++ b/daisyline/coordination/settings/reader_selection.py
@@ -7,9 +7,6 @@
 from daisyline.coordination.membership.overlay import stable_hash
 from daisyline.state.members import Member
 
-# If more nodes of a region than this can't read the platform, the platform
-# itself is assumed to be down, and replacing the readers would not help.
-MAX_UNREADABLE_NODES = 8
 # With one reader in each zone, the loss of a zone never removes all readers.
 READERS_PER_ZONE = 1
 MIN_READERS_PER_REGION = 2
@@ -19,17 +16,15 @@
 def select_readers(members: Iterable[Member], region: str) -> list[str]:
     """Return the names of the members that read the platform for a region.
 
-    Members that can't read the platform are skipped, unless there are more of
-    them than `MAX_UNREADABLE_NODES` or no member can read it. The order is the
-    same on every node that knows the same members.
+    Members that can't read the platform are skipped, unless no member can. The
+    order is the same on every node that knows the same members.
     """
     ranked = sorted(
         (member for member in members if member.region == region),
         key=lambda member: _rank(member.name),
     )
     served = [member for member in ranked if not member.platform_unreadable]
-    if served and len(ranked) - len(served) <= MAX_UNREADABLE_NODES:
-        ranked = served
+    ranked = served or ranked
     zones: dict[str, int] = {}
     chosen = []
     for member in ranked:
--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -4,8 +4,10 @@
 import random
 from unittest import mock
 
-from daisyline.coordination.effects import PlatformWatch
+from daisyline.coordination.effects import PlatformReply, PlatformWatch
 from daisyline.coordination.membership.fleet import Fleet
+from daisyline.coordination.settings.order_reading import ZONES_KIND
+from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.coordination.settings.reader_role import (
     FIRST_WATCH_DELAY_S,
     HANDOVER_OVERLAP_S,
@@ -28,6 +30,8 @@
 
 # The required time until an acknowledged change is in force.
 IN_FORCE_S = 2.0
+# The required time until no calls go to a zone that was taken out.
+ORDER_S = 5.0
 # Promises hold for a node that has been without disturbance for this long.
 CALM_S = 3.0
 
@@ -145,8 +149,9 @@
             me, (SETTINGS_KIND, 'zones'), random.Random(1), 0
         )
         calls = reader_role.tick(2, 0)
+        reader_role.handle_reply(PlatformReply(calls[0].token, 200, 1, []), 0.1)
         if has_peers:
-            reader_role.record_confirmation(1, 0.2)
+            reader_role.record_confirmation(1)
         calls += reader_role.tick(2, FIRST_WATCH_DELAY_S + 0.1)
         assert [call.kind for call in calls] == kinds
 
@@ -236,3 +241,25 @@
     twelve_nodes.unanswered_nodes = frozenset()
     twelve_nodes.run(30)
     assert calls_during(twelve_nodes, 60) < 1.2 * calls
+
+
+def test_an_order_is_read_in_time_by_the_only_node_that_can_read() -> None:
+    pump = make_pump(1)
+    pump.read_config = PlatformReadConfig((SETTINGS_KIND, ZONES_KIND), True)
+    pump.platform.put('settings', 'tree', settings_value())
+    for number in range(9):
+        pump.start(number)
+    pump.run(30)
+    for name in sorted(pump.nodes):
+        pump.unanswered_nodes = frozenset(set(pump.nodes) - {name})
+        pump.run(1)
+        zone = f'ghent-{name}'
+        pump.platform.put(ZONES_KIND, zone, {'state': 'out'})
+        fleet = pump.live()[name]
+        pump.run_until(functools.partial(_knows_order, fleet, zone), ORDER_S)
+        pump.unanswered_nodes = frozenset()
+        pump.run(5)
+
+
+def _knows_order(fleet: Fleet, zone: str) -> bool:
+    return any(name == zone for _kind, name in fleet.facts)
--- a/tests/coordination/settings/test_settings_events.py
+++ b/tests/coordination/settings/test_settings_events.py
@@ -56,7 +56,7 @@
 def test_a_change_of_reader_names_the_readers_and_the_age_of_the_settings() -> (
     None
 ):
-    change = ReaderRoleChanged('chosen', 1.25, ('n1', 'n2'), 3, 9)
+    change = ReaderRoleChanged('chosen', 1.25, 9, ('n1', 'n2'), 3)
     assert reading_event(change, 5) == ReaderChanged(
         5,
         state='chosen',
