Read the limit that a target names, and log it

No line told a named limit from none. The head of each answer that is the target's own, refusals included, is now read for Server-Limit when it is received, as the end of a long answer may come after newer answers; a change is reported with the instance that said it and logged as TargetLimited. A text that is no decimal number is logged as unreadable. Nothing acts on the limit yet.

--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -41,6 +41,8 @@
     """The calls at one target, from their admission to their answer.
 
     Attributes:
+        events: Where decisions are recorded.
+        target: The target; None while none is announced.
         calls: The calls that wait or run, by id.
         records: The results of calls that may not be repeated.
         unconfirmed_peers: The nonce of the ping that each peer has to answer
@@ -55,11 +57,11 @@
 
     _own_name: str
     _zone: str
-    _events: log.EventLog
+    events: log.EventLog
     _settings: Settings = attrs.field(factory=Settings)
-    _target: Target | None = None
     _admission: Admission | None = None
     _deadlines: list[tuple[float, str]] = attrs.field(factory=list)
+    target: Target | None = None
     calls: dict[str, TargetCall] = attrs.field(factory=dict)
     records: AnswerRecords = attrs.field(factory=AnswerRecords)
     unconfirmed_peers: dict[str, int] = attrs.field(factory=dict)
@@ -77,11 +79,6 @@
         """Build the target side of a node, which has no target yet."""
         return cls(own_name=own_name, zone=zone, events=events)
 
-    @property
-    def target(self) -> Target | None:
-        """Return the target, or None while none is announced."""
-        return self._target
-
     @property
     def load(self) -> LoadReport:
         """Return the load report; a default one before the first target."""
@@ -93,9 +90,9 @@
     def use_settings(self, settings: Settings, now: float) -> Effects:
         """Apply changed settings and return the effects."""
         self._settings = settings
-        if self._admission is None or self._target is None:
+        if self._admission is None or self.target is None:
             return []
-        limits = self.limits_of(self._target)
+        limits = self.limits_of(self.target)
         self._admission.set_weights(settings.tenant_weights)
         change = self._admission.set_limits(limits, now)
         return self.apply_decisions(change.started, change.refused, now)
@@ -107,8 +104,8 @@
             target: The announced target; None if the announcement has lapsed.
             now: Monotonic seconds.
         """
-        previous = self._target
-        self._target = target
+        previous = self.target
+        self.target = target
         if target is None:
             return []
         if self._admission is None:
@@ -155,7 +152,7 @@
             return [self.refuse(target_call, decision, now)]
         if isinstance(decision, Admitted):
             return [self._start(run.call, now)]
-        self._events.add(
+        self.events.add(
             log.Queued(
                 at=now,
                 call=run.call,
@@ -235,7 +232,7 @@
             retried: Whether a retry was spent on the call.
         """
         load = self.load
-        self._events.add(
+        self.events.add(
             log.Refused(
                 at=now,
                 call=call,
@@ -304,7 +301,7 @@
         self, peer: str, run: msg.RunCall, now: float
     ) -> Failure | None:
         """Return why a call must not reach the target, or None."""
-        if self._target is None or self._target.service != run.service:
+        if self.target is None or self.target.service != run.service:
             return Failure(
                 Reason.NO_TARGET,
                 detail='this node has no target of the service',
@@ -344,7 +341,7 @@
             return Failure(
                 Reason.NO_SETTINGS, detail='the node has no settings yet'
             )
-        if self._target is not None and self._target.phase == Phase.LEAVING:
+        if self.target is not None and self.target.phase == Phase.LEAVING:
             return Failure(Reason.LEAVING, detail='the target is leaving')
         if self.stopping:
             return Failure(Reason.LEAVING, detail='the node is stopping')
@@ -357,10 +354,10 @@
         assert target_call.started_at is None, 'the call was started before'
         target_call.started_at = now
         load = self.load
-        assert self._target is None or (
-            load.running <= self.limits_of(self._target).slots_per_upstream
+        assert self.target is None or (
+            load.running <= self.limits_of(self.target).slots_per_upstream
         ), 'more calls run than the contract has slots'
-        self._events.add(
+        self.events.add(
             log.Admitted(
                 at=now,
                 call=call,
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -5,7 +5,9 @@
 
 import attrs
 
+from daisyline.coordination import events as log
 from daisyline.coordination.admission import pace_check
+from daisyline.coordination.admission.limit_events import TargetLimitReported
 from daisyline.coordination.admission.pace_events import TargetPaceReported
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
@@ -135,6 +137,17 @@
     return pace_check.resume_after_probe(event.percent, target_side, now)
 
 
+@handle.register
+def _(
+    event: TargetLimitReported, target_side: TargetSide, now: float
+) -> Effects:
+    target = target_side.target
+    if target is None or target.incarnation != event.incarnation:
+        return []
+    target_side.events.add(_limit_event(event, now))
+    return []
+
+
 @handle.register
 def _(
     event: ev.TargetAnswerPart, target_side: TargetSide, now: float
@@ -178,6 +191,20 @@
     )
 
 
+def _limit_event(report: TargetLimitReported, now: float) -> log.TargetLimited:
+    if report.per_s is None:
+        state = 'unreadable'
+    else:
+        state = 'limited' if report.per_s else 'ended'
+    return log.TargetLimited(
+        at=now,
+        target=report.incarnation[0],
+        state=state,
+        per_s=report.per_s or 0,
+        text=report.text,
+    )
+
+
 def _failure_of(event: ev.TargetCallFailed) -> Failure:
     if event.declined:
         return Failure(
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -147,6 +147,16 @@
     slots: int = 0
 
 
+@attrs.frozen(slots=True)
+class TargetLimited(Event):
+    """The target beside this node names another limit, or none any more."""
+
+    target: str = ''
+    state: str = ''
+    per_s: float = 0
+    text: str = ''
+
+
 @attrs.frozen(slots=True)
 class PlatformRead(Event):
     """The platform became readable for this node, or ceased to be."""
--- a/daisyline/platform/wire.py
+++ b/daisyline/platform/wire.py
@@ -36,6 +36,7 @@
     declined=b'not-executed',
     signature=b'server-signature',
     load=b'server-load',
+    named_limit=b'server-limit',
     reserved_headers=frozenset(
         (b'deadline-ms', b'expected-instance', b'caller-service')
     ),
--- a/daisyline/protocol/answer_reader.py
+++ b/daisyline/protocol/answer_reader.py
@@ -24,7 +24,13 @@
 
 @attrs.frozen
 class Declined:
-    """The target reports that it did not run the call."""
+    """The target reports that it did not run the call.
+
+    Attributes:
+        head: The head of its answer.
+    """
+
+    head: Head
 
 
 # Stands for an event of an answer that is discarded.
@@ -97,7 +103,7 @@
         if verdict is Verdict.OWN:
             return head
         if verdict is Verdict.DECLINED:
-            return Declined()
+            return Declined(head)
         self._discarded_count += 1
         self.is_discarding = (
             verdict is Verdict.REPEATED
--- a/daisyline/protocol/dialect.py
+++ b/daisyline/protocol/dialect.py
@@ -1,5 +1,6 @@
 """Names of the HTTP headers that carry daisyline's own fields."""
 
+import re
 from collections.abc import Mapping
 from http import HTTPStatus
 
@@ -11,6 +12,13 @@
 _LOAD_FIELDS = 4
 _MAX_PACE_DIGITS = 9
 _MAX_PACE_PERCENT = 100_000
+# A target that takes hardly any calls gets one in so many seconds, as only its
+# answers tell when the limit ends.
+_MIN_LIMIT_PER_S = 0.25
+# A limit of this many calls a second or more has no effect.
+_MAX_LIMIT_PER_S = 1_000_000
+_MAX_LIMIT_TEXT = 32
+_DECIMAL_NUMBER = re.compile(rb'[0-9]{1,24}(\.[0-9]{0,24})?|\.[0-9]{1,24}')
 
 
 @attrs.frozen
@@ -33,6 +41,8 @@
         declined: Present in a target's answer if it did not run the call.
         signature: Present in each answer that a target has made.
         load: The target's load, in its answers.
+        named_limit: How many calls a second the target takes from all nodes
+            together, in its answers while it is in need.
         reserved_headers: Headers of callers that are not forwarded.
         statuses: HTTP statuses of refusals that differ from the defaults.
         needs_route: Whether a request without a matching route is refused. If
@@ -54,6 +64,7 @@
     declined: bytes = b''
     signature: bytes = b''
     load: bytes = b''
+    named_limit: bytes = b''
     reserved_headers: frozenset[bytes] = frozenset()
     statuses: Mapping[Reason, HTTPStatus] = attrs.field(factory=dict)
     needs_route: bool = False
@@ -75,3 +86,26 @@
     if len(fields) != _LOAD_FIELDS or not pace.isdigit():
         return 0
     return min(int(pace[:_MAX_PACE_DIGITS]), _MAX_PACE_PERCENT)
+
+
+def named_limit_text(head: Head, dialect: Dialect) -> bytes:
+    """Return the limit that an answer names, shortened; empty if none."""
+    text = head.header(dialect.named_limit) if dialect.named_limit else None
+    return b'' if text is None else text.strip()[:_MAX_LIMIT_TEXT] or b'?'
+
+
+def parse_limit(text: bytes) -> float | None:
+    """Return the calls a second that a limit allows.
+
+    Args:
+        text: The limit as an answer names it; empty if it names none.
+
+    Returns:
+        The rate, at least `_MIN_LIMIT_PER_S`; 0 without a limit; None if the
+        text is no decimal number, or negative.
+    """
+    if not text:
+        return 0
+    if _DECIMAL_NUMBER.fullmatch(text) is None:
+        return None
+    return min(max(float(text), _MIN_LIMIT_PER_S), _MAX_LIMIT_PER_S)
--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -22,6 +22,7 @@
 from daisyline.state.targets import Target
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
+from daisyline.transport.target_condition import TargetCondition
 
 # The time limit for a connection to be established.
 CONNECT_TIMEOUT_S = 1.0
@@ -41,6 +42,7 @@
     loop: Loop
     on_event: Callable[[Any], None]
     dialect: Dialect
+    condition: TargetCondition
 
     def handle_idle(self, connection: 'TargetConnection') -> None:
         """Reuse a connection whose answer is complete, or close it."""
@@ -191,6 +193,7 @@
             return
         self._report(self._answer_event(b''.join(body), last=False))
         if isinstance(event, Declined):
+            self._pool.condition.report(self.target, event.head)
             self._report_failure('the target declined it', declined=True)
         elif isinstance(event, BrokenAnswer) and not self._has_ended:
             self._report_failure('the answer is malformed', crashed=False)
@@ -199,6 +202,7 @@
 
     def _use_head(self, head: Head) -> None:
         self._head = head
+        self._pool.condition.report(self.target, head)
         self.keep_alive_s = (
             DEFAULT_KEEP_ALIVE_S
             if head.idle_timeout_s is None
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -15,6 +15,7 @@
 from daisyline.state.targets import Target
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
+from daisyline.transport.target_condition import TargetCondition
 from daisyline.transport.target_connection import TargetConnection
 from daisyline.transport.target_probe import TargetProber
 
@@ -35,6 +36,7 @@
         dialect: The names of headers.
         loop: The event loop.
         on_event: Receives the events of calls and probes.
+        condition: Reports what answers say of the target's condition.
         connection_limit: Returns the maximum number of connections.
     """
 
@@ -45,6 +47,7 @@
         self.dialect = dialect or Dialect()
         self.loop = loop
         self.on_event = on_event
+        self.condition = TargetCondition(on_event, self.dialect)
         self._target: Target | None = None
         self._open: set[TargetConnection] = set()
         self._idle: list[TargetConnection] = []
