Start no more calls at a target than the limit that it names

Targets in need got several times the rate that they name in Server-Limit. Cause: the header was not read; the class of fault is a limit that only the target knows and nothing counts. The node beside the target is the only way to it, so it counts there, over all entries at once: a cell rate algorithm with a burst of half a second, from the head of the first answer that names the limit to that of the first which does not. Calls that it does not let start in time are refused at once, those that wait when it is named as well; the load report makes the target as slow as its limit, so that others get calls first, and Retry-After is not shorter than the time between two starts.

Shares for entries were weighed and not taken: unused shares wander between nodes, and a frozen node keeps its own.

--- a/daisyline/coordination/admission/admission.py
+++ b/daisyline/coordination/admission/admission.py
@@ -11,6 +11,7 @@
 from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.coordination.admission.ranked_queue import RankedQueue
 from daisyline.coordination.admission.rate_limit import RateLimit
+from daisyline.coordination.admission.start_rate import StartRates
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
 from daisyline.state.targets import LoadReport, Phase
@@ -105,7 +106,7 @@
     _now: float
     _breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
     _announced_phase: Phase = Phase.READY
-    _cold_rate: RateLimit = attrs.field(factory=lambda: RateLimit(0))
+    _rates: StartRates = attrs.field(factory=StartRates)
     _running: set[str] = attrs.field(factory=set)
     _wait_deadlines: _WaitDeadlines = attrs.field(factory=_WaitDeadlines)
     _pending_refusals: Refusals = attrs.field(factory=list)
@@ -129,7 +130,7 @@
             ),
             queue=RankedQueue.from_capacity(limits.queue_per_upstream),
             now=now,
-            cold_rate=RateLimit(limits.cold_calls_per_s),
+            rates=StartRates(RateLimit(limits.cold_calls_per_s)),
         )
 
     @property
@@ -139,12 +140,22 @@
 
     @property
     def load(self) -> LoadReport:
-        """Return the load report that entry nodes get with each answer."""
+        """Return the load report that entry nodes get with each answer.
+
+        A target that names a limit is as fast as one with so few slots that
+        they carry no more than that rate.
+        """
+        limit = self._concurrency.limit
+        service_s = self._concurrency.service_s
+        interval_s = self._rates.named.start_interval_s
+        if interval_s:
+            limit = max(1, min(limit, int(service_s / interval_s)))
+            service_s = max(service_s, limit * interval_s)
         return LoadReport(
             running=self.running,
             waiting=len(self._queue),
-            limit=self._concurrency.limit,
-            service_us=int(self._concurrency.service_s * US_PER_S),
+            limit=limit,
+            service_us=int(service_s * US_PER_S),
         )
 
     def offer(self, ticket: Ticket, now: float) -> Admitted | Queued | Failure:
@@ -211,7 +222,7 @@
             return -math.inf
         next_at = self._wait_deadlines.next_at()
         if self._queue and self.running < self._concurrency.limit:
-            return min(next_at, self._cold_rate.next_at())
+            return min(next_at, self._rates.next_at())
         return next_at
 
     def resume(self, now: float) -> list[str]:
@@ -233,9 +244,9 @@
         """Apply changed limits."""
         self._contract_limits = limits
         self._concurrency.set_limits(limits)
-        self._cold_rate.per_s = limits.cold_calls_per_s
+        self._rates.cold.per_s = limits.cold_calls_per_s
         _apply_cold_limit(
-            self._concurrency, self._cold_rate, self._announced_phase
+            self._concurrency, self._rates.cold, self._announced_phase
         )
         dropped = self._queue.set_capacity(limits.queue_per_upstream)
         for ticket in dropped:
@@ -244,12 +255,35 @@
             started=self.resume(now), refused=self.expire(now)
         )
 
+    def set_named_limit(self, per_s: float, now: float) -> AdmissionChange:
+        """Apply a limit that the target names.
+
+        Waiting calls that it doesn't let start in time are refused at once.
+
+        Args:
+            per_s: The calls a second; 0 if the target names no limit.
+            now: Monotonic seconds.
+        """
+        self._rates.named.limit_to(per_s, now)
+        for ticket in self._queue.remove_where(movable_only=False):
+            expected_end_at = self._concurrency.expected_end_at(now)
+            position = self._queue.calls_ahead(ticket, expected_end_at) + 1
+            start_at = now + self._rates.wait_s(position, now)
+            dropped = [ticket]
+            if start_at <= self._wait_deadlines[ticket.call]:
+                dropped = self._queue.push(ticket, expected_end_at)
+            for refused in dropped:
+                self._refuse(refused, Reason.OVERLOADED)
+        return AdmissionChange(
+            started=self.resume(now), refused=self.expire(now)
+        )
+
     def set_phase(self, phase: Phase, now: float) -> AdmissionChange:
         """Apply the phase that the target announces, if it has changed."""
         if phase == self._announced_phase:
             return AdmissionChange()
         self._announced_phase = phase
-        _apply_cold_limit(self._concurrency, self._cold_rate, phase)
+        _apply_cold_limit(self._concurrency, self._rates.cold, phase)
         if phase == Phase.LEAVING:
             self._refuse_all(Reason.LEAVING)
         return AdmissionChange(
@@ -260,6 +294,7 @@
         """Return to one slot for a new instance; running calls continue."""
         self._concurrency.reset_to_cold()
         self._breaker = CircuitBreaker()
+        self._rates.named.limit_to(0, now)
 
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Replace the tenants' weights; an unlisted tenant has weight 1."""
@@ -280,12 +315,18 @@
         return None
 
     def _enqueue(self, ticket: Ticket, now: float) -> Queued | Failure:
-        wait_deadline = self._wait_deadline(ticket, now)
+        wait_deadline = _wait_deadline(
+            ticket,
+            self._contract_limits.queue_wait_ms / MS_PER_S,
+            self._concurrency.service_s,
+            self._rates.cold.start_interval_s,
+            now,
+        )
         expected_end_at = self._concurrency.expected_end_at(now)
         position = self._queue.calls_ahead(ticket, expected_end_at) + 1
         wait_s = max(
             position * self._concurrency.slot_interval_s,
-            self._cold_rate.wait_s(position, now),
+            self._rates.wait_s(position, now),
         )
         if now + wait_s > wait_deadline:
             return Failure(
@@ -299,34 +340,15 @@
         self._wait_deadlines.add(ticket.call, wait_deadline)
         return Queued()
 
-    def _wait_deadline(self, ticket: Ticket, now: float) -> float:
-        """Return when a call that still waits expires, in monotonic seconds."""
-        service_s = self._concurrency.service_s
-        wait_s = self._contract_limits.queue_wait_ms / MS_PER_S
-        if ticket.may_move:
-            move_wait_s = max(
-                MOVE_WAIT_S,
-                MOVE_WAIT_SERVICE_TIMES * service_s,
-                MOVE_WAIT_START_INTERVALS * self._cold_rate.start_interval_s,
-            )
-            wait_s = min(wait_s, move_wait_s)
-        late_at = max(now, ticket.objective - service_s)
-        if late_at < ticket.deadline:
-            late_s = LATE_WAIT_FRACTION * (ticket.deadline - late_at)
-            wait_s = min(wait_s, late_at + late_s - now)
-        return min(now + wait_s, ticket.deadline - service_s)
-
     def _has_room(self, now: float) -> bool:
         has_slot = self.running < self._concurrency.limit
-        return has_slot and self._cold_rate.allows(now)
+        return has_slot and self._rates.allows(now)
 
     def _start(self, ticket: Ticket, now: float) -> None:
         assert self.running < self._contract_limits.slots_per_upstream
         self._running.add(ticket.call)
         self._queue.charge(ticket, self._concurrency.expected_end_at(now))
-        # Starts are counted while the target is warm too, because it may be
-        # announced or detected as cold only after they were made.
-        self._cold_rate.record_start(now)
+        self._rates.record_start(now)
 
     def _refuse_all(
         self, reason: Reason, *, movable_only: bool = False
@@ -346,3 +368,35 @@
     is_cold = phase == Phase.COLD
     concurrency.limit_to_one(is_cold and not rate.per_s)
     rate.is_active = is_cold and rate.per_s > 0
+
+
+def _wait_deadline(
+    ticket: Ticket,
+    queue_wait_s: float,
+    service_s: float,
+    cold_interval_s: float,
+    now: float,
+) -> float:
+    """Return when a call that still waits expires, in monotonic seconds.
+
+    Args:
+        ticket: The call.
+        queue_wait_s: The longest wait that the contract allows, in seconds.
+        service_s: The expected service time, in seconds.
+        cold_interval_s: The time between two starts of a cold target, in
+            seconds; 0 if it is warm.
+        now: Monotonic seconds.
+    """
+    wait_s = queue_wait_s
+    if ticket.may_move:
+        move_wait_s = max(
+            MOVE_WAIT_S,
+            MOVE_WAIT_SERVICE_TIMES * service_s,
+            MOVE_WAIT_START_INTERVALS * cold_interval_s,
+        )
+        wait_s = min(wait_s, move_wait_s)
+    late_at = max(now, ticket.objective - service_s)
+    if late_at < ticket.deadline:
+        late_s = LATE_WAIT_FRACTION * (ticket.deadline - late_at)
+        wait_s = min(wait_s, late_at + late_s - now)
+    return min(now + wait_s, ticket.deadline - service_s)
--- a/daisyline/coordination/calls/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -288,14 +288,17 @@
     def refuse(self, call: EntryCall, failure: Failure, now: float) -> Effects:
         """Refuse a call; the outcome covers all of its attempts."""
         self.remove(call)
+        service = call.request.service
+        router = self.router(service)
         overall = attrs.evolve(
             failure,
             outcome=call.outcome,
             retry_after_s=retry_after_s(
                 failure,
-                others_have_room=self.router(
-                    call.request.service
-                ).takes_most_calls,
+                others_have_room=router.takes_most_calls,
+                start_interval_s=router.start_interval_s(
+                    self.table.candidates(service, now)
+                ),
             ),
         )
         self.record_refusal(call.request.call, call.node, overall, now)
--- a/daisyline/coordination/calls/retries.py
+++ b/daisyline/coordination/calls/retries.py
@@ -4,6 +4,8 @@
 retry was spent, so that attempts do not multiply from layer to layer.
 """
 
+import math
+
 import attrs
 
 from daisyline.state.failures import (
@@ -249,18 +251,23 @@
     return Retry(number=attempt.number + 1, retried=attempt.retried)
 
 
-def retry_after_s(failure: Failure, *, others_have_room: bool) -> int:
+def retry_after_s(
+    failure: Failure, *, others_have_room: bool, start_interval_s: float = 0
+) -> int:
     """Return when a caller may send a refused call again, in seconds.
 
     A call that its target declined may be taken by another target at once, if
     its route or the retry budget only kept this node from offering it there.
-    After other refusals room is expected later.
+    After other refusals room is expected later, and not before the targets start
+    a call.
 
     Args:
         failure: Why the call was refused.
         others_have_room: Whether most targets take the calls they are offered.
+        start_interval_s: The mean time between two starts at all targets of
+            the service together, in seconds; 0 if it isn't known.
     """
     is_declined = failure.outcome == Outcome.NOT_RUN and failure.reached_target
     if is_declined and others_have_room:
         return 0
-    return DEFAULT_RETRY_AFTER_S
+    return max(DEFAULT_RETRY_AFTER_S, math.ceil(start_interval_s))
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -121,6 +121,17 @@
         change = self._admission.set_phase(target.phase, now)
         return self.apply_decisions(change.started, change.refused, now)
 
+    def limit_starts(self, per_s: float, now: float) -> Effects:
+        """Start no more calls a second than the target says that it takes.
+
+        Args:
+            per_s: The calls a second; 0 if the target names no limit.
+            now: Monotonic seconds.
+        """
+        assert self._admission is not None
+        change = self._admission.set_named_limit(per_s, now)
+        return self.apply_decisions(change.started, change.refused, now)
+
     def accept(
         self, peer: str, run: msg.RunCall, now: float
     ) -> TargetCall | ev.SendReply:
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -145,7 +145,9 @@
     if target is None or target.incarnation != event.incarnation:
         return []
     target_side.events.add(_limit_event(event, now))
-    return []
+    if event.per_s is None:
+        return []
+    return target_side.limit_starts(event.per_s, now)
 
 
 @handle.register
--- a/daisyline/coordination/routing/routing.py
+++ b/daisyline/coordination/routing/routing.py
@@ -211,6 +211,20 @@
             return False
         return bool(untried_candidates(candidates, tried))
 
+    def start_interval_s(self, candidates: Sequence[Candidate]) -> float:
+        """Return the mean time between two starts at targets, in seconds.
+
+        It is 0 if there is none or one of them has sent no report.
+        """
+        reports = [self._load_of(one.node).report for one in candidates]
+        per_s = sum(
+            report.limit * US_PER_S / report.service_us
+            for report in reports
+            if report is not None and report.service_us
+        )
+        is_known = all(report and report.service_us for report in reports)
+        return 1 / per_s if per_s and is_known else 0
+
     def record_sent(self, node: str, now: float) -> None:
         """Record that a call was sent to a node."""
         target_load = self._load_of(node)
--- a/tests/coordination/admission/test_named_limit.py
+++ b/tests/coordination/admission/test_named_limit.py
@@ -25,6 +25,7 @@
 OVER = 1.5
 SLACK = 5
 SERVICE_S = 0.06
+AT_ONCE_S = 0.05
 SLOTS = 6
 TARGET = Target(
     'docs', 'v1', 'i1', '127.0.0.1', 80, Phase.READY, started_ms=1, slots=SLOTS
@@ -39,6 +40,7 @@
         side: The target side of its node.
         now: Monotonic seconds.
         starts: When calls were started.
+        started_calls: The calls that were started.
         refusals: When calls were refused, and after which wait.
         per_s: How many calls arrive in a second.
         may_move: Whether other targets may take the calls.
@@ -47,6 +49,7 @@
     side: TargetSide
     now: float = 0
     starts: list[float] = attrs.field(factory=list)
+    started_calls: set[str] = attrs.field(factory=set)
     refusals: list[tuple[float, float]] = attrs.field(factory=list)
     per_s: float = 60
     may_move: bool = True
@@ -67,6 +70,11 @@
             self._step()
         self.now = until
 
+    def offer(self, run: msg.RunCall) -> None:
+        """Offer a call now."""
+        self._offered_at[run.call] = self.now
+        self._handle(ev.CallMessageReceived('e', run))
+
     def most_starts(self, since: float) -> int:
         """Return the most starts in a window that begins later than a time."""
         return max(
@@ -91,9 +99,8 @@
 
     def _offer(self) -> None:
         call = f'c{len(self._offered_at)}'
-        self._offered_at[call] = self.now
         run = run_message(call, budget_ms=800, may_move=self.may_move)
-        self._handle(ev.CallMessageReceived('e', run))
+        self.offer(run)
 
     def _handle(self, event: Any) -> None:
         self._apply(target_side_handlers.handle(event, self.side, self.now))
@@ -102,6 +109,7 @@
         for effect in effects:
             if isinstance(effect, ev.StartTargetCall):
                 self.starts.append(self.now)
+                self.started_calls.add(effect.call)
                 heapq.heappush(self._ends, (self.now + SERVICE_S, effect.call))
             elif isinstance(effect, ev.SendReply) and isinstance(
                 effect.message, msg.CallRefused
@@ -132,3 +140,83 @@
         assert most <= OVER * per_s * WINDOW_S + SLACK, per_s
         taken = sum(start >= named_at for start in loaded_target.starts)
         assert taken >= int(0.9 * 12 * per_s), per_s
+
+
+def test_calls_beyond_a_named_limit_are_refused_at_once(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.per_s = 200
+    loaded_target.run(3)
+    loaded_target.name_limit(7.4)
+    named_at = loaded_target.now
+    loaded_target.run(4)
+    arrived_later = [
+        waited_s
+        for at, waited_s in loaded_target.refusals
+        if at - waited_s > named_at
+    ]
+    assert arrived_later
+    assert max(arrived_later) < AT_ONCE_S
+    at_naming = [at for at, _wait in loaded_target.refusals if at == named_at]
+    assert at_naming
+
+
+def test_a_limit_ends_when_it_is_named_no_longer(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.name_limit(2)
+    loaded_target.run(5)
+    loaded_target.name_limit(0)
+    ended_at = loaded_target.now
+    loaded_target.run(4)
+    assert loaded_target.most_starts(ended_at) > 0.9 * 4 * loaded_target.per_s
+
+
+def test_a_limit_that_is_unreadable_changes_nothing(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.name_limit(None)
+    loaded_target.run(4)
+    assert loaded_target.most_starts(0) > 0.9 * 4 * loaded_target.per_s
+    loaded_target.name_limit(2)
+    loaded_target.name_limit(None)
+    named_at = loaded_target.now
+    loaded_target.run(5)
+    assert loaded_target.most_starts(named_at) <= OVER * 2 * WINDOW_S + SLACK
+
+
+def test_a_limit_never_passes_on_to_the_next_start_of_a_target(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.name_limit(2)
+    loaded_target.run(5)
+    replaced = attrs.evolve(TARGET, started_ms=2)
+    loaded_target.side.use_target(replaced, loaded_target.now)
+    loaded_target.name_limit(2)
+    started_at = loaded_target.now
+    loaded_target.run(4)
+    assert loaded_target.most_starts(started_at) > 0.9 * 4 * loaded_target.per_s
+
+
+def test_a_limited_target_seems_as_slow_as_its_limit(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.run(3)
+    for per_s in (7.4, 40.0, 0.25):
+        loaded_target.name_limit(per_s)
+        load = loaded_target.side.load
+        reported_per_s = load.limit * 1_000_000 / load.service_us
+        assert 0.6 * per_s < reported_per_s < 1.1 * per_s
+
+
+def test_a_limited_target_starts_more_urgent_calls_first(
+    loaded_target: LoadedTarget,
+) -> None:
+    loaded_target.may_move = False
+    loaded_target.run(1)
+    loaded_target.name_limit(2)
+    loaded_target.run(1)
+    urgent = run_message('urgent', budget_ms=800, priority=0)
+    loaded_target.offer(urgent)
+    loaded_target.run(0.6)
+    assert 'urgent' in loaded_target.started_calls
--- a/tests/coordination/calls/test_retry_after.py
+++ b/tests/coordination/calls/test_retry_after.py
@@ -26,6 +26,7 @@
 )
 ROUTE = Route('r', 'h', '/', (('docs', 1),), targets=1)
 OVERLOADED = Reason.OVERLOADED.value
+US_PER_S = 1_000_000
 NOT_RUN = Outcome.NOT_RUN.value
 
 
@@ -46,7 +47,9 @@
     return core
 
 
-def _refusal(core: NodeCore, call: str, *, reached_target: bool) -> Failure:
+def _refusal(
+    core: NodeCore, call: str, *, reached_target: bool, per_s: float = 0
+) -> Failure:
     """Run a call that each target refuses; return what its caller gets."""
     request = ev.RequestReceived(
         call=call,
@@ -62,17 +65,22 @@
     )
     effects = node_handlers.handle(request, core, 1)
     while isinstance(effects[-1], Send):
-        effects = _refuse(core, effects[-1].node, call, reached_target)
+        node = effects[-1].node
+        effects = _refuse(core, node, call, reached_target, per_s)
     refusal = effects[-1]
     assert isinstance(refusal, ev.RefuseCaller)
     return refusal.failure
 
 
 def _refuse(
-    core: NodeCore, node: str, call: str, reached_target: bool
+    core: NodeCore, node: str, call: str, reached_target: bool, per_s: float = 0
 ) -> list[Any]:
     refused = msg.CallRefused(
-        call, OVERLOADED, NOT_RUN, reached_target=reached_target
+        call,
+        OVERLOADED,
+        NOT_RUN,
+        reached_target=reached_target,
+        service_us=int(US_PER_S / per_s) if per_s else 0,
     )
     return node_handlers.handle(ev.CallMessageReceived(node, refused), core, 1)
 
@@ -98,3 +106,11 @@
     assert waits[0] == 0
     assert waits[-1] == 1
     assert waits == sorted(waits)
+
+
+def test_callers_come_back_when_targets_that_name_a_limit_have_room() -> None:
+    # Three targets start a call in four seconds each.
+    failure = _refusal(_entry(), 'c1', reached_target=False, per_s=0.25)
+    assert failure.retry_after_s == 2
+    failure = _refusal(_entry(), 'c1', reached_target=False, per_s=7)
+    assert failure.retry_after_s == 1
