Let a stand-in read until another node confirms

Its own reads had renewed its lease, so it could not tell that it was alone. The lease now tells confirmations of other nodes from those of its own, and a stand-in goes on while it hears none.

--- a/daisyline/coordination/settings/confirmation_lease.py
+++ b/daisyline/coordination/settings/confirmation_lease.py
@@ -28,13 +28,15 @@
     _rng: random.Random
     _confirmed_at: float
     _lapses_at: float
+    _relies_until: float
     _count: int = 0
     _renewed_by: int = 0
 
     @classmethod
     def from_start(cls, rng: random.Random, now: float) -> 'ConfirmationLease':
         """Build the lease of a node that has just started."""
-        return cls(rng, confirmed_at=now, lapses_at=now + LEASE_S)
+        until = now + LEASE_S
+        return cls(rng, confirmed_at=now, lapses_at=until, relies_until=until)
 
     @property
     def count(self) -> int:
@@ -50,9 +52,9 @@
         """Return the time since the newest confirmation, in seconds."""
         return now - self._confirmed_at
 
-    def has_lapsed(self, now: float) -> bool:
-        """Return whether no confirmation has come for the lease's length."""
-        return now >= self._confirmed_at + LEASE_S
+    def relies_on_others(self, now: float) -> bool:
+        """Return whether another node has confirmed within the lease."""
+        return now < self._relies_until
 
     def record_read_start(self) -> None:
         """Record that the node reads by itself, once for each lapse."""
@@ -72,7 +74,7 @@
         Returns:
             Whether the confirmation has to be passed on.
         """
-        return self.renew(self._count + 1, member_count, now)
+        return self._renew(self._count + 1, member_count, now)
 
     def renew(self, count: int, member_count: int, now: float) -> bool:
         """Renew the lease by a confirmation that was just passed on.
@@ -85,9 +87,13 @@
         Returns:
             Whether the confirmation is new and has to be passed on.
         """
-        self.observe(count)
         if count <= self._renewed_by:
             return False
+        self._relies_until = now + LEASE_S
+        return self._renew(count, member_count, now)
+
+    def _renew(self, count: int, member_count: int, now: float) -> bool:
+        self.observe(count)
         is_due = self.age_s(now) >= MIN_FORWARD_INTERVAL_S
         self._renewed_by = count
         self._confirmed_at = now
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -35,7 +35,7 @@
 FIRST_WATCH_DELAY_S = 1.0
 # How many of a region's readers watch the settings with the short watch.
 SHORT_WATCH_READERS = 2
-# For how long a node that had to read by itself reads for the others, too.
+# How long a node that had to read by itself goes on after it was the only one.
 STAND_IN_S = 5.0
 # The longest interval between failed reads of a node that isn't a reader grows
 # with the fleet, so that a long outage of the platform brings few calls.
@@ -55,7 +55,7 @@
 
     A node that isn't a reader reads once at its start, and again when its
     lease on the settings lapses. If that succeeds, it stands in for the
-    readers, whoever they are.
+    readers, whoever they are, until another node confirms the settings.
     """
 
     _region: str
@@ -150,7 +150,8 @@
         Returns:
             Whether the confirmation has to be passed on.
         """
-        if self._lease.has_lapsed(now) and not self._reading:
+        is_chosen = math.isinf(self._reading_until)
+        if not is_chosen and not self._lease.relies_on_others(now):
             self._stand_in(now)
         return self._lease.confirm(self._member_count, now)
 
@@ -252,13 +253,14 @@
         return changes
 
     def _stand_in(self, now: float) -> None:
-        self._role_changes.append(
-            ReaderRoleChanged(
-                state='stand-in',
-                age_s=self._lease.age_s(now),
-                members=self._member_count,
+        if not self._reading:
+            self._role_changes.append(
+                ReaderRoleChanged(
+                    state='stand-in',
+                    age_s=self._lease.age_s(now),
+                    members=self._member_count,
+                )
             )
-        )
         self._reading_until = max(self._reading_until, now + STAND_IN_S)
         self._set_watch_length(short=True)
         self._update_reading(now)
--- a/tests/coordination/settings/test_confirmation_lease.py
+++ b/tests/coordination/settings/test_confirmation_lease.py
@@ -60,6 +60,7 @@
     lease = _lease()
     lease.record_read_start()
     assert lease.read_at == float('inf')
-    assert lease.has_lapsed(now=LEASE_S)
+    assert not lease.relies_on_others(now=LEASE_S)
     lease.confirm(1, now=LEASE_S)
+    assert not lease.relies_on_others(now=LEASE_S)
     assert lease.read_at >= 2 * LEASE_S
--- a/tests/coordination/settings/test_reader_role.py
+++ b/tests/coordination/settings/test_reader_role.py
@@ -263,3 +263,22 @@
 
 def _knows_order(fleet: Fleet, zone: str) -> bool:
     return any(name == zone for _kind, name in fleet.facts)
+
+
+def test_a_stand_in_goes_on_while_no_reader_confirms() -> None:
+    pump = running_fleet(100)
+    readers = readers_of(pump)
+    only = next(name for name in sorted(pump.nodes) if name not in readers)
+    pump.unanswered_nodes = frozenset(set(pump.nodes) - {only})
+    pump.run(IN_FORCE_S)
+    before = {name: _lapses(pump, name) for name in pump.nodes}
+    pump.run(12)
+    assert {name: _lapses(pump, name) for name in pump.nodes} == before
+
+
+def _lapses(pump: Pump, name: str) -> int:
+    """Return how often a node has become a stand-in."""
+    return sum(
+        getattr(effect, 'state', '') == 'stand-in'
+        for effect in pump.nodes[name].effects
+    )
