Give no calls to a target that says in an answer that it leaves

A target that leaves says so in all its answers, at times before its announcements do or while the platform is down; the header was not read, so entries went on sending calls. The first own answer with the header, refusals included, now marks that start of the target as leaving at its node, as a leave notice does: calls that wait are refused as not run, later ones are refused, all nodes learn it by gossip and remember that start, also over a restart of its node. A later announcement of the same start as ready is outdated.

The journey over processes and the test of the transport fail without the change. The stand-in target of the users' platform can name a limit and say that it leaves.

--- a/daisyline/platform/wire.py
+++ b/daisyline/platform/wire.py
@@ -37,6 +37,7 @@
     signature=b'server-signature',
     load=b'server-load',
     named_limit=b'server-limit',
+    leaving=b'server-leaving',
     reserved_headers=frozenset(
         (b'deadline-ms', b'expected-instance', b'caller-service')
     ),
--- a/daisyline/protocol/dialect.py
+++ b/daisyline/protocol/dialect.py
@@ -43,6 +43,8 @@
         load: The target's load, in its answers.
         named_limit: How many calls a second the target takes from all nodes
             together, in its answers while it is in need.
+        leaving: Present, with the value 1, in the answers of a target that is
+            about to stop.
         reserved_headers: Headers of callers that are not forwarded.
         statuses: HTTP statuses of refusals that differ from the defaults.
         needs_route: Whether a request without a matching route is refused. If
@@ -65,6 +67,7 @@
     signature: bytes = b''
     load: bytes = b''
     named_limit: bytes = b''
+    leaving: bytes = b''
     reserved_headers: frozenset[bytes] = frozenset()
     statuses: Mapping[Reason, HTTPStatus] = attrs.field(factory=dict)
     needs_route: bool = False
@@ -109,3 +112,9 @@
     if _DECIMAL_NUMBER.fullmatch(text) is None:
         return None
     return min(max(float(text), _MIN_LIMIT_PER_S), _MAX_LIMIT_PER_S)
+
+
+def is_leaving(head: Head, dialect: Dialect) -> bool:
+    """Return whether an answer says that its target is about to stop."""
+    said = head.header(dialect.leaving) if dialect.leaving else None
+    return said is not None and said.strip() == b'1'
--- a/daisyline/transport/target_condition.py
+++ b/daisyline/transport/target_condition.py
@@ -5,8 +5,10 @@
 from typing import Any
 
 from daisyline.coordination.admission.limit_events import TargetLimitReported
+from daisyline.coordination.calls.call_events import TargetLeaving
 from daisyline.protocol.dialect import (
     Dialect,
+    is_leaving,
     named_limit_text,
     parse_limit,
 )
@@ -29,6 +31,7 @@
         self._dialect = dialect
         self._incarnation = ('', 0)
         self._limit_text = b''
+        self._is_leaving = False
 
     def report(self, target: Target, head: Head) -> None:
         """Report what an answer says, if it is not what the last one said.
@@ -41,6 +44,10 @@
         if target.incarnation != self._incarnation:
             self._incarnation = target.incarnation
             self._limit_text = b''
+            self._is_leaving = False
+        if not self._is_leaving and is_leaving(head, self._dialect):
+            self._is_leaving = True
+            self._on_event(TargetLeaving(*target.incarnation))
         text = named_limit_text(head, self._dialect)
         if text != self._limit_text:
             self._limit_text = text
--- a/standins/users_target.py
+++ b/standins/users_target.py
@@ -31,6 +31,8 @@
         status: The HTTP status of answers.
         break_off: Whether the connection is closed in the middle of an answer.
         wrong_id: Whether answers carry the id of another request.
+        limit: The limit that answers name; empty if they name none.
+        says_leaving: Whether answers say that the target leaves.
     """
 
     state: str = 'ready'
@@ -39,6 +41,8 @@
     status: int = OK
     break_off: bool = False
     wrong_id: bool = False
+    limit: str = ''
+    says_leaving: bool = False
 
 
 class UsersTarget:
@@ -116,7 +120,7 @@
         headers = {
             'Attempt-Id': said_id or request.headers.get('attempt-id', ''),
             'Server-Signature': 'signed',
-            **self._load(),
+            **self._condition(),
         }
         if self._state.break_off:
             fields = [f'{name}: {text}\r\n' for name, text in headers.items()]
@@ -132,6 +136,14 @@
             return
         exchange.answer(self._state.status, {'by': self._address}, headers)
 
+    def _condition(self) -> dict[str, str]:
+        headers = self._load()
+        if self._state.limit:
+            headers['Server-Limit'] = self._state.limit
+        if self._state.says_leaving:
+            headers['Server-Leaving'] = '1'
+        return headers
+
     def _load(self) -> dict[str, str]:
         pace = self._state.pace
         return {'Server-Load': f'0,0,2,{pace}'}
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -112,3 +112,17 @@
                 return effect
         now = core.next_at()
     raise AssertionError('the node made no read')
+
+
+def test_a_target_that_leaves_by_an_answer_stays_out_when_announced_ready() -> (
+    None
+):
+    core = _core()
+    target = core.target_side.target
+    assert target is not None
+    _handle(core, ev.TargetLeaving(*target.incarnation))
+    _handle(core, ev.TargetAnnounced(target, sequence=9))
+    refused = _offer(core, 'late', b'/list')[0].message
+    assert (refused.reason, refused.outcome) == ('leaving', 'not-run')
+    candidates = core.entry.table.candidates('docs', 1)
+    assert all(not candidate.weight for candidate in candidates)
--- a/tests/journeys/test_users_platform.py
+++ b/tests/journeys/test_users_platform.py
@@ -12,6 +12,8 @@
 
 PROPAGATION_LIMIT_S = 2.0
 ZONE_OUT_WAIT_S = 5.0
+LIMITED_S = 4.0
+LIMIT_PER_S = 5
 
 
 def test_a_request_reaches_a_target_with_the_platforms_headers(
@@ -157,3 +159,64 @@
 
 def _wait_until_served(place: UsersPlace, path: str) -> None:
     wait_until(lambda: place.send_request(path, 'x', 'POST').status == 200)
+
+
+def test_a_named_limit_holds_over_all_nodes_and_ends(
+    users_fleet: UsersFleet,
+) -> None:
+    for place in users_fleet.places:
+        place.control_target(limit=str(LIMIT_PER_S))
+    _send_for(users_fleet, 'learn', 0.5)
+    before = _run_counts(users_fleet)
+    answers = _send_for(users_fleet, 'limited', LIMITED_S)
+    ran = [
+        after - count
+        for after, count in zip(_run_counts(users_fleet), before, strict=True)
+    ]
+    assert all(count <= LIMIT_PER_S * (LIMITED_S + 1) + 1 for count in ran)
+    assert sum(ran) >= LIMIT_PER_S * LIMITED_S
+    assert set(answers) <= {200, 503}
+    for place in users_fleet.places:
+        place.control_target(limit='')
+    # The first answer of each target ends its limit.
+    _send_for(users_fleet, 'end', 1.0)
+    assert set(_send_for(users_fleet, 'free', 1.0)) == {200}
+
+
+def test_a_target_that_leaves_by_its_answers_gets_no_further_calls(
+    users_fleet: UsersFleet,
+) -> None:
+    leaving = users_fleet.places[0]
+    leaving.control_target(says_leaving=True)
+    wait_until(
+        lambda: (
+            'said'
+            in [
+                run['id'][:4]
+                for place in users_fleet.places
+                if place.send_request('/pages/1', 'said')
+                for run in leaving.control_target()['ran']
+            ]
+        )
+    )
+    count = len(leaving.control_target()['ran'])
+    # Its heartbeats still say that it is ready.
+    assert set(_send_for(users_fleet, 'late', 1.0)) == {200}
+    assert len(leaving.control_target()['ran']) == count
+
+
+def _send_for(fleet: UsersFleet, name: str, seconds: float) -> list[int]:
+    """Send requests at all nodes for a time; return the statuses."""
+    until = time.monotonic() + seconds
+    statuses = []
+    while time.monotonic() < until:
+        for place in fleet.places:
+            request_id = f'{name}{len(statuses)}'
+            answer = place.send_request('/pages/1', request_id)
+            statuses.append(answer.status)
+        time.sleep(0.01)
+    return statuses
+
+
+def _run_counts(fleet: UsersFleet) -> list[int]:
+    return [len(place.control_target()['ran']) for place in fleet.places]
--- a/tests/transport/test_target_condition.py
+++ b/tests/transport/test_target_condition.py
@@ -5,6 +5,7 @@
 import attrs
 
 from daisyline.coordination.admission.limit_events import TargetLimitReported
+from daisyline.coordination.calls.call_events import TargetLeaving
 from daisyline.platform.wire import DIALECT
 from daisyline.protocol.http_messages import Head
 from daisyline.state.targets import Target
@@ -46,3 +47,16 @@
     condition = TargetCondition(events.append, DIALECT)
     condition.report(TARGET, _limited(b'1', status=421))
     assert not events
+
+
+def test_a_target_that_says_it_leaves_is_reported_once() -> None:
+    events: list[Any] = []
+    condition = TargetCondition(events.append, DIALECT)
+    leaving = Head(200, ((b'Server-Leaving', b'1'),))
+    for head in (Head(200, ()), leaving, leaving, Head(200, ())):
+        condition.report(TARGET, head)
+    assert events == [TargetLeaving(*TARGET.incarnation)]
+    for said in (b'0', b'yes', b''):
+        other = TargetCondition(events.append, DIALECT)
+        other.report(TARGET, Head(200, ((b'Server-Leaving', said),)))
+    assert len(events) == 1
