Read orders only where the settings can be read

Cause: each node that was chosen read three kinds at once, repeated each as long as it handed over for 3 s, and the role passes over every node that cannot read.

A new reader now lists the settings first; orders follow if that succeeds. A reader that cannot read hands nothing over. Failed reads of readers too are repeated by stale reads. Confirmations are passed on by all that read as readers, and by all who hear of a new one: thinning them by time kept a stand-in from hearing a reader in step with it.

--- a/daisyline/coordination/settings/confirmation_lease.py
+++ b/daisyline/coordination/settings/confirmation_lease.py
@@ -12,8 +12,6 @@
 # The number of nodes that may read by themselves doubles in each such interval
 # after the lease, so that those that succeed spare most of the others the read.
 _DOUBLING_S = 0.03
-# A confirmation that follows an earlier one sooner than this is not passed on.
-MIN_FORWARD_INTERVAL_S = 0.4
 
 
 @attrs.define
@@ -64,17 +62,14 @@
         """Record a count of unknown age, which doesn't renew the lease."""
         self._count = max(self._count, count)
 
-    def confirm(self, member_count: int, now: float) -> bool:
+    def confirm(self, member_count: int, now: float) -> None:
         """Renew the lease by a read of this node.
 
         Args:
             member_count: The number of live members.
             now: Monotonic seconds.
-
-        Returns:
-            Whether the confirmation has to be passed on.
         """
-        return self._renew(self._count + 1, member_count, now)
+        self._renew(self._count + 1, member_count, now)
 
     def renew(self, count: int, member_count: int, now: float) -> bool:
         """Renew the lease by a confirmation that was just passed on.
@@ -85,18 +80,17 @@
             now: Monotonic seconds.
 
         Returns:
-            Whether the confirmation is new and has to be passed on.
+            Whether the confirmation is new.
         """
         if count <= self._renewed_by:
             return False
         self._relies_until = now + LEASE_S
-        return self._renew(count, member_count, now)
+        self._renew(count, member_count, now)
+        return True
 
-    def _renew(self, count: int, member_count: int, now: float) -> bool:
+    def _renew(self, count: int, member_count: int, now: float) -> None:
         self.observe(count)
-        is_due = self.age_s(now) >= MIN_FORWARD_INTERVAL_S
         self._renewed_by = count
         self._confirmed_at = now
         rank = self._rng.random() * member_count
         self._lapses_at = now + LEASE_S + _DOUBLING_S * math.log2(1 + rank)
-        return is_due
--- a/daisyline/coordination/settings/kind_reader.py
+++ b/daisyline/coordination/settings/kind_reader.py
@@ -76,8 +76,6 @@
         watch_ms: How long the platform holds a watch open while nothing
             changes, in milliseconds.
         retry_max_s: The longest interval between reads that fail, in seconds.
-        probes_first: Whether failed reads are repeated by stale reads, which
-            cost the platform less, until one succeeds.
     """
 
     kind: str
@@ -85,7 +83,6 @@
     next_read_at: float
     watch_ms: int = WATCH_MS
     retry_max_s: float = RETRY_MAX_S
-    probes_first: bool = False
     _revision: int = 0
     _listed: bool = False
     _watching: bool = False
@@ -125,6 +122,11 @@
         soon = now + jittered(self._rng, _FIRST_WATCH_JITTER_S)
         self.next_read_at = min(self.next_read_at, soon)
 
+    def list_soon(self, now: float) -> None:
+        """Schedule a list as soon as `watch_soon` does a watch."""
+        self._listed = self._listed and bool(self._token)
+        self.watch_soon(now)
+
     def list_now(self, now: float) -> None:
         """List at once in place of a watch, which may have silently failed.
 
@@ -158,9 +160,9 @@
         self._token = f'fleet-{self.kind}-{nonce}'
         self._started_at = now
         self._watching = watch and self._listed
-        self._probing = (
-            self.probes_first and self._failures > 0 and not self._is_reachable
-        )
+        # A stale read costs the platform less, and shows as well whether it
+        # answers again.
+        self._probing = self._failures > 0 and not self._is_reachable
         grace_s = REPLY_GRACE_S * 2 ** min(self._failures, _MAX_DOUBLINGS)
         self._timeout_at = now + min(MAX_REPLY_GRACE_S, grace_s)
         if not self._watching:
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -13,6 +13,7 @@
     ReaderRoleChanged,
 )
 from daisyline.coordination.settings.confirmation_lease import (
+    LEASE_S,
     ConfirmationLease,
 )
 from daisyline.coordination.settings.kind_reader import (
@@ -66,6 +67,8 @@
     _first_watch_at: float
     _member_count: int = 1
     _reading: bool = False
+    _read_at: float = -math.inf
+    _has_read: bool = False
     _has_peers: bool = False
     _reading_until: float = 0
     _unreadable: set[str] = attrs.field(factory=set)
@@ -139,7 +142,7 @@
         """Apply a confirmation that another node has just passed on.
 
         Returns:
-            Whether it has to be passed on.
+            Whether it is new and has to be passed on.
         """
         self._has_peers = True
         return self._lease.renew(confirmations, self._member_count, now)
@@ -148,12 +151,17 @@
         """Confirm the settings by a read of this node.
 
         Returns:
-            Whether the confirmation has to be passed on.
+            Whether it has to be passed on, which the reads of nodes that have
+            just started do not.
         """
+        self._read_at = now
+        self._has_read = True
+        self._resume_reading(now)
         is_chosen = math.isinf(self._reading_until)
         if not is_chosen and not self._lease.relies_on_others(now):
             self._stand_in(now)
-        return self._lease.confirm(self._member_count, now)
+        self._lease.confirm(self._member_count, now)
+        return self._reading
 
     def update_role(
         self,
@@ -203,9 +211,12 @@
             )
         elif was_chosen:
             # A node that has just started is the only member it knows, so it
-            # is chosen until it meets the others. It has nothing to hand over.
-            overlap_s = HANDOVER_OVERLAP_S if self._reading else 0
-            self._reading_until = now + overlap_s
+            # is chosen until it meets the others. Neither it nor a node that
+            # can't read has anything to hand over.
+            can_hand_over = self._reading and self._can_read
+            self._reading_until = now
+            if can_hand_over:
+                self._reading_until += HANDOVER_OVERLAP_S
         self._update_reading(now)
 
     def tick(self, member_count: int, now: float) -> list[Any]:
@@ -213,12 +224,10 @@
         effects: list[Any] = []
         self._member_count = member_count
         self._update_reading(now)
-        has_lapsed = now >= self._lease.read_at
-        if has_lapsed:
+        if now >= self._lease.read_at:
             self._lease.record_read_start()
+            self._settings_reader.list_now(now)
         for reader in self._kind_readers:
-            if has_lapsed and reader.kind == SETTINGS_KIND:
-                reader.list_now(now)
             reader.expire(now)
             if now < reader.next_read_at:
                 continue
@@ -266,9 +275,17 @@
         self._update_reading(now)
 
     def _set_watch_length(self, *, short: bool) -> None:
-        for reader in self._kind_readers:
-            if reader.kind == SETTINGS_KIND:
-                reader.watch_ms = SETTINGS_WATCH_MS if short else WATCH_MS
+        self._settings_reader.watch_ms = (
+            SETTINGS_WATCH_MS if short else WATCH_MS
+        )
+
+    @property
+    def _settings_reader(self) -> KindReader:
+        return next(
+            reader
+            for reader in self._kind_readers
+            if reader.kind == SETTINGS_KIND
+        )
 
     def _update_reading(self, now: float) -> None:
         """Start or stop reading as a reader, according to the time."""
@@ -276,14 +293,35 @@
         retry_max_s = max(RETRY_MAX_S, RETRY_S_PER_MEMBER * self._member_count)
         for reader in self._kind_readers:
             reader.retry_max_s = RETRY_MAX_S if reading else retry_max_s
-            reader.probes_first = not reading
-            if reading and not self._reading:
-                reader.watch_soon(now)
+        if reading and not self._reading:
+            self._reading = True
+            self._begin_reading(now)
         self._reading = reading
 
+    def _begin_reading(self, now: float) -> None:
+        """Read the settings first; the other kinds follow if that succeeds."""
+        self._has_read = now < self._read_at + LEASE_S
+        self._resume_reading(now)
+        if not self._has_read:
+            self._settings_reader.list_soon(now)
+
+    @property
+    def _can_read(self) -> bool:
+        """Return whether the node has read the settings since it is a reader.
+
+        A node that can't read them can't read the other kinds either.
+        """
+        return self._has_read and not self._settings_reader.failures
+
+    def _resume_reading(self, now: float) -> None:
+        """Read the kinds again that waited for a read of the settings."""
+        for reader in self._kind_readers:
+            if self._reading and math.isinf(reader.next_read_at):
+                reader.watch_soon(now)
+
     def _should_read(self, reader: KindReader) -> bool:
         if self._reading:
-            return True
+            return reader.kind == SETTINGS_KIND or self._can_read
         if reader.is_untried:
             return reader.kind == SETTINGS_KIND or not self._has_peers
         # A failed read is repeated, to notice when the platform recovers.
