Skip odd addresses of seeds and start times of targets

A report of operators: one odd entry of another writer ended the processes that read the list. Here an entry of the seeds with a port above 65535 raised OverflowError when it was dialled, and a heartbeat with a start time beyond 64 bits when it was sent to other nodes: both would have ended the process. Seeds without an IPv4 address and a TCP port are skipped now; a start time that is no integer up to 2^53 is unknown, as one of another type was before. Both tests fail before the change.

--- a/daisyline/coordination/membership/seeds.py
+++ b/daisyline/coordination/membership/seeds.py
@@ -1,6 +1,7 @@
 """Finds other nodes through peer addresses and the platform's `seeds`."""
 
 import heapq
+import ipaddress
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -34,6 +35,7 @@
 WRITERS_PER_ZONE = 2
 _OK = 200
 _CONFLICT = 409
+_MAX_PORT = 65_535
 _TOKEN_PREFIX = 'fleet-seeds-'
 
 Address = tuple[str, int]
@@ -49,11 +51,21 @@
         for entry in listed
         if isinstance(entry, (list, tuple))
         and len(entry) == 2
-        and isinstance(entry[0], str)
-        and isinstance(entry[1], int)
+        and _is_address(*entry)
     ]
 
 
+def _is_address(host: Any, port: Any) -> bool:
+    """Return whether these are an IPv4 address and a TCP port."""
+    if not isinstance(host, str) or not isinstance(port, int):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < port <= _MAX_PORT and not isinstance(port, bool)
+
+
 def _rank(name: str) -> int:
     return stable_hash(f'seeds/{name}')
 
--- a/daisyline/platform/notices.py
+++ b/daisyline/platform/notices.py
@@ -135,14 +135,12 @@
 def _started_ms(fields: dict[str, Any]) -> int:
     """Return when the target started, in Unix milliseconds; 0 if unknown.
 
-    The platform's name of this field is `born`.
+    The platform's name of this field is `born`. Messages between nodes can't
+    carry integers of any size.
     """
     started_ms = fields.get('born', 0)
-    return (
-        started_ms
-        if isinstance(started_ms, int) and not isinstance(started_ms, bool)
-        else 0
-    )
+    is_readable = _is_number(started_ms, int, 0, _MAX_SEQUENCE)
+    return started_ms if is_readable else 0
 
 
 def _json_object(body: bytes) -> dict[str, Any] | None:
--- a/tests/coordination/membership/test_seeds.py
+++ b/tests/coordination/membership/test_seeds.py
@@ -108,3 +108,20 @@
             )
             discovery.handle_reply(reply, [member], now)
     assert calls < CONFLICT_CALLS
+
+
+def test_odd_entries_among_the_seeds_are_skipped() -> None:
+    odd = [
+        ['10.0.0.1', 65_536],
+        ['10.0.0.1', 0],
+        ['10.0.0.1', -1],
+        ['10.0.0.1', 10**30],
+        ['10.0.0.1', True],
+        ['no-number', 80],
+        ['', 80],
+        [[['10.0.0.1']], 80],
+        'text',
+    ]
+    assert addresses_in({'addresses': [*odd, ['10.0.0.2', 80]]}) == [
+        ('10.0.0.2', 80)
+    ]
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -91,3 +91,11 @@
     second = _read(boot, 'heartbeat', {**HEARTBEAT, 'sequence': 5})
     assert first.target == second.target
     assert attrs.evolve(first, sequence=5) == second
+
+
+def test_a_start_that_is_no_sensible_time_is_unknown(boot: Boot) -> None:
+    for born in (10**30, -1, True, 1.5, '4', None):
+        announced = _read(boot, 'heartbeat', {**HEARTBEAT, 'born': born})
+        assert announced.target.started_ms == 0
+        leaving = _read(boot, 'leave', {'born': born})
+        assert leaving.started_ms == 0
--- a/tests/protocol/test_http.py
+++ b/tests/protocol/test_http.py
@@ -296,3 +296,15 @@
     client.receive_data(b''.join(part or b'' for part in parts))
     kinds = [type(client.next_event()) for _ in range(3)]
     assert kinds == [h11.Response, h11.Data, h11.EndOfMessage]
+
+
+def test_an_answer_that_stops_in_its_head_is_never_complete() -> None:
+    answer = b'HTTP/1.1 200 OK\r\nContent-Type: a\r\nContent-Length: 2\r\n\r\n'
+    heads = [answer[:length] for length in range(1, len(answer))]
+    for head in heads:
+        codec = ClientCodec()
+        codec.request(Request(b'GET', b'/', (), b''))
+        codec.feed(head)
+        assert codec.next_event() is None, head
+        codec.feed(b'')
+        assert isinstance(codec.next_event(), BrokenAnswer), head
