--- a/review/harness.py
+++ b/review/harness.py
@@ -709,6 +709,83 @@
     return encode(f'{method} {path} HTTP/1.1', headers, body)
 
 
+# The segment size of Ethernet; loopback would use 64 KB.
+SEGMENT_BYTES = 1_460
+RECEIVE_BUFFER_BYTES = 8_192
+READ_EVERY_S = 0.02
+
+
+class SlowClient:
+    """A client that keeps a connection and reads at the rate of its link."""
+
+    def __init__(self, place: Place, bytes_per_s: int) -> None:
+        self._place = place
+        self._size = int(bytes_per_s * READ_EVERY_S)
+        self._sock: socket.socket | None = None
+
+    async def fetch(self, path: str, limit_s: float) -> tuple[str, int, str]:
+        """Send a GET; return its id, its status and how the answer ended.
+
+        An answer that is whole ends as `complete`; the status is 0 without one.
+        """
+        record = self._place.deployment.record
+        loop = asyncio.get_running_loop()
+        attempt = new_id()
+        received = bytearray()
+        how = 'complete'
+        try:
+            async with asyncio.timeout(limit_s):
+                if self._sock is None:
+                    await self._connect()
+                assert self._sock is not None
+                record.line('send', node=self._place.name, id=attempt, path=path)
+                limit_ms = int(limit_s * 1000)
+                await loop.sock_sendall(
+                    self._sock, request_bytes('GET', path, attempt, limit_ms)
+                )
+                while not is_whole(received):
+                    octets = await loop.sock_recv(self._sock, self._size)
+                    if not octets:
+                        raise Truncated('closed')
+                    received += octets
+                    await asyncio.sleep(READ_EVERY_S)
+        except (Truncated, OSError, TimeoutError) as error:
+            how = repr(error).replace(' ', '-')
+        head, _, body = bytes(received).partition(b'\r\n\r\n')
+        if how != 'complete' or b'\r\nconnection: close' in head.lower():
+            self.close()
+        status = int(head.split(b' ')[1]) if body or how == 'complete' else 0
+        record.line(
+            'end', id=attempt, status=status, body_bytes=len(body), how=how
+        )
+        return attempt, status, how
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    async def _connect(self) -> None:
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._sock = sock
+        address = (self._place.ip, self._place.deployment.outbound_port)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+
+
+def is_whole(received: bytes | bytearray) -> bool:
+    """Return whether an answer with a length has all of its body."""
+    head, mark, body = bytes(received).partition(b'\r\n\r\n')
+    for line in head.split(b'\r\n')[1:] if mark else ():
+        name, _, value = line.partition(b':')
+        if name.lower() == b'content-length':
+            return len(body) == int(value)
+    return False
+
+
 def main(
     folder: str,
     services: list[str],
