--- a/review/harness.py
+++ b/review/harness.py
@@ -32,6 +32,8 @@
 GRACE_S = 6
 STABLE_WINDOW_S = 3.0
 DRAIN_S = 2.0
+RECOVER_S = 15.0
+COLD_S = 3.0
 SCRIPT_LIMIT_S = 110.0
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CONFIG = 'config'
@@ -316,6 +318,8 @@
         # Returns how many bytes of the body are sent before the answer breaks
         # off; None for a whole answer.
         self.break_off: Callable[[Run], int | None] = lambda run: None
+        # It says until then that it is cold, and takes twice as long.
+        self.cold_until = 0.0
         self._busy = 0
         self._heart: asyncio.Task | None = None
 
@@ -348,7 +352,7 @@
             'version': 'v1',
             'slots': self.slots,
             'state': self.state,
-            'coldRemainingS': 0,
+            'coldRemainingS': round(max(0, self.cold_until - time.monotonic()), 2),
             'sequence': self.sequence,
             'born': self.born,
         }
@@ -437,6 +441,8 @@
             method=run.method, body_bytes=len(request.body),
         )
         work_s, body = self.plan(run)
+        if time.monotonic() < self.cold_until:
+            work_s *= 2
         self._busy += 1
         try:
             closed = asyncio.ensure_future(reader.read(1))
@@ -482,6 +488,8 @@
         self.service = service
         self.process: subprocess.Popen | None = None
         self.upstream = Upstream(self)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     def start_node(self) -> None:
         """Start the node with the command of the deploy file."""
@@ -534,6 +542,39 @@
             await asyncio.sleep(0.02)
 
 
+    async def serve_upstream(self) -> None:
+        """Accept requests to the upstream."""
+        self._server = await asyncio.start_server(
+            self._serve, self.ip, self.deployment.app_port, limit=2**21
+        )
+
+    async def crash(self) -> None:
+        """End the upstream: its connections close, and it says nothing."""
+        self.upstream.stop_beating()
+        assert self._server is not None
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def come_back(self) -> None:
+        """Start the upstream anew, cold."""
+        previous = self.upstream
+        self.upstream = Upstream(self, previous.slots)
+        self.upstream.plan = previous.plan
+        self.upstream.cold_until = time.monotonic() + COLD_S
+        await self.serve_upstream()
+        self.upstream.start_beating()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self.upstream.serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+
 class Deployment:
     """The nodes, the store and the upstreams of one run."""
 
@@ -612,11 +653,7 @@
             )
         )
         for place in self.places:
-            self.servers.append(
-                await asyncio.start_server(
-                    place.upstream.serve, place.ip, self.app_port, limit=2**21
-                )
-            )
+            await place.serve_upstream()
             place.start_node()
         for place in self.places:
             await place.wait_ready()
@@ -657,7 +694,7 @@
                 'maxConnections': 220,
                 'protocol': 'h1',
                 'tls': False,
-                'coldStartS': 3.0,
+                'coldStartS': COLD_S,
                 'coldPerS': 19.0,
             }
             for service in services
