Ask for a lost call by the process that got it

Cause: an entry node that stood still while a target's node was killed and started again asked the new process for its call. That process had never heard of it and answered "not run", so the order was sent to a second target. Only the peer's name was compared, though Hello carries the incarnation.

The new test and the model of calls, which now restarts nodes, fail on the code before (second run of a call; a call reported as not run that had started). Ruled out: an entry that sends again unasked.

Change: StreamLost names the incarnation that the stream led to and QueryCall carries it; a process of another incarnation answers "unknown", which is never sent again. It can't be wrong for a call of the same process, whose records it holds.

--- a/daisyline/coordination/calls/answer_records.py
+++ b/daisyline/coordination/calls/answer_records.py
@@ -5,6 +5,7 @@
 from daisyline.coordination.calls.messages import (
     AnswerHead,
     CallRefused,
+    QueryCall,
     RunCall,
 )
 from daisyline.coordination.calls.quarantine import fingerprint
@@ -54,8 +55,13 @@
 
     The number of records and their total bytes are bounded; the oldest record
     is evicted first.
+
+    Attributes:
+        _incarnation: The incarnation of this process, which holds no record
+            of what an earlier one ran.
     """
 
+    _incarnation: int = 0
     _records: dict[str, Record] = attrs.field(factory=dict)
     _total_bytes: int = 0
 
@@ -73,6 +79,10 @@
             record if record is not None and record.expires_at > now else None
         )
 
+    def would_hold(self, query: QueryCall) -> bool:
+        """Return whether the call in question has a record if it ended here."""
+        return query.incarnation == self._incarnation
+
     def record_end(
         self, run: RunCall, message: AnswerHead | CallRefused | None, now: float
     ) -> None:
--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -67,9 +67,15 @@
 
 @attrs.frozen
 class StreamLost:
-    """The open stream to a node was closed or timed out."""
+    """The open stream to a node was closed or timed out.
+
+    Attributes:
+        node: The node.
+        incarnation: The incarnation of the process that the stream led to.
+    """
 
     node: str
+    incarnation: int = 0
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -43,7 +43,7 @@
     return [
         effect
         for call in entry.calls_on_node(event.node)
-        for effect in _handle_stream_loss(entry, call, now)
+        for effect in _handle_stream_loss(entry, call, event.incarnation, now)
     ]
 
 
@@ -87,11 +87,19 @@
     return effects
 
 
-def _handle_stream_loss(entry: Entry, call: EntryCall, now: float) -> Effects:
+def _handle_stream_loss(
+    entry: Entry, call: EntryCall, incarnation: int, now: float
+) -> Effects:
     """Handle the loss of the stream that a call was sent on.
 
     A repeatable call fails over to another target. For any other call the
     node is asked once, on a new stream, for the state of the call.
+
+    Args:
+        entry: The calls of this node.
+        call: The call.
+        incarnation: The incarnation of the process that the stream led to.
+        now: Monotonic seconds.
     """
     if call.head_sent or entry.is_repeatable(call) or call.awaiting_outcome:
         entry.record_attempt_end(call, None, refused=False, now=now)
@@ -99,7 +107,7 @@
         cancel = Send(call.node, msg.CancelCall(call.request.call))
         return [cancel, *entry.handle_failure(call, failure, now)]
     call.awaiting_outcome = True
-    return [Send(call.node, msg.QueryCall(call.request.call))]
+    return [Send(call.node, msg.QueryCall(call.request.call, incarnation))]
 
 
 @functools.singledispatch
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -220,11 +220,18 @@
     """Ask for the state of a call whose stream was lost.
 
     The node replies with the call's `AnswerHead` or `CallRefused`, or with
-    `CallRunning`. If it does not know the call, it replies with `CallRefused`
-    and the outcome `not-run`, and refuses to run the call from then on.
+    `CallRunning`. If it does not know the call, it replies with `CallRefused`.
+    The outcome is then `not-run` only if it would remember a call that it had
+    run, and it refuses to run the call from then on.
+
+    Attributes:
+        call: The call's id.
+        incarnation: The incarnation of the process that the call was sent to.
+            One that was started later knows nothing of the call.
     """
 
     call: str
+    incarnation: int = 0
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -74,10 +74,19 @@
 
     @classmethod
     def from_config(
-        cls, own_name: str, zone: str, events: log.EventLog
+        cls,
+        own_name: str,
+        zone: str,
+        events: log.EventLog,
+        incarnation: int = 0,
     ) -> 'TargetSide':
         """Build the target side of a node, which has no target yet."""
-        return cls(own_name=own_name, zone=zone, events=events)
+        return cls(
+            own_name=own_name,
+            zone=zone,
+            events=events,
+            records=AnswerRecords(incarnation),
+        )
 
     @property
     def load(self) -> LoadReport:
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -290,7 +290,11 @@
 def _(
     message: msg.QueryCall, target_side: TargetSide, peer: str, now: float
 ) -> Effects:
-    """Reply with the state of a call; an unknown one is refused for good."""
+    """Reply with the state of a call.
+
+    An unknown call is refused for good if it can't have run here. Otherwise
+    its outcome is unknown.
+    """
     target_side.peers.add(peer)
     target_call = target_side.calls.get(message.call)
     if target_call is not None and not target_call.answered:
@@ -298,11 +302,13 @@
         target_call.entry_node = peer
         return [ev.SendReply(peer, msg.CallRunning(message.call))]
     record = target_side.records.get(message.call, now)
-    if target_call is None and record is None:
-        return [_refuse_permanently(target_side, peer, message.call, now)]
     if record is not None and record.message is not None:
         return [ev.SendReply(peer, record.message)]
-    failure = Failure(Reason.NODE_LOST, Outcome.UNKNOWN)
+    is_unknown = target_call is None and record is None
+    if is_unknown and target_side.records.would_hold(message):
+        return [_refuse_permanently(target_side, peer, message.call, now)]
+    detail = 'the node may have restarted since' if is_unknown else ''
+    failure = Failure(Reason.NODE_LOST, Outcome.UNKNOWN, detail)
     return [target_side.refusal_reply(peer, message.call, failure, now)]
 
 
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -105,7 +105,10 @@
                 own_member.name, rng, events, own_member.zone
             ),
             target_side=TargetSide.from_config(
-                own_member.name, own_member.zone, events
+                own_member.name,
+                own_member.zone,
+                events,
+                own_member.incarnation,
             ),
             fleet=Fleet.from_config(
                 own_member, cluster, peers, rng, now, read_config
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -51,6 +51,7 @@
 
     Attributes:
         peer: The peer's name; empty until its `Hello` is accepted.
+        peer_incarnation: The incarnation of the peer; 0 until then.
         key: The key of an outbound stream: a node name or HOST:PORT.
         expected_peer: The name that the peer must have; empty accepts any.
         is_reply_awaited: Returns whether this node awaits a reply from the
@@ -90,6 +91,7 @@
         self._handshake_started_at = self._received_at
         self._pinged_at: float | None = None
         self.peer = ''
+        self.peer_incarnation = 0
         self.key = ''
         self.expected_peer = ''
         self.is_reply_awaited: Callable[[], bool] = bool
@@ -166,6 +168,7 @@
         is_expected = self.expected_peer in {'', hello.node}
         if is_same_cluster and is_expected and not self.peer:
             self.peer = hello.node
+            self.peer_incarnation = hello.incarnation
             queued = tuple(self._undelivered)
             self._undelivered.clear()
             for message in queued:
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -134,7 +134,7 @@
         for message in stream.undelivered:
             self._report(MessageUndelivered(name, message))
         if stream.is_identified:
-            self._report(StreamLost(name))
+            self._report(StreamLost(name, stream.peer_incarnation))
 
     def _inbound_closed(self, stream: Stream) -> None:
         self._unidentified.discard(stream)
--- a/tests/coordination/calls/test_calls.py
+++ b/tests/coordination/calls/test_calls.py
@@ -38,6 +38,7 @@
 class Link:
     """A stream to a target node with the messages in flight."""
 
+    incarnation: int = 1
     outbound: deque[Any] = attrs.field(factory=deque)
     inbound: deque[Any] = attrs.field(factory=deque)
     lost: bool = False
@@ -49,6 +50,7 @@
     def __init__(self) -> None:
         """Start with open streams and no calls."""
         self.now = 100.0
+        self.incarnations = dict.fromkeys(NODES, 1)
         self.settings = Settings.from_tree(
             1,
             {
@@ -103,6 +105,17 @@
                 self.started.setdefault(effect.call, []).append(name)
                 self.running_at[effect.call] = name
 
+    def restart(self, name: str) -> None:
+        """Kill a target node and start it again before the entry notices."""
+        lost_in = self.incarnations[name]
+        self.incarnations[name] += 1
+        self.target_sides[name] = _target_side(self, name)
+        for call, node in tuple(self.running_at.items()):
+            if node == name:
+                self.running_at.pop(call)
+        self.links[name] = [Link(self.incarnations[name])]
+        self.handle_at_entry(ev.StreamLost(name, lost_in))
+
     def record_result(self, call: str, effect: Any) -> None:
         assert call not in self.results, 'second result of one call'
         self.results[call] = effect
@@ -177,11 +190,16 @@
         """Break a stream; without notice, old messages still arrive."""
         old = self.network.links[name][-1]
         old.inbound.clear()
-        self.network.links[name].append(Link())
+        incarnation = self.network.incarnations[name]
+        self.network.links[name].append(Link(incarnation))
         if notified:
             old.outbound.clear()
             self.network.handle_at_target(name, ev.InboundStreamLost('e'))
-        self.network.handle_at_entry(ev.StreamLost(name))
+        self.network.handle_at_entry(ev.StreamLost(name, old.incarnation))
+
+    @rule(name=st.sampled_from(NODES))
+    def restart(self, name: str) -> None:
+        self.network.restart(name)
 
     @rule(method=st.sampled_from((b'GET', b'POST')))
     def arrive_as_streams_break(self, method: bytes) -> None:
@@ -242,7 +260,9 @@
 
 
 def _target_side(network: CallNetwork, name: str) -> TargetSide:
-    target_side = TargetSide.from_config(name, 'z', EventLog.from_config())
+    target_side = TargetSide.from_config(
+        name, 'z', EventLog.from_config(), network.incarnations[name]
+    )
     target_side.use_settings(network.settings, network.now)
     target_side.use_target(_target(name), network.now)
     return target_side
@@ -256,6 +276,23 @@
     return Member(name, '127.0.0.1', 1, 'z', 'r', 1, 0, _target(name))
 
 
+def test_a_call_of_an_earlier_incarnation_is_not_reported_as_not_run() -> None:
+    # Guards against a second run of an order whose node restarted while the
+    # entry node stood still: the new process can't know that it ran.
+    network = CallNetwork()
+    network.handle_at_entry(_request('c', b'POST', network.now))
+    node = next(name for name in NODES if network.links[name][-1].outbound)
+    run = network.links[node][-1].outbound.popleft()
+    network.handle_at_target(node, ev.CallMessageReceived('e', run))
+    network.restart(node)
+    query = network.links[node][-1].outbound.popleft()
+    network.handle_at_target(node, ev.CallMessageReceived('e', query))
+    reply = network.links[node][-1].inbound.popleft()
+    network.handle_at_entry(ev.CallMessageReceived(node, reply))
+    assert network.results['c'].failure.outcome == Outcome.UNKNOWN
+    assert network.started == {'c': [node]}
+
+
 def test_a_suspect_call_whose_target_crashed_is_not_rerouted() -> None:
     for suspected, attempts in ((False, 2), (True, 1)):
         network = CallNetwork()
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -122,7 +122,7 @@
     _send_messages(peer, _hello())
     elapsed_s = entry.until(StreamLost)
     assert PONG_TIMEOUT_S < elapsed_s < MAX_DETECTION_S
-    assert entry.events == [StreamLost('n1')]
+    assert entry.events == [StreamLost('n1', 1)]
 
 
 def test_an_idle_stream_wakes_no_process(
@@ -238,7 +238,7 @@
             driver.run_once()
             sent += 1
             assert sent < 100
-    assert entry.events == [StreamLost('n1')]
+    assert entry.events == [StreamLost('n1', 1)]
 
 
 def test_a_failed_connect_reports_its_messages_as_undelivered(
@@ -266,7 +266,7 @@
     entry.streams._outbound['n1'].close()
     target_node.streams._inbound['n0'].close()
     driver.run_for(0.1)
-    assert entry.events == [StreamLost('n1')]
+    assert entry.events == [StreamLost('n1', 1)]
     assert target_node.events_of(InboundStreamLost) == [InboundStreamLost('n0')]
     entry.streams.send('n1', QUERY)
     driver.run_until(
