Answer "unknown" for calls whose record may be gone

What callers would see: an order runs at two targets.

Cause: an order without a record counted as never seen. A record is missing also after it was evicted for size or number, or after its 30 s.

Evidence: the two new tests ask for an order that ran, after 65 answers of 64 KiB and after 31 s; with the check of incarnations alone both get "not-run" (0 passed, 2 failed).

Change: an early eviction makes calls without a record "unknown" until the evicted record would have expired, and QueryCall says how old the call is. A node now says "not run" only if it would hold a record of a run.

Measured: both tests pass, as does the model of calls. No run over processes.

--- a/daisyline/coordination/calls/answer_records.py
+++ b/daisyline/coordination/calls/answer_records.py
@@ -1,5 +1,7 @@
 """Recent answers, kept so that an entry node can fetch one that was lost."""
 
+import math
+
 import attrs
 
 from daisyline.coordination.calls.messages import (
@@ -19,6 +21,7 @@
 MAX_RECORD_BYTES = 65_536
 MAX_RECORDS = 4_096
 MAX_TOTAL_BYTES = 4_194_304
+_MS_PER_S = 1000
 _KEY_PREFIX = 'key:'
 
 
@@ -59,11 +62,14 @@
     Attributes:
         _incarnation: The incarnation of this process, which holds no record
             of what an earlier one ran.
+        _gap_ends_at: When the last record that was evicted early would have
+            expired, in monotonic seconds.
     """
 
     _incarnation: int = 0
     _records: dict[str, Record] = attrs.field(factory=dict)
     _total_bytes: int = 0
+    _gap_ends_at: float = -math.inf
 
     def put(self, name: str, record: Record, now: float) -> None:
         """Store a record under a call's id or a key's name."""
@@ -79,9 +85,13 @@
             record if record is not None and record.expires_at > now else None
         )
 
-    def would_hold(self, query: QueryCall) -> bool:
+    def would_hold(self, query: QueryCall, now: float) -> bool:
         """Return whether the call in question has a record if it ended here."""
-        return query.incarnation == self._incarnation
+        return (
+            query.incarnation == self._incarnation
+            and query.age_ms < RECORD_TTL_S * _MS_PER_S
+            and now >= self._gap_ends_at
+        )
 
     def record_end(
         self, run: RunCall, message: AnswerHead | CallRefused | None, now: float
@@ -134,7 +144,11 @@
 
     def _evict(self, now: float) -> None:
         while self._records and self._must_evict(now):
-            self._drop(next(iter(self._records)))
+            name = next(iter(self._records))
+            if not name.startswith(_KEY_PREFIX):
+                expires_at = self._records[name].expires_at
+                self._gap_ends_at = max(self._gap_ends_at, expires_at)
+            self._drop(name)
         assert self._total_bytes >= 0
 
     def _must_evict(self, now: float) -> bool:
--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -17,6 +17,8 @@
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.targets import LoadReport
 
+_MS_PER_S = 1000
+
 
 @functools.singledispatch
 def handle(event: Any, entry: Entry, now: float) -> Effects:
@@ -107,7 +109,9 @@
         cancel = Send(call.node, msg.CancelCall(call.request.call))
         return [cancel, *entry.handle_failure(call, failure, now)]
     call.awaiting_outcome = True
-    return [Send(call.node, msg.QueryCall(call.request.call, incarnation))]
+    age_ms = int((now - call.received_at) * _MS_PER_S)
+    query = msg.QueryCall(call.request.call, incarnation, age_ms)
+    return [Send(call.node, query)]
 
 
 @functools.singledispatch
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -228,10 +228,12 @@
         call: The call's id.
         incarnation: The incarnation of the process that the call was sent to.
             One that was started later knows nothing of the call.
+        age_ms: Milliseconds since the call was received from its caller.
     """
 
     call: str
     incarnation: int = 0
+    age_ms: int = 0
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -305,7 +305,7 @@
     if record is not None and record.message is not None:
         return [ev.SendReply(peer, record.message)]
     is_unknown = target_call is None and record is None
-    if is_unknown and target_side.records.would_hold(message):
+    if is_unknown and target_side.records.would_hold(message, now):
         return [_refuse_permanently(target_side, peer, message.call, now)]
     detail = 'the node may have restarted since' if is_unknown else ''
     failure = Failure(Reason.NODE_LOST, Outcome.UNKNOWN, detail)
--- a/tests/coordination/calls/test_target_side.py
+++ b/tests/coordination/calls/test_target_side.py
@@ -13,10 +13,16 @@
     target_side_handlers,
 )
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.answer_records import (
+    MAX_RECORD_BYTES,
+    MAX_TOTAL_BYTES,
+    RECORD_TTL_S,
+)
 from daisyline.coordination.calls.entry import Entry
 from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.effects import Send
 from daisyline.coordination.events import EventLog
+from daisyline.state.failures import Outcome
 from daisyline.state.members import Member
 from daisyline.state.settings import Settings
 from daisyline.state.targets import Target
@@ -52,6 +58,49 @@
     return ev.CallMessageReceived('e', run)
 
 
+def _run_order(call: str, body: bytes, side: TargetSide, now: float) -> None:
+    """Run an order without a key and answer it with a body."""
+    order = run_message(call, repeatable=False, method=b'POST')
+    target_side_handlers.handle(ev.CallMessageReceived('e', order), side, now)
+    head = ev.TargetAnswerHead(call, 200, (), body, last=True)
+    target_side_handlers.handle(head, side, now)
+
+
+def _ask(query: msg.QueryCall, side: TargetSide, now: float) -> Any:
+    """Return the reply to a question about a call."""
+    asked = ev.CallMessageReceived('e', query)
+    return _only(target_side_handlers.handle(asked, side, now)).message
+
+
+def test_a_call_whose_record_was_evicted_is_not_reported_as_not_run(
+    ready_target_side: TargetSide,
+) -> None:
+    # Guards against a second run of an order whose record had to make room
+    # for the answers of later orders.
+    body = b'x' * MAX_RECORD_BYTES
+    for number in range(MAX_TOTAL_BYTES // MAX_RECORD_BYTES + 1):
+        _run_order(f'c{number}', body, ready_target_side, 1)
+    assert _ask(msg.QueryCall('c1'), ready_target_side, 2).body == body
+    reply = _ask(msg.QueryCall('c0'), ready_target_side, 2)
+    assert reply.outcome == Outcome.UNKNOWN
+    later = 2 + RECORD_TTL_S
+    reply = _ask(msg.QueryCall('later'), ready_target_side, later)
+    assert reply.outcome == Outcome.NOT_RUN
+
+
+def test_a_call_older_than_the_records_is_not_reported_as_not_run(
+    ready_target_side: TargetSide,
+) -> None:
+    # Guards against a second run of an order that is asked for after its
+    # record has expired.
+    _run_order('c', b'sold', ready_target_side, 1)
+    now = 2 + RECORD_TTL_S
+    old = msg.QueryCall('c', age_ms=RECORD_TTL_S * 1000 + 1000)
+    assert _ask(old, ready_target_side, now).outcome == Outcome.UNKNOWN
+    recent = msg.QueryCall('unseen', age_ms=500)
+    assert _ask(recent, ready_target_side, now).outcome == Outcome.NOT_RUN
+
+
 def test_a_key_reused_for_another_request_does_not_get_the_first_answer(
     ready_target_side: TargetSide,
 ) -> None:
