Reply to a call on the stream that it came on

Cause: a node that leaves is soon called at its address on a second stream, while it still answers. It sent further parts on the newest stream of its peer. Parts that were unread on the first one were overtaken, or were lost with it, and the last part ended the answer all the same.

Both new tests fail before.

Change: Streams remembers the stream of each call and sends its replies there alone; they end with that stream, and InboundStreamLost names its calls. One TCP connection keeps the order, and its loss can't be missed. test_streams now compares the calls that the event names.

--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -120,9 +120,18 @@
 
 @attrs.frozen
 class InboundStreamLost:
-    """A stream that another node had opened to this one was closed."""
+    """A stream that another node had opened to this one was closed.
+
+    Attributes:
+        node: The other node.
+        calls: The calls in progress that came on the stream, whose replies
+            can't be sent any more; None for all calls of the node.
+        is_last: Whether no other stream of the node is open.
+    """
 
     node: str
+    calls: frozenset[str] | None = None
+    is_last: bool = True
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -68,13 +68,19 @@
 def _(
     event: ev.InboundStreamLost, target_side: TargetSide, now: float
 ) -> Effects:
-    target_side.unconfirmed_peers.pop(event.node, None)
-    target_side.peers.discard(event.node)
-    lost = [
+    if event.is_last:
+        target_side.unconfirmed_peers.pop(event.node, None)
+        target_side.peers.discard(event.node)
+    awaited = [
         target_call
         for target_call in target_side.calls.values()
         if target_call.entry_node == event.node and target_call.is_awaited
     ]
+    lost = [
+        target_call
+        for target_call in awaited
+        if event.calls is None or target_call.run.call in event.calls
+    ]
     return [
         effect
         for target_call in lost
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -1,5 +1,6 @@
 """The outbound and inbound streams of a node."""
 
+import itertools
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -9,7 +10,16 @@
     MessageUndelivered,
     StreamLost,
 )
-from daisyline.coordination.calls.messages import Hello
+from daisyline.coordination.calls.messages import (
+    AnswerHead,
+    AnswerPart,
+    CallRefused,
+    CallRunning,
+    CancelCall,
+    Hello,
+    QueryCall,
+    RunCall,
+)
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.loop import Loop
@@ -18,9 +28,17 @@
 
 Handler = Callable[[Any], None]
 
+_REQUESTS = (RunCall, QueryCall)
+_CALL_REPLIES = (AnswerHead, AnswerPart, CallRefused, CallRunning)
+
 
 class Streams:
-    """Opens streams on demand, sends messages and reports received ones."""
+    """Opens streams on demand, sends messages and reports received ones.
+
+    All replies to a call go on the stream that the call came on. Another node
+    may have opened a second one since, and parts of an answer that are sent on
+    different streams can be lost or overtake each other.
+    """
 
     def __init__(
         self, loop: Loop, identity: Identity, on_event: Handler
@@ -31,7 +49,10 @@
         self._encoder = FrameEncoder()
         self._on_event = on_event
         self._outbound: dict[str, Stream] = {}
-        self._inbound: dict[str, Stream] = {}
+        # The streams that each node has opened, the newest last.
+        self._inbound: dict[str, list[Stream]] = {}
+        # The stream that each call in progress here came on.
+        self._origins: dict[str, Stream] = {}
         self._unidentified: set[Stream] = set()
         self._listener: Listener | None = None
         self.members: Callable[[], Mapping[str, Member]] = dict
@@ -54,7 +75,7 @@
         stream = self._outbound.get(node)
         if stream is None:
             is_member = node in self.members()
-            stream = None if is_member else self._inbound.get(node)
+            stream = None if is_member else self._newest_inbound(node)
         if stream is None:
             member = self.members().get(node)
             if member is None:
@@ -71,8 +92,17 @@
         stream.send(message)
 
     def reply(self, node: str, message: Any) -> None:
-        """Send a message on the inbound stream of a node, if it is open."""
-        stream = self._inbound.get(node)
+        """Send a message to a node that has opened a stream to this one.
+
+        A reply to a call is dropped if the stream of the call was closed: the
+        node has noticed that, or will, and gives the call up.
+        """
+        if isinstance(message, _CALL_REPLIES):
+            stream = self._origins.get(message.call)
+            if _is_final(message):
+                self._origins.pop(message.call, None)
+        else:
+            stream = self._newest_inbound(node)
         if stream is not None:
             stream.send(message)
 
@@ -80,7 +110,8 @@
         """Close the listener and all streams."""
         if self._listener is not None:
             self._listener.close()
-        identified = (*self._outbound.values(), *self._inbound.values())
+        inbound = itertools.chain(*self._inbound.values())
+        identified = (*self._outbound.values(), *inbound)
         for stream in (*identified, *self._unidentified):
             stream.close()
 
@@ -113,14 +144,18 @@
     def _handle_message(self, stream: Stream, message: Any) -> None:
         if isinstance(message, Hello):
             self._register(stream)
-        else:
-            self._on_event(CallMessageReceived(stream.peer, message))
+            return
+        if isinstance(message, _REQUESTS):
+            self._origins[message.call] = stream
+        elif isinstance(message, CancelCall):
+            self._origins.pop(message.call, None)
+        self._on_event(CallMessageReceived(stream.peer, message))
 
     def _register(self, stream: Stream) -> None:
-        """Register a stream by its peer; the newest inbound one is used."""
+        """Register a stream by its peer."""
         if stream in self._unidentified:
             self._unidentified.discard(stream)
-            self._inbound[stream.peer] = stream
+            self._inbound.setdefault(stream.peer, []).append(stream)
         elif stream.peer not in self._outbound:
             self._outbound.pop(stream.key, None)
             stream.key = stream.peer
@@ -137,11 +172,41 @@
             self._report(StreamLost(name, stream.peer_incarnation))
 
     def _inbound_closed(self, stream: Stream) -> None:
+        """Report the loss of a stream, if calls came on it or it was the last.
+
+        The calls that came on it get no more replies.
+        """
         self._unidentified.discard(stream)
-        if stream.peer and self._inbound.get(stream.peer) is stream:
+        streams = self._inbound.get(stream.peer, [])
+        if stream not in streams:
+            return
+        streams.remove(stream)
+        if not streams:
             self._inbound.pop(stream.peer)
-            self._report(InboundStreamLost(stream.peer))
+        calls = self._forget_calls(stream)
+        if calls or not streams:
+            is_last = not streams
+            self._report(InboundStreamLost(stream.peer, calls, is_last))
+
+    def _forget_calls(self, stream: Stream) -> frozenset[str]:
+        """Forget the calls that came on a stream, and return their ids."""
+        calls = frozenset(
+            call for call, origin in self._origins.items() if origin is stream
+        )
+        for call in calls:
+            self._origins.pop(call)
+        return calls
+
+    def _newest_inbound(self, node: str) -> Stream | None:
+        """Return the stream that a node opened last, or None."""
+        streams = self._inbound.get(node)
+        return streams[-1] if streams else None
 
     def _report(self, event: Any) -> None:
         """Report an event after the current effects have been performed."""
         self._loop.defer(lambda: self._on_event(event))
+
+
+def _is_final(reply: Any) -> bool:
+    """Return whether a reply is the last one to its call."""
+    return isinstance(reply, CallRefused) or getattr(reply, 'last', False)
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -14,6 +14,8 @@
     StreamLost,
 )
 from daisyline.coordination.calls.messages import (
+    AnswerPart,
+    CallRunning,
     CancelCall,
     Hello,
     Ping,
@@ -52,6 +54,11 @@
         """Return the events of one kind that were reported."""
         return [event for event in self.events if isinstance(event, kind)]
 
+    def answer_parts(self) -> list[AnswerPart]:
+        """Return the parts of answers that were received, in their order."""
+        messages = [one.message for one in self.events_of(CallMessageReceived)]
+        return [part for part in messages if isinstance(part, AnswerPart)]
+
     def set_members(self, **ports: int) -> None:
         """Set the members that the node knows, with their stream ports."""
         members = {
@@ -264,10 +271,12 @@
     entry.streams.send('n1', QUERY)
     target_node.until(CallMessageReceived)
     entry.streams._outbound['n1'].close()
-    target_node.streams._inbound['n0'].close()
+    target_node.streams._inbound['n0'][-1].close()
     driver.run_for(0.1)
     assert entry.events == [StreamLost('n1', 1)]
-    assert target_node.events_of(InboundStreamLost) == [InboundStreamLost('n0')]
+    assert target_node.events_of(InboundStreamLost) == [
+        InboundStreamLost('n0', frozenset((QUERY.call,)))
+    ]
     entry.streams.send('n1', QUERY)
     driver.run_until(
         lambda: len(target_node.events_of(CallMessageReceived)) == 2
@@ -314,10 +323,10 @@
     )
     _send_messages(older, _hello('n0'))
     driver.run_until(lambda: 'n0' in target_node.streams._inbound)
-    older_stream = target_node.streams._inbound['n0']
+    older_stream = target_node.streams._inbound['n0'][-1]
     _send_messages(newer, _hello('n0'))
     driver.run_until(
-        lambda: target_node.streams._inbound['n0'] is not older_stream
+        lambda: target_node.streams._inbound['n0'][-1] is not older_stream
     )
     older.sock.close()
     driver.run_for(0.05)
@@ -326,6 +335,60 @@
     assert not target_node.events_of(InboundStreamLost)
 
 
+def test_parts_of_an_answer_keep_their_order_when_a_second_stream_opens(
+    driver: LoopDriver, entry: StreamsUnderTest, target_node: StreamsUnderTest
+) -> None:
+    # Guards against an answer whose parts are passed on in another order: a
+    # node that stops is called anew at its address while it still answers.
+    parts = [AnswerPart(QUERY.call, b'x' * 65_536, False) for _ in range(20)]
+    last = AnswerPart(QUERY.call, b'end', last=True)
+    entry.streams.send('n1', QUERY)
+    target_node.until(CallMessageReceived)
+    connection = entry.streams._outbound['n1']._connection
+    connection.pause_reading()
+    for part in parts:
+        target_node.streams.reply('n0', part)
+    entry.streams.send_to_address(HOST, target_node.port, CancelCall('other'))
+    driver.run_until(
+        lambda: len(target_node.events_of(CallMessageReceived)) == 2
+    )
+    target_node.streams.reply('n0', last)
+    driver.run_for(0.2)
+    connection.resume_reading()
+    received = entry.answer_parts
+    driver.run_until(lambda: len(received()) == len(parts) + 1)
+    assert received() == [*parts, last]
+
+
+def test_an_answer_ends_with_the_stream_that_its_call_came_on(
+    driver: LoopDriver, target_node: StreamsUnderTest
+) -> None:
+    # Guards against an answer with a hole, whose first parts were lost with
+    # one stream and whose last part came on another one.
+    older, newer = (
+        driver.connect(target_node.port),
+        driver.connect(target_node.port),
+    )
+    _send_messages(older, _hello('n0'), QUERY)
+    target_node.until(CallMessageReceived)
+    _send_messages(newer, _hello('n0'), QueryCall('n0-2'))
+    driver.run_until(
+        lambda: len(target_node.events_of(CallMessageReceived)) == 2
+    )
+    older.sock.close()
+    target_node.until(InboundStreamLost)
+    assert target_node.events_of(InboundStreamLost) == [
+        InboundStreamLost('n0', frozenset((QUERY.call,)), is_last=False)
+    ]
+    running = CallRunning('n0-2')
+    target_node.streams.reply('n0', AnswerPart(QUERY.call, b'end', last=True))
+    target_node.streams.reply('n0', running)
+    newer.read_until(FrameEncoder().encode(running))
+    hello = target_node.streams._identity.hello()
+    sent = b''.join(map(FrameEncoder().encode, (hello, running)))
+    assert bytes(newer.received) == sent
+
+
 def _one_minute_ahead() -> float:
     return time.monotonic() + 60
 
