Tell copies of an answer without a length from its body

A body without a length ends with its connection, so a copy that comes before the close was taken for a part of it.

Ruled out: bytes added between nodes.

Change: a head that names a call of the same connection ends such a body. It is whole only if all that follows is the same body again; otherwise the answer is broken and, unless it may be repeated, its outcome unknown. Heads split over reads are held until they are clear. What is no answer at all can't be told.

--- a/daisyline/protocol/answer_reader.py
+++ b/daisyline/protocol/answer_reader.py
@@ -7,8 +7,9 @@
 
 from daisyline.coordination.calls.messages import Headers
 from daisyline.protocol.answer_check import AnswerCheck, Verdict
+from daisyline.protocol.answer_copies import CopyFilter
 from daisyline.protocol.dialect import Dialect
-from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_client import CALL_HEADER, ClientCodec
 from daisyline.protocol.http_messages import (
     BrokenAnswer,
     End,
@@ -36,6 +37,11 @@
 # Stands for an event of an answer that is discarded.
 _SKIPPED = object()
 
+# An answer without a length that another answer or a part of one follows.
+_NOT_WHOLE = BrokenAnswer(
+    'what follows the answer is no copy of it', is_whole=True
+)
+
 AnswerEvent = Head | Part | End | Declined | BrokenAnswer
 
 
@@ -51,6 +57,9 @@
     _check: AnswerCheck
     _codec: ClientCodec = attrs.field(factory=ClientCodec)
     _discarded_count: int = 0
+    _own_id: bytes = b''
+    _copies: CopyFilter | None = None
+    _pending_end: End | None = None
     is_discarding: bool = False
 
     @classmethod
@@ -76,7 +85,8 @@
             extra_headers: Headers of the node, added at the end.
         """
         self._discarded_count = 0
-        self._check.expect(self._id_of(request, call))
+        self._own_id = self._id_of(request, call)
+        self._check.expect(self._own_id)
         return self._codec.request(request, extra_headers)
 
     def feed(self, octets: bytes) -> None:
@@ -92,7 +102,8 @@
         Returns:
             The event, or None if more bytes are needed.
         """
-        event: Any = _SKIPPED
+        event: Any = self._pending_end or _SKIPPED
+        self._pending_end = None
         while event is _SKIPPED:
             event = _own_event(self._codec.next_event(), self)
         return event
@@ -101,6 +112,7 @@
         """Return the event for the head of an answer, or `_SKIPPED`."""
         verdict = self._check.classify(head)
         if verdict is Verdict.OWN:
+            self._copies = None if head.has_length else self._copy_filter()
             return head
         if verdict is Verdict.DECLINED:
             return Declined(head)
@@ -113,6 +125,15 @@
             return _SKIPPED
         return BrokenAnswer('an answer to another request')
 
+    def filter_part(self, part: Part) -> Any:
+        """Return the event for a part of a body, without copies of the answer."""
+        if self.is_discarding:
+            return _SKIPPED
+        if self._copies is None:
+            return part
+        body = self._copies.feed(part.body)
+        return _NOT_WHOLE if self._copies.is_broken else Part(body)
+
     def finish(self, end: End) -> Any:
         """Return the event for the end of an answer, or `_SKIPPED`.
 
@@ -120,12 +141,30 @@
         answer to the next call, so the connection is not reusable.
         """
         if not self.is_discarding:
-            return End(end.is_reusable and self._check.has_id)
+            own_end = End(end.is_reusable and self._check.has_id)
+            return self._finish_own(own_end)
         self.is_discarding = False
         if self._codec.expect_another_answer():
             return _SKIPPED
         return BrokenAnswer('closed after an answer to an earlier call')
 
+    def _finish_own(self, end: End) -> Any:
+        """Return the event for the end of the call's own answer.
+
+        Bytes that might have started a copy come before it, as a part.
+        """
+        rest = b'' if self._copies is None else self._copies.finish()
+        if rest is None:
+            return _NOT_WHOLE
+        if not rest:
+            return end
+        self._pending_end = end
+        return Part(rest)
+
+    def _copy_filter(self) -> CopyFilter:
+        header = self._dialect.request_id or CALL_HEADER
+        return CopyFilter(header, self._check.has_answered, self._own_id)
+
     def _id_of(self, request: Request, call: str) -> bytes:
         """Return the id that the target repeats in its answer to a call."""
         name = self._dialect.request_id
@@ -145,7 +184,7 @@
 
 @_own_event.register
 def _(event: Part, reader: AnswerReader) -> Any:
-    return _SKIPPED if reader.is_discarding else event
+    return reader.filter_part(event)
 
 
 @_own_event.register
--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -2,6 +2,7 @@
 
 import functools
 import re
+from http import HTTPStatus
 
 import h11
 
@@ -19,7 +20,9 @@
 # The number of informational responses (1xx) before an answer. More of them
 # come from a target that may never answer.
 MAX_INFORMATIONAL = 8
-_CALL_HEADER = b'daisyline-call'
+CALL_HEADER = b'daisyline-call'
+_FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
+_BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d{1,6})')
 
 
@@ -123,6 +126,16 @@
             and not closed
         )
 
+    def has_length(self, response: h11.Response) -> bool:
+        """Return whether the end of a response's body is marked."""
+        return (
+            self._method == b'HEAD'
+            or response.status_code in _BODILESS
+            or any(
+                _header(response, name) is not None for name in _FRAMING_HEADERS
+            )
+        )
+
     def _next_h11_event(self) -> object:
         """Return the next event of h11; a protocol error is returned as well."""
         try:
@@ -145,7 +158,8 @@
         event.status_code,
         headers,
         _idle_timeout_s(event),
-        _header(event, _CALL_HEADER),
+        _header(event, CALL_HEADER),
+        codec.has_length(event),
     )
 
 
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -83,12 +83,15 @@
             seconds; None if the answer does not state it.
         call: The id of daisyline's call that the answer repeats; None if it
             repeats none.
+        has_length: Whether the end of the body is marked, by its length or by
+            its last chunk; otherwise the body ends with the connection.
     """
 
     status: int
     headers: Headers
     idle_timeout_s: float | None = None
     call: bytes | None = None
+    has_length: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header of a lower-case name, or None."""
@@ -118,9 +121,16 @@
 
 @attrs.frozen
 class BrokenAnswer:
-    """An answer that is not valid HTTP or ended before it was complete."""
+    """An answer that is not valid HTTP or ended before it was complete.
+
+    Attributes:
+        detail: What is wrong, for logs.
+        is_whole: Whether the target sent it to its end, so that the end of
+            the connection is no sign of a crash.
+    """
 
     detail: str
+    is_whole: bool = False
 
 
 def answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -195,8 +195,10 @@
         if isinstance(event, Declined):
             self._pool.condition.report(self.target, event.head)
             self._report_failure('the target declined it', declined=True)
-        elif isinstance(event, BrokenAnswer) and not self._has_ended:
-            self._report_failure('the answer is malformed', crashed=False)
+        elif isinstance(event, BrokenAnswer):
+            if event.is_whole or not self._has_ended:
+                detail = f'the answer is malformed: {event.detail}'
+                self._report_failure(detail, crashed=False)
         if event is not None:
             self._connection.abort()
 
--- a/tests/transport/test_faulty_targets.py
+++ b/tests/transport/test_faulty_targets.py
@@ -7,6 +7,7 @@
 from daisyline.coordination.calls.call_events import (
     StartTargetCall,
     TargetAnswerHead,
+    TargetAnswerPart,
     TargetCallFailed,
 )
 from daisyline.protocol.answer_reader import MAX_DISCARDED_ANSWERS
@@ -106,6 +107,16 @@
             if event.last
         }
 
+    def received_body(self) -> bytes:
+        """Return the body of the only answer, which must be complete."""
+        events = [
+            event
+            for event in self.driver.events
+            if isinstance(event, (TargetAnswerHead, TargetAnswerPart))
+        ]
+        assert [event.last for event in events].index(True) == len(events) - 1
+        return b''.join(event.body for event in events)
+
     def wait_for_failure(self) -> TargetCallFailed:
         """Return the failure of the only call that failed."""
         self.driver.run_until(lambda: self.driver.events_of(TargetCallFailed))
@@ -155,6 +166,53 @@
         driver.events.clear()
 
 
+def _without_length(answer: bytes) -> bytes:
+    """Return an answer whose body ends with its connection."""
+    lines = answer.split(b'\r\n')
+    kept = [line for line in lines if not line.startswith(b'Content-Length')]
+    return b'\r\n'.join(kept)
+
+
+def test_a_copy_of_an_answer_without_a_length_is_no_part_of_its_body(
+    driver: LoopDriver,
+) -> None:
+    # Guards against a complete success with another answer in its body: the
+    # target sends its answer twice before it closes.
+    call = 'c-with-a-long-body'
+    for dialect in DIALECTS:
+        length = len(FaultyTarget.from_dialect(driver, dialect).answer(call))
+        for cut in range(-60, length, 25):
+            target = FaultyTarget.from_dialect(driver, dialect)
+            target.start(call)
+            peer = target.accept()
+            answer = _without_length(target.answer(call))
+            sent = answer + answer
+            peer.send(sent[: length + cut])
+            driver.run_for(0.002)
+            peer.send(sent[length + cut :])
+            peer.sock.close()
+            target.wait_until_closed()
+            assert target.received_body() == call.encode()
+            driver.events.clear()
+
+
+def test_an_answer_without_a_length_is_not_whole_before_another_answer(
+    driver: LoopDriver,
+) -> None:
+    for dialect in DIALECTS:
+        target = FaultyTarget.from_dialect(driver, dialect)
+        target.start('c')
+        answer = _without_length(target.answer('c'))
+        peer = target.accept()
+        peer.send(answer)
+        peer.send(answer.replace(b'\r\n\r\nc', b'\r\n\r\nx'))
+        peer.sock.close()
+        failed = target.wait_for_failure()
+        assert (failed.sent, failed.crashed) == (True, False)
+        assert 'no copy' in failed.detail
+        driver.events.clear()
+
+
 def test_copies_without_end_close_the_connection(driver: LoopDriver) -> None:
     for dialect in DIALECTS:
         target = FaultyTarget.from_dialect(driver, dialect)
