Ping a node on all of its streams after a pause

What callers would see: an order that starts long after its entry node gave it up, or refusals as "paused" for as long as a stream lasts.

Cause: after a pause a node pinged its peers on their newest stream only. Calls on another stream were still unread when the answer came, and a peer that had given up the pinged stream never answered.

Evidence: the new test with two streams of one node fails before: its answer on one of them confirms it.

Change: the ping goes on all streams of a node, and Streams reports the answer once each has answered or ended. What was sent before it has then been read.

--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -17,12 +17,15 @@
     CallRunning,
     CancelCall,
     Hello,
+    Ping,
+    Pong,
     QueryCall,
     RunCall,
 )
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.loop import Loop
+from daisyline.transport.ping_rounds import PingRounds
 from daisyline.transport.sockets import Connection, Listener
 from daisyline.transport.stream import Identity, Stream
 
@@ -53,6 +56,7 @@
         self._inbound: dict[str, list[Stream]] = {}
         # The stream that each call in progress here came on.
         self._origins: dict[str, Stream] = {}
+        self._ping_rounds = PingRounds()
         self._unidentified: set[Stream] = set()
         self._listener: Listener | None = None
         self.members: Callable[[], Mapping[str, Member]] = dict
@@ -97,6 +101,9 @@
         A reply to a call is dropped if the stream of the call was closed: the
         node has noticed that, or will, and gives the call up.
         """
+        if isinstance(message, Ping):
+            self._ping(node, message)
+            return
         if isinstance(message, _CALL_REPLIES):
             stream = self._origins.get(message.call)
             if _is_final(message):
@@ -106,6 +113,17 @@
         if stream is not None:
             stream.send(message)
 
+    def _ping(self, node: str, ping: Ping) -> None:
+        """Ping a node on all streams that it has opened.
+
+        Its `Pong` is reported once all of them have answered or ended.
+        """
+        streams = self._inbound.get(node, [])
+        if streams:
+            self._ping_rounds.start(node, ping.nonce, streams)
+        for stream in streams:
+            stream.send(ping)
+
     def close(self) -> None:
         """Close the listener and all streams."""
         if self._listener is not None:
@@ -149,6 +167,10 @@
             self._origins[message.call] = stream
         elif isinstance(message, CancelCall):
             self._origins.pop(message.call, None)
+        elif isinstance(message, Pong):
+            self._ping_rounds.record_answer(stream, message.nonce)
+            if self._ping_rounds.is_incomplete(stream.peer, message.nonce):
+                return
         self._on_event(CallMessageReceived(stream.peer, message))
 
     def _register(self, stream: Stream) -> None:
@@ -187,6 +209,10 @@
         if calls or not streams:
             is_last = not streams
             self._report(InboundStreamLost(stream.peer, calls, is_last))
+        nonce = self._ping_rounds.record_end(stream)
+        if nonce is not None and streams:
+            pong = Pong(nonce, 0)
+            self._report(CallMessageReceived(stream.peer, pong))
 
     def _forget_calls(self, stream: Stream) -> frozenset[str]:
         """Forget the calls that came on a stream, and return their ids."""
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -389,6 +389,37 @@
     assert bytes(newer.received) == sent
 
 
+def test_a_node_is_confirmed_once_all_of_its_streams_are_read(
+    driver: LoopDriver, target_node: StreamsUnderTest
+) -> None:
+    # Guards against calls that waited in one stream during a pause and start
+    # after the node has answered on another, and against a node whose calls
+    # are refused for good as it was pinged on a stream that it gave up.
+    ping, pong = Ping(7, 0), Pong(7, 0)
+    confirmed = CallMessageReceived('n0', pong)
+    streams = target_node.streams._inbound
+    for ends_silently in (False, True):
+        peers = [driver.connect(target_node.port) for _ in range(2)]
+        for peer in peers:
+            _send_messages(peer, _hello('n0'))
+        driver.run_until(lambda: len(streams.get('n0', ())) == 2)
+        target_node.streams.reply('n0', ping)
+        for peer in peers:
+            peer.read_until(FrameEncoder().encode(ping))
+        _send_messages(peers[1], pong)
+        driver.run_for(0.05)
+        assert confirmed not in target_node.events
+        if ends_silently:
+            peers[0].sock.close()
+        else:
+            _send_messages(peers[0], pong)
+        driver.run_until(lambda: target_node.events.count(confirmed) == 1)
+        for peer in peers:
+            peer.sock.close()
+        driver.run_until(lambda: 'n0' not in streams)
+        target_node.events.clear()
+
+
 def _one_minute_ahead() -> float:
     return time.monotonic() + 60
 
