Add a test of an answer on a stream that goes silent

It passes since replies keep to the stream of their call; on the streams before that the last part goes on the newer stream.

--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -389,6 +389,28 @@
     assert bytes(newer.received) == sent
 
 
+def test_an_answer_on_a_silent_stream_goes_on_no_other_stream(
+    driver: LoopDriver, target_node: StreamsUnderTest
+) -> None:
+    # Guards against an answer with a hole: its first parts were sent on a
+    # stream that had gone silent, and its last one on the next stream.
+    silent, newer = (
+        driver.connect(target_node.port),
+        driver.connect(target_node.port),
+    )
+    _send_messages(silent, _hello('n0'), QUERY)
+    target_node.until(CallMessageReceived)
+    _send_messages(newer, _hello('n0'))
+    driver.run_until(lambda: len(target_node.streams._inbound['n0']) == 2)
+    target_node.streams.reply('n0', AnswerPart(QUERY.call, b'a', last=False))
+    target_node.streams.reply('n0', AnswerPart(QUERY.call, b'b', last=True))
+    target_node.streams.reply('n0', CancelCall('back'))
+    newer.read_until(FrameEncoder().encode(CancelCall('back')))
+    hello = target_node.streams._identity.hello()
+    sent = b''.join(map(FrameEncoder().encode, (hello, CancelCall('back'))))
+    assert bytes(newer.received) == sent
+
+
 PING = Ping(7, 0)
 PONG = Pong(7, 0)
 CONFIRMED = CallMessageReceived('n0', PONG)
