End a stopped node once its last byte is sent

Cause: a connection counted as busy until the last part of its answer was queued. Messages for other nodes in the buffers of streams did not count at all. Ruled out: the limits of the stop, of the route and of the clients.

Change: connections, streams and pages are busy until their bytes are sent. At the time limit of the stop, unfinished answers are reset. Streams are shut down in order before they are closed, as unread bytes would make the close a reset that destroys the last answers.

--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -71,6 +71,11 @@
         """Return the number of answers in the queue."""
         return len(self._answers)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes wait for the caller or for its network."""
+        return bool(self._connection.buffered_bytes)
+
     @property
     def first(self) -> QueuedAnswer | None:
         """Return the answer that is sent next, or None."""
@@ -144,6 +149,10 @@
         answer.is_aborted = True
         return self.flush()
 
+    def reset(self) -> None:
+        """Reset the connection, so that no unfinished answer looks whole."""
+        self._connection.reset()
+
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -96,7 +96,12 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is partly received or unanswered."""
+        """Return whether a request or its answer is not wholly through.
+
+        An answer is through when the kernel has its last byte.
+        """
+        if self.answers.has_unsent_bytes:
+            return True
         if self._ending or not self._connection.is_open:
             return False
         in_progress = len(self.answers) > 0 or self._postponed is not None
@@ -172,7 +177,7 @@
         self.answers.closing = True
 
         def close_if_idle() -> None:
-            if not self.is_busy and not self._connection.buffered_bytes:
+            if not self.is_busy:
                 self._connection.close()
 
         self._loop.call_later(_IDLE_CLOSE_DELAY_S, close_if_idle)
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -29,6 +29,9 @@
 # After it announces that it leaves, a node accepts calls from other nodes for
 # this time, until all of them have received the announcement.
 _LEAVE_NOTICE_S = 1.0
+# Peers read the last messages and close their streams within this time. A
+# socket that is closed with unread bytes would be reset.
+_STREAM_CLOSE_S = 0.1
 
 
 class NodeConfig(Protocol):
@@ -96,6 +99,7 @@
         self._tick: Deadline | None = None
         self._tick_at = math.inf
         self._stop_deadline: float | None = None
+        self._operators = OperatorsPort(loop, core)
         self.core = core
         self.decisions: DecisionLog | None = None
 
@@ -202,10 +206,10 @@
         transports.ports.listen_to_target(
             config.target_host, config.target_port
         )
-        operators = OperatorsPort(self._loop, self.core, ready_path)
-        operators.listen(config.host, config.operators_port)
+        self._operators = OperatorsPort(self._loop, self.core, ready_path)
+        self._operators.listen(config.host, config.operators_port)
         if config.ready_port != config.operators_port:
-            operators.listen(config.host, config.ready_port)
+            self._operators.listen(config.host, config.ready_port)
 
     def _awaits_answer(self, node: str) -> bool:
         return bool(self.core.entry.calls_on_node(node))
@@ -264,17 +268,26 @@
         self._finish_stop()
 
     def _finish_stop(self) -> None:
-        """End the loop once no call is in progress or the time limit passed."""
-        in_progress = self._transports.ports.busy_connections + len(
-            self.core.target_side.calls
-        )
+        """End once no call is in progress or the time limit passed.
+
+        What the peers and callers have to be sent is sent first. Answers that
+        are unfinished at the time limit are reset, so that none looks whole.
+        """
+        ports, streams = self._transports.ports, self._transports.streams
+        in_progress = ports.busy_connections + len(self.core.target_side.calls)
+        is_unsent = streams.has_unsent_bytes or self._operators.has_unsent_bytes
         is_overdue = self._loop.now() > (self._stop_deadline or 0)
-        if in_progress and not is_overdue:
+        if (in_progress or is_unsent) and not is_overdue:
             self._loop.call_later(_STOP_CHECK_INTERVAL_S, self._finish_stop)
             return
         self._transports.log.info(
             f'Stopped with {in_progress} calls in progress.'
         )
+        ports.reset_busy_connections()
+        streams.shut_down()
+        self._loop.call_later(_STREAM_CLOSE_S, self._end)
+
+    def _end(self) -> None:
         self._transports.streams.close()
         self._loop.stop()
 
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -99,6 +99,12 @@
         for connection in tuple(self._connections):
             connection.close_gracefully()
 
+    def reset_busy_connections(self) -> None:
+        """Reset the connections with a request in progress."""
+        for connection in tuple(self._connections):
+            if connection.is_busy:
+                connection.answers.reset()
+
     def announce_closing(self) -> None:
         """Mark the next answer on each connection as its last."""
         for connection in self._connections:
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -105,9 +105,10 @@
         return self._undelivered
 
     @property
-    def is_identified(self) -> bool:
-        """Return whether the `Hello` of the peer was accepted."""
-        return bool(self.peer)
+    def has_unsent_bytes(self) -> bool:
+        """Return whether messages wait to be sent to an identified peer."""
+        is_waiting = self._outgoing or self._connection.buffered_bytes
+        return bool(self.peer and is_waiting)
 
     def send(self, message: Any) -> None:
         """Send a message; those of one loop iteration are written together.
@@ -125,6 +126,11 @@
         """Close the stream at once and discard buffered bytes."""
         self._connection.abort()
 
+    def shut_down(self) -> None:
+        """Send nothing after the buffered bytes; the peer then closes."""
+        self._flush()
+        self._connection.write_eof()
+
     def handle_connected(self) -> None:
         """Restart the handshake and idle timeouts."""
         self._received_at = self._loop.now()
@@ -225,7 +231,7 @@
 
     def _is_established(self) -> bool:
         """Return whether the handshake is complete."""
-        return self.is_identified and not self._connection.is_connecting
+        return bool(self.peer) and not self._connection.is_connecting
 
     def _check_due_at(self) -> float:
         """Return when the current timeout expires, in monotonic seconds.
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -62,6 +62,11 @@
         self.members: Callable[[], Mapping[str, Member]] = dict
         self.awaits_reply: Callable[[str], bool] = bool
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether messages wait to be sent on any stream."""
+        return any(stream.has_unsent_bytes for stream in self._identified())
+
     def listen(self, host: str, port: int) -> None:
         """Accept streams from other nodes.
 
@@ -117,11 +122,14 @@
         """Close the listener and all streams."""
         if self._listener is not None:
             self._listener.close()
-        inbound = itertools.chain(*self._inbound.values())
-        identified = (*self._outbound.values(), *inbound)
-        for stream in (*identified, *self._unidentified):
+        for stream in (*self._identified(), *self._unidentified):
             stream.close()
 
+    def shut_down(self) -> None:
+        """Send what is buffered, then let the peers close the streams."""
+        for stream in self._identified():
+            stream.shut_down()
+
     def _ping(self, node: str, ping: Ping) -> None:
         """Ping a node on all streams that it has opened.
 
@@ -133,6 +141,11 @@
         for stream in streams:
             stream.send(ping)
 
+    def _identified(self) -> tuple[Stream, ...]:
+        """Return the streams that this node and others have opened."""
+        inbound = itertools.chain.from_iterable(self._inbound.values())
+        return (*self._outbound.values(), *inbound)
+
     def _dial(self, name: str, host: str, port: int) -> Stream:
         connection = Connection.dial(self._loop, host, port)
         stream = Stream(
@@ -190,7 +203,7 @@
             self._outbound.pop(name)
         for message in stream.undelivered:
             self._report(MessageUndelivered(name, message))
-        if stream.is_identified:
+        if stream.peer:
             self._report(StreamLost(name, stream.peer_incarnation))
 
     def _inbound_closed(self, stream: Stream) -> None:
--- a/tests/transport/test_ports.py
+++ b/tests/transport/test_ports.py
@@ -17,6 +17,9 @@
 
 load_tests = function_tests(__name__)
 
+# More than the kernel takes for a caller that does not read.
+LONG_BODY = b'x' * 16_000_000
+
 
 @attrs.define
 class CallersPort:
@@ -117,3 +120,47 @@
     port.driver.run_until(lambda: port.ports.busy_connections)
     peer.sock.close()
     port.driver.run_until(lambda: not port.ports.busy_connections)
+
+
+def _start_long_answer(port: CallersPort, head: str) -> Peer:
+    """Answer a request whose caller does not read, and return the caller."""
+    peer = port.connect()
+    peer.send(head.encode())
+    port.driver.run_until(lambda: port.driver.events)
+    call = port.driver.events[-1].call
+    answer = AnswerCaller(call, 200, (), LONG_BODY, last=True)
+    connection = port.ports.find_caller(call, last=True)
+    assert connection is not None
+    connection.send_answer(answer)
+    return peer
+
+
+def test_a_connection_is_busy_until_its_last_byte_is_sent(
+    port: CallersPort,
+) -> None:
+    # Guards against answers that are cut short as a node that is stopped ends
+    # with them in its own buffers.
+    for version in ('1.0', '1.1'):
+        head = f'GET / HTTP/{version}\r\nHost: docs\r\n\r\n'
+        peer = _start_long_answer(port, head)
+        assert port.ports.busy_connections == 1
+        peer.read_until(LONG_BODY)
+        port.driver.run_for(0.05)
+        assert port.ports.busy_connections == 0
+        port.driver.events.clear()
+
+
+def test_an_answer_that_is_unfinished_when_a_node_ends_is_reset(
+    port: CallersPort,
+) -> None:
+    # Guards against an answer without a length that looks whole to its caller
+    # as its node ends.
+    peer = _start_long_answer(port, 'GET / HTTP/1.0\r\nHost: docs\r\n\r\n')
+    port.ports.reset_busy_connections()
+    port.driver.run_for(0.05)
+    try:
+        while peer.sock.recv(65_536):
+            port.driver.run_once()
+    except ConnectionResetError:
+        return
+    raise AssertionError('the connection ended in order')
