Send long messages at the cost of their bytes

Cause: after each 64 KiB that the kernel took, all that was left was copied, in a loop that went on for as long as the kernel took more.

Change: the buffer is cut only when half of it is sent, and a connection sends 1 MiB at most in a turn, so the cost is linear and others get their turn.

--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -12,6 +12,9 @@
 _BACKLOG = 1024
 _READ_BYTES = 65_536
 _ACCEPTS_PER_ITERATION = 64
+# Bounds what one connection sends before others get their turn: 1 MiB.
+WRITES_PER_ITERATION = 16
+WRITE_BYTES = 65_536
 # No call waits on an idle caller connection, so it is probed less often.
 _KEEPALIVE_IDLE_ACCEPTED_S = 15
 _KEEPALIVE_IDLE_DIALLED_S = 2
@@ -52,6 +55,8 @@
         self._sock = sock
         self._is_connecting = is_connecting
         self._send_buffer = bytearray()
+        # The number of bytes at the front of the buffer that are sent.
+        self._sent_bytes = 0
         self._close_pending = False
         self._is_reading = True
         self._shutdown_pending = False
@@ -78,7 +83,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the number of bytes that wait to be sent."""
-        return len(self._send_buffer)
+        return len(self._send_buffer) - self._sent_bytes
 
     @property
     def is_connecting(self) -> bool:
@@ -130,6 +135,7 @@
         self._loop.poller.unwatch(self._sock.fileno())
         self._sock.close()
         self._send_buffer.clear()
+        self._sent_bytes = 0
         if self.handler is not None:
             self.handler.handle_closed()
 
@@ -190,15 +196,18 @@
         self.handler.handle_eof()
 
     def _flush(self) -> None:
-        """Send the buffered bytes, then run a postponed close or shutdown."""
-        while self.is_open and self._send_buffer:
-            sent = self._send(
-                memoryview(self._send_buffer)[:_READ_BYTES].tobytes()
-            )
-            if not sent:
-                return
-            self._send_buffer = self._send_buffer[sent:]
-        if not self.is_open:
+        """Send the buffered bytes, then run a postponed close or shutdown.
+
+        The bytes that are sent at a time are bounded; the poller calls again
+        for the rest.
+        """
+        for _ in range(WRITES_PER_ITERATION):
+            end = self._sent_bytes + WRITE_BYTES
+            sent = self._send(bytes(self._send_buffer[self._sent_bytes : end]))
+            self._remove_sent(sent)
+            if not (sent and self._send_buffer):
+                break
+        if self._send_buffer or not self.is_open:
             return
         if self._close_pending:
             self.abort()
@@ -209,6 +218,17 @@
         if self.handler is not None:
             self.handler.handle_drained()
 
+    def _remove_sent(self, sent: int) -> None:
+        """Remove sent bytes from the buffer.
+
+        The rest is moved only once at least half of the buffer is sent, so
+        that the cost grows with the bytes sent, not with their square.
+        """
+        self._sent_bytes += sent
+        if self._sent_bytes * 2 >= len(self._send_buffer):
+            self._send_buffer = self._send_buffer[self._sent_bytes :]
+            self._sent_bytes = 0
+
     def _send(self, octets: bytes) -> int:
         """Return the number of bytes that the kernel accepted.
 
