--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -7,13 +7,16 @@
 import attrs
 
 from daisyline.coordination.calls.call_events import (
+    AbortCaller,
     AnswerBytesDelivered,
     AnswerCaller,
     AnswerCallerPart,
     CallerDisconnected,
 )
 from daisyline.protocol.http_messages import Request
+from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.transport.callers import CallerConnection
+from daisyline.transport.effect_handlers import perform
 from daisyline.transport.sockets import Connection, Listener
 from tests.support import fixture, function_tests
 from tests.transport.rig import HOST, LoopDriver, Peer
@@ -408,3 +411,23 @@
     answer = peer.read_until_end()
     assert answer.endswith(b'first')
     assert peer.was_reset
+
+
+def test_an_answer_that_breaks_off_takes_no_earlier_one_along(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    # Guards against the loss of a sound answer: the one to a later request of
+    # its connection breaks off before it is sent.
+    peer = driver.connect(callers_port.port)
+    driver.run_until(lambda: callers_port.connections)
+    callers_port.caller.may_overlap = lambda _request: True
+    peer.send(_get(1) + _get(2))
+    callers_port.wait_for_requests(2)
+    failure = Failure(Reason.TARGET_LOST, Outcome.UNKNOWN)
+    ports = mock.Mock(find_caller=lambda _call, last: callers_port.caller)
+    perform(AbortCaller('c2', failure), mock.Mock(ports=ports))
+    callers_port.caller.send_answer(
+        AnswerCaller('c1', 200, (), b'first', last=True)
+    )
+    assert peer.read_until_end().endswith(b'first')
+    assert peer.was_reset
