Apply another number of slots at once

Cause: the admission got the slots of the first announcement only, while a check of what runs used the newest. A start beyond the new number failed that check after it had taken a slot, which was then lost.

Evidence: the new test fails before. Not played over processes.

Change: a target announced with other slots sets the limits of its admission; what runs beyond them goes on, and nothing starts until there is room.

--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -117,8 +117,9 @@
         self.target = target
         if target is None:
             return []
+        limits = self.limits_of(target)
+        effects: Effects = []
         if self._admission is None:
-            limits = self.limits_of(target)
             self._admission = Admission.from_limits(
                 limits, now, announces_cold=target.slots > 0
             )
@@ -127,8 +128,12 @@
             previous is not None and previous.incarnation != target.incarnation
         ):
             self._admission.reset_to_cold(now)
+        if previous is None or previous.slots != target.slots:
+            change = self._admission.set_limits(limits, now)
+            effects += self.apply_decisions(change.started, change.refused, now)
         change = self._admission.set_phase(target.phase, now)
-        return self.apply_decisions(change.started, change.refused, now)
+        effects += self.apply_decisions(change.started, change.refused, now)
+        return effects
 
     def limit_starts(self, per_s: float, now: float) -> Effects:
         """Start no more calls a second than the target says that it takes.
--- a/tests/coordination/calls/test_target_side.py
+++ b/tests/coordination/calls/test_target_side.py
@@ -31,6 +31,9 @@
 
 load_tests = function_tests(__name__)
 
+# Until the limit of concurrency has grown to the number of slots.
+WARM_CALLS = 200
+
 
 @fixture
 def ready_target_side() -> Iterator[TargetSide]:
@@ -342,3 +345,61 @@
         ]
         assert not started, pause_s
         assert refused == ['waiting'], pause_s
+
+
+def _announce(slots: int, side: TargetSide, now: float) -> list[Any]:
+    target = Target('docs', 'v1', 'i', '127.0.0.1', 1, slots=slots)
+    announced = ev.TargetAnnounced(target)
+    return side.use_target(announced.target, now)
+
+
+def _started(effects: list[Any]) -> list[str]:
+    return [
+        effect.call
+        for effect in effects
+        if isinstance(effect, ev.StartTargetCall)
+    ]
+
+
+def _offer(calls: list[str], side: TargetSide, now: float) -> list[Any]:
+    """Offer calls and return the effects."""
+    return [
+        effect
+        for call in calls
+        for effect in target_side_handlers.handle(
+            ev.CallMessageReceived('e', run_message(call)), side, now
+        )
+    ]
+
+
+def _end(calls: list[str], side: TargetSide, now: float) -> list[Any]:
+    """Answer calls and return the effects."""
+    return [
+        effect
+        for call in calls
+        for effect in target_side_handlers.handle(
+            ev.TargetAnswerHead(call, 200, (), b'', last=True), side, now
+        )
+    ]
+
+
+def test_another_number_of_slots_is_in_force_at_once(
+    ready_target_side: TargetSide,
+) -> None:
+    # Guards against a node that refuses all calls after its target came back
+    # with fewer slots than calls were running.
+    side = ready_target_side
+    _announce(9, side, 0)
+    for number in range(WARM_CALLS):
+        _offer([f'warm-{number}'], side, 0.1)
+        _end([f'warm-{number}'], side, 0.1)
+    names = [f'c{place}' for place in range(16)]
+    running = _started(_offer(names[:9], side, 1))
+    assert running == names[:9]
+    _announce(4, side, 1)
+    assert not _started(_offer([names[9]], side, 1))
+    started = _started(_end(running, side, 1))
+    started += _started(_offer(names[10:], side, 1))
+    assert len(started) == 4
+    assert len(_started(_announce(6, side, 1))) == 2
+    assert side.load.running == 6
