Refuse a check-in whose state is no text

What a target saw: no answer to such a check-in, on a connection that stayed open (suspected in the review, not tried there).

Cause: the state was looked up in a set, and a list or an object has no hash.

Evidence: the new test, which puts odd values into each field, fails before with a TypeError for a list.

Change: states are compared by equality; the check-in is refused with all its errors, as others that are malformed.

--- a/daisyline/platform/notices.py
+++ b/daisyline/platform/notices.py
@@ -15,7 +15,8 @@
 from daisyline.state.failures import Finding
 from daisyline.state.targets import Phase, Target
 
-_STATES = frozenset(('ready', 'draining'))
+# Compared by equality: a state may be a value that has no hash.
+_STATES = ('ready', 'draining')
 _MAX_SLOTS = 10_000
 _MAX_COLD_S = 3600
 # Larger integers are not exact in every JSON parser.
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -99,3 +99,14 @@
         assert announced.target.started_ms == 0
         leaving = _read(boot, 'leave', {'born': born})
         assert leaving.started_ms == 0
+
+
+def test_a_heartbeat_with_any_json_in_a_field_is_accepted_or_refused(
+    boot: Boot,
+) -> None:
+    # Guards against a check-in that is left unanswered, and whose connection
+    # is left open, as a field that should be a text is a list.
+    for name in HEARTBEAT:
+        for odd in ([], {}, [1], {'a': 1}, None, True, -1, 0.5, 'text'):
+            notice = _read(boot, 'heartbeat', {**HEARTBEAT, name: odd})
+            assert isinstance(notice, (Announcement, list))
