Keep deferred functions when one raises an exception

What callers would see: answers that are never written, as their write was deferred in the same iteration (suspected in the review, not tried there).

Cause: the deferred functions were taken out as one list, and an exception left the rest of it behind.

Evidence: the new test fails before (the second function is never called).

Change: each is taken out as it is called; the rest follows in the next iteration of the loop.

--- a/daisyline/transport/poller.py
+++ b/daisyline/transport/poller.py
@@ -2,6 +2,7 @@
 
 import select
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -33,7 +34,7 @@
         """Open the epoll descriptor."""
         super().__init__()
         self._watchers: dict[int, Watcher] = {}
-        self._deferred: list[Callable[[], None]] = []
+        self._deferred: deque[Callable[[], None]] = deque()
         self._iteration_ended_at = time.monotonic()
         self.on_pause: Callable[[float], None] = _ignore_pause
 
@@ -56,12 +57,12 @@
         self._deferred.append(function)
 
     def flush_deferred(self) -> None:
-        """Call the deferred functions, and those that they defer in turn."""
+        """Call the deferred functions, and those that they defer in turn.
+
+        If one raises an exception, the others are called in the next iteration.
+        """
         while self._deferred:
-            pending = self._deferred
-            self._deferred = []
-            for function in pending:
-                function()
+            self._deferred.popleft()()
 
     @handler('generate_events', priority=-9, override=True)
     def _on_generate_events(self, event: Any) -> None:
--- a/tests/transport/test_loop.py
+++ b/tests/transport/test_loop.py
@@ -52,6 +52,23 @@
     assert loop.exception_count == 1
 
 
+def test_an_exception_drops_no_deferred_function(loop: Loop) -> None:
+    # Guards against messages that are never written, as their write was
+    # deferred beside a function that raised an exception.
+    called: list[str] = []
+
+    def defer_two() -> None:
+        loop.defer(lambda: called.pop())
+        loop.defer(lambda: called.append('second'))
+
+    loop.call_later(0, defer_two)
+    with open(os.devnull, 'w', encoding='utf-8') as devnull:
+        with contextlib.redirect_stderr(devnull):
+            loop.run()
+    assert called == ['second']
+    assert loop.exception_count == 1
+
+
 def test_an_ended_then_reset_connection_does_not_spin(loop: Loop) -> None:
     accepted: list[Connection] = []
 
