Keep each departure while many others leave

Found in reading the change: a node remembered the departures of all targets of the fleet in the 64 places for those of its own, so its own could be pushed out during a release. The new test (128 departures of others) fails before.

Change: of the departures of other targets only the fact is kept, and an announcement is compared with the facts. They last for 2 min, and the store of facts looks through them only when one is due, as a release adds many. The operators' port is built once.

--- a/daisyline/coordination/membership/fact_store.py
+++ b/daisyline/coordination/membership/fact_store.py
@@ -29,6 +29,8 @@
     _expired: dict[tuple[str, str], tuple[Fact, float]] = attrs.field(
         factory=dict
     )
+    _next_expiry_at: float = float('inf')
+    _next_forgotten_at: float = float('inf')
 
     @property
     def facts(self) -> Mapping[tuple[str, str], Fact]:
@@ -36,8 +38,8 @@
         return self._facts
 
     def next_at(self) -> float:
-        """Return when the next fact expires; infinity if there is none."""
-        return min(self._expires_at.values(), default=float('inf'))
+        """Return when the next fact may expire; infinity if there is none."""
+        return self._next_expiry_at
 
     def merge(self, record: FactRecord, now: float) -> bool:
         """Merge a fact; return whether it is new or supersedes another."""
@@ -51,21 +53,21 @@
         if held:
             self._toggle(held)
         self._facts[fact.key] = fact
-        self._expires_at[fact.key] = now + record.remaining_ms / _MS_PER_S
+        expires_at = now + record.remaining_ms / _MS_PER_S
+        self._expires_at[fact.key] = expires_at
+        self._next_expiry_at = min(self._next_expiry_at, expires_at)
         self._toggle(fact)
         return True
 
     def expire(self, now: float) -> None:
-        """Remove facts whose lifetime is over, and forget old removals."""
-        for key, expires_at in tuple(self._expires_at.items()):
-            if expires_at <= now:
-                fact = self._facts.pop(key)
-                self._toggle(fact)
-                self._expires_at.pop(key)
-                self._expired[key] = (fact, now + EXPIRED_RETENTION_S)
-        for key, (_fact, forget_at) in tuple(self._expired.items()):
-            if forget_at <= now:
-                self._expired.pop(key)
+        """Remove facts whose lifetime is over, and forget old removals.
+
+        It is called often, so the facts are looked through only if one is due.
+        """
+        if now >= self._next_expiry_at:
+            self._remove_expired(now)
+        if now >= self._next_forgotten_at:
+            self._forget_expired(now)
 
     def records(
         self, buckets: Iterable[int], now: float
@@ -83,6 +85,30 @@
         remaining_s = self._expires_at[fact.key] - now
         return FactRecord(fact, int(remaining_s * _MS_PER_S))
 
+    def _remove_expired(self, now: float) -> None:
+        for key, expires_at in tuple(self._expires_at.items()):
+            if expires_at <= now:
+                fact = self._facts.pop(key)
+                self._toggle(fact)
+                self._expires_at.pop(key)
+                forget_at = now + EXPIRED_RETENTION_S
+                self._expired[key] = (fact, forget_at)
+                self._next_forgotten_at = min(
+                    self._next_forgotten_at, forget_at
+                )
+        self._next_expiry_at = min(
+            self._expires_at.values(), default=float('inf')
+        )
+
+    def _forget_expired(self, now: float) -> None:
+        for key, (_fact, forget_at) in tuple(self._expired.items()):
+            if forget_at <= now:
+                self._expired.pop(key)
+        self._next_forgotten_at = min(
+            (removal[1] for removal in self._expired.values()),
+            default=float('inf'),
+        )
+
     def _toggle(self, fact: Fact) -> None:
         self._digest.toggle(_entry_key(fact), f'{fact.rank}/{fact.payload}')
 
--- a/daisyline/coordination/target_notices.py
+++ b/daisyline/coordination/target_notices.py
@@ -32,6 +32,9 @@
     registration = core.target_side.registration
     if not registration.accept(announcement, now):
         return []
+    incarnation = event.target.incarnation
+    if departure_fact(incarnation).key in core.fleet.facts:
+        registration.mark_leaving(*incarnation)
     latest = registration.latest
     assert latest is not None
     effects = core.apply_announcement(latest.target, now, latest.cold_s)
@@ -58,9 +61,12 @@
     if departed is None:
         return []
     core.entry.table.record_left(departed)
-    leaving = core.target_side.registration.mark_leaving(*departed)
-    if leaving is None:
+    registration = core.target_side.registration
+    latest = registration.latest
+    if latest is None or latest.target.incarnation != departed:
         return []
+    leaving = registration.mark_leaving(*departed)
+    assert leaving is not None
     return core.apply_announcement(leaving.target, now)
 
 
--- a/daisyline/state/departures.py
+++ b/daisyline/state/departures.py
@@ -7,6 +7,9 @@
 from daisyline.state.facts import Fact
 
 DEPARTURE = 'departure'
+# Targets go on for some seconds after they leave, and their announcements
+# arrive late by as much.
+_TTL_MS = 120_000
 
 Incarnation = tuple[str, int]
 
@@ -18,7 +21,8 @@
         incarnation: The instance and its start, see `Target.incarnation`.
     """
     instance, started_ms = incarnation
-    return Fact(DEPARTURE, f'{instance}/{started_ms}', 0, incarnation)
+    name = f'{instance}/{started_ms}'
+    return Fact(DEPARTURE, name, 0, incarnation, _TTL_MS)
 
 
 def departed_incarnation(fact: Fact) -> Incarnation | None:
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -99,7 +99,7 @@
         self._tick: Deadline | None = None
         self._tick_at = math.inf
         self._stop_deadline: float | None = None
-        self._operators = OperatorsPort(loop, core)
+        self._operators = OperatorsPort(loop, core, front.ready_path)
         self.core = core
         self.decisions: DecisionLog | None = None
 
@@ -137,7 +137,7 @@
             node.decisions = DecisionLog(LineWriter(loop), own_member.name)
             core.events.add_sink(node.decisions.record_event)
         relay.handle_event = node.handle_event
-        node._listen(config, front.ready_path)
+        node._listen(config)
         return node
 
     def run(self) -> None:
@@ -192,7 +192,7 @@
         changed = ', '.join(reloaded.changed) or 'nothing'
         log.info(f'Settings of this node were reloaded; changed: {changed}.')
 
-    def _listen(self, config: NodeConfig, ready_path: str) -> None:
+    def _listen(self, config: NodeConfig) -> None:
         self._loop.poller.on_pause = self._handle_pause
         self._loop.on_signal = self._handle_signal
         if self._front.settings_path:
@@ -206,7 +206,6 @@
         transports.ports.listen_to_target(
             config.target_host, config.target_port
         )
-        self._operators = OperatorsPort(self._loop, self.core, ready_path)
         self._operators.listen(config.host, config.operators_port)
         if config.ready_port != config.operators_port:
             self._operators.listen(config.host, config.ready_port)
--- a/tests/coordination/test_target_notices.py
+++ b/tests/coordination/test_target_notices.py
@@ -10,6 +10,7 @@
 
 from daisyline.coordination import node_handlers
 from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls.registration import MAX_LEFT
 from daisyline.coordination.effects import Send
 from daisyline.coordination.membership.fleet_events import SendToAddress
 from daisyline.coordination.membership.gossip_messages import RecordUpdates
@@ -141,6 +142,17 @@
     assert core_pair.phase_at('n1') == Phase.LEAVING
 
 
+def test_many_departures_of_others_displace_none(core_pair: CorePair) -> None:
+    core_pair.deliver('n1', core_pair.handle('n1', LEAVING))
+    for number in range(2 * MAX_LEFT):
+        other = ev.TargetLeaving(f'other-{number}', 5)
+        core_pair.deliver('n2', core_pair.handle('n2', other))
+    core_pair.start('n1', 3_000)
+    core_pair.wait(2)
+    core_pair.deliver('n1', core_pair.handle('n1', _announced(2)))
+    assert core_pair.phase_at('n1') == Phase.LEAVING
+
+
 def test_a_leave_before_the_first_announcement_is_remembered(
     core_pair: CorePair,
 ) -> None:
