Close the callers' connections before the streams are shut down

What callers saw: a request sent 2.44 s after SIGTERM was passed on to a target and then given up (LOST).

Kept connections were still read meanwhile.

Change: connections are closed when the node decides to end, as the end itself did before; those with a request in progress are reset. The new test sends a request on a kept connection at that moment.

--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -153,6 +153,10 @@
         """Reset the connection, so that no unfinished answer looks whole."""
         self._connection.reset()
 
+    def close(self) -> None:
+        """Close the connection, which has nothing more to send."""
+        self._connection.abort()
+
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -271,6 +271,7 @@
 
         What the peers and callers have to be sent is sent first. Answers that
         are unfinished at the time limit are reset, so that none looks whole.
+        From then on no request is received, as its call could not end.
         """
         ports, streams = self._transports.ports, self._transports.streams
         in_progress = ports.busy_connections + len(self.core.target_side.calls)
@@ -282,7 +283,7 @@
         self._transports.log.info(
             f'Stopped with {in_progress} calls in progress.'
         )
-        ports.reset_busy_connections()
+        ports.close()
         streams.shut_down()
         self._loop.call_later(_STREAM_CLOSE_S, self._end)
 
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -99,11 +99,16 @@
         for connection in tuple(self._connections):
             connection.close_gracefully()
 
-    def reset_busy_connections(self) -> None:
-        """Reset the connections with a request in progress."""
+    def close(self) -> None:
+        """Close all connections; reset those with a request in progress.
+
+        No further request is received.
+        """
         for connection in tuple(self._connections):
             if connection.is_busy:
                 connection.answers.reset()
+            else:
+                connection.answers.close()
 
     def announce_closing(self) -> None:
         """Mark the next answer on each connection as its last."""
--- a/tests/transport/test_ports.py
+++ b/tests/transport/test_ports.py
@@ -156,7 +156,7 @@
     # Guards against an answer without a length that looks whole to its caller
     # as its node ends.
     peer = _start_long_answer(port, 'GET / HTTP/1.0\r\nHost: docs\r\n\r\n')
-    port.ports.reset_busy_connections()
+    port.ports.close()
     port.driver.run_for(0.05)
     try:
         while peer.sock.recv(65_536):
@@ -164,3 +164,21 @@
     except ConnectionResetError:
         return
     raise AssertionError('the connection ended in order')
+
+
+def test_no_request_is_received_while_a_node_ends(port: CallersPort) -> None:
+    # Guards against a request on a kept connection that is sent on while the
+    # node closes its streams, and is cut off as it ends.
+    peer = port.connect()
+    peer.send(_request())
+    port.driver.run_until(lambda: port.driver.events)
+    call = port.driver.events[-1].call
+    connection = port.ports.find_caller(call, last=True)
+    assert connection is not None
+    connection.send_answer(AnswerCaller(call, 200, (), b'first', last=True))
+    peer.read_until(b'first')
+    peer.sock.send(_request())
+    port.ports.close()
+    port.driver.run_for(0.05)
+    assert len(port.driver.events) == 1
+    assert port.ports.busy_connections == 0
