--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -267,26 +267,35 @@
         self._finish_stop()
 
     def _finish_stop(self) -> None:
-        """End once no call is in progress or the time limit passed.
+        """End the calls: wait until none is in progress or time is up.
 
-        What the peers and callers have to be sent is sent first. Answers that
-        are unfinished at the time limit are reset, so that none looks whole.
         From then on no request is received, as its call could not end.
+        Answers that are unfinished are reset, so that none looks whole.
         """
-        ports, streams = self._transports.ports, self._transports.streams
+        ports = self._transports.ports
         in_progress = ports.busy_connections + len(self.core.target_side.calls)
-        is_unsent = streams.has_unsent_bytes or self._operators.has_unsent_bytes
-        is_overdue = self._loop.now() > (self._stop_deadline or 0)
-        if (in_progress or is_unsent) and not is_overdue:
+        if in_progress and not self._is_stop_overdue():
             self._loop.call_later(_STOP_CHECK_INTERVAL_S, self._finish_stop)
             return
         self._transports.log.info(
             f'Stopped with {in_progress} calls in progress.'
         )
         ports.close()
+        self._finish_sending()
+
+    def _finish_sending(self) -> None:
+        """Send what other nodes and operators still have to get, then end."""
+        streams = self._transports.streams
+        is_unsent = streams.has_unsent_bytes or self._operators.has_unsent_bytes
+        if is_unsent and not self._is_stop_overdue():
+            self._loop.call_later(_STOP_CHECK_INTERVAL_S, self._finish_sending)
+            return
         streams.shut_down()
         self._loop.call_later(_STREAM_CLOSE_S, self._end)
 
+    def _is_stop_overdue(self) -> bool:
+        return self._loop.now() > (self._stop_deadline or 0)
+
     def _end(self) -> None:
         self._transports.streams.close()
         self._loop.stop()
