Remember a leave that states no start

Cause: the leave came before the first check-in to the new process and had no start in its body. It was remembered for the start 0, which no check-in has.

Evidence: a replay with the node's log: started 24.083 s, leave acknowledged 24.195 s, TargetChanged to ready 26.327 s by a late check-in. The new test plays this; without the change the target is ready.

Change: such a leave holds for all starts of the instance that are older than the process, and so than the leave; a start that is newer is used.

--- a/daisyline/coordination/calls/registration.py
+++ b/daisyline/coordination/calls/registration.py
@@ -99,8 +99,6 @@
         self._is_confirmed = (
             known is not None and known.target.incarnation == announced
         )
-        if announced in self._left:
-            announcement = _as_leaving(announcement)
         self._latest = announcement
         self._latest_at = now
         self._contender = None
@@ -132,6 +130,21 @@
         self._latest = _as_leaving(latest)
         return self._latest
 
+    def has_left(self, target: Target, process_started_ms: int) -> bool:
+        """Return whether a start of a target has announced that it leaves.
+
+        A leave may not state the start. It then holds for every start of the
+        instance that is older than this process, and so older than the leave.
+
+        Args:
+            target: The target.
+            process_started_ms: When this process started, in Unix milliseconds.
+        """
+        is_older = target.started_ms <= process_started_ms
+        return target.incarnation in self._left or (
+            is_older and (target.instance, 0) in self._left
+        )
+
     def _record_left(self, incarnation: Incarnation) -> None:
         self._left[incarnation] = None
         if len(self._left) > MAX_LEFT:
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -62,6 +62,7 @@
         warm_at: When the target becomes warm, in monotonic seconds; infinity
             if it is warm or has not given a time.
         is_leaving: Whether this node is shutting down.
+        started_ms: When this process started, in Unix milliseconds.
     """
 
     name: str
@@ -81,7 +82,7 @@
     )
     _crashed_calls: set[str] = attrs.field(factory=set)
     _crashed_at: float = -math.inf
-    _started_ms: int = 0
+    started_ms: int = 0
 
     @classmethod
     def from_config(
@@ -212,7 +213,7 @@
         other nodes have told of that, only a second announcement shows that
         the target goes on.
         """
-        is_older = target.started_ms <= self._started_ms
+        is_older = target.started_ms <= self.started_ms
         if is_older and not self.target_side.registration.is_confirmed:
             return min(self.lease_s, FIRST_LEASE_S)
         return self.lease_s
--- a/daisyline/coordination/target_notices.py
+++ b/daisyline/coordination/target_notices.py
@@ -33,7 +33,8 @@
     if not registration.accept(announcement, now):
         return []
     incarnation = event.target.incarnation
-    if departure_fact(incarnation).key in core.fleet.facts:
+    is_told = departure_fact(incarnation).key in core.fleet.facts
+    if is_told or registration.has_left(event.target, core.started_ms):
         registration.mark_leaving(*incarnation)
     latest = registration.latest
     assert latest is not None
--- a/tests/coordination/test_target_notices.py
+++ b/tests/coordination/test_target_notices.py
@@ -169,6 +169,23 @@
     assert core_pair.phase_at('n1') == Phase.LEAVING
 
 
+def test_a_leave_that_states_no_start_holds_for_an_older_one(
+    core_pair: CorePair,
+) -> None:
+    # Guards against the same requests where the leave, which came before the
+    # first announcement to the new process, has no body.
+    core_pair.start('n1', 8_000)
+    core_pair.wait(1)
+    leaving = ev.TargetLeaving(TARGET.instance)
+    core_pair.deliver('n1', core_pair.handle('n1', leaving))
+    core_pair.deliver('n1', core_pair.handle('n1', _announced(2)))
+    assert core_pair.phase_at('n1') == Phase.LEAVING
+    again = attrs.evolve(TARGET, started_ms=9)
+    announced = ev.TargetAnnounced(again, sequence=1)
+    core_pair.deliver('n1', core_pair.handle('n1', announced))
+    assert core_pair.phase_at('n1') == Phase.READY
+
+
 def test_a_new_start_under_the_same_name_is_used(core_pair: CorePair) -> None:
     core_pair.deliver('n1', core_pair.handle('n1', LEAVING))
     again = attrs.evolve(TARGET, started_ms=7)
