Start nodes from settings that leave out unused features

Ruled out: a template with literal defaults, as the file then could not say that a feature is off.

Change: a setting is required or has a documented default; missing and null are the same; all findings are still reported at once. Without an exposed share the orders of rollouts are not read. Optional fields of the manifest may be null.

--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -26,9 +26,7 @@
     return FrontEnd(
         dialect=wire.DIALECT,
         platform_codec=StoreCodec.from_boot(boot),
-        read_config=PlatformReadConfig(
-            (SETTINGS_KIND, ZONES_KIND, ROLLOUTS_KIND), True
-        ),
+        read_config=PlatformReadConfig(_kinds_read(boot), True),
         read_notice=NoticeReader.from_boot(boot).read,
         acknowledge=acknowledge,
         lease_s=_LEASE_HEARTBEATS * boot.heartbeat_s,
@@ -37,3 +35,10 @@
         logs_decisions=True,
         stop_timeout_s=boot.stop_s - _STOP_MARGIN_S,
     )
+
+
+def _kinds_read(boot: Boot) -> tuple[str, ...]:
+    """Return the kinds of objects that a node reads; each costs calls."""
+    if boot.exposed_share is None:
+        return (SETTINGS_KIND, ZONES_KIND)
+    return (SETTINGS_KIND, ZONES_KIND, ROLLOUTS_KIND)
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -13,6 +13,7 @@
 from daisyline.platform.boot import Boot
 from daisyline.platform.manifest import settings_tree
 from daisyline.state.limits import PERCENT
+from daisyline.state.rollout_plan import FULL_PERCENT
 from daisyline.state.rollout_state import Stage
 
 _STATE_OF_STAGE = types.MappingProxyType(
@@ -148,7 +149,7 @@
         'old': '',
         'new': version,
         'finish_in_s': allowed_s,
-        'exposed_percent': int(kind.boot.exposed_share * PERCENT),
+        'exposed_percent': _exposed_percent(kind.boot),
     }
 
 
@@ -161,6 +162,13 @@
     return {**status, 'state': stage}
 
 
+def _exposed_percent(boot: Boot) -> int:
+    """Return how many percent of the calls an unjudged version may get."""
+    if boot.exposed_share is None:
+        return FULL_PERCENT
+    return max(1, int(boot.exposed_share * PERCENT))
+
+
 @functools.singledispatch
 def fields_of(kind: Any, content: Any) -> Mapping[str, Any]:
     """Return the fields of an object that a write replaces."""
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -66,7 +66,7 @@
 
 
 def _limits(limits: Any) -> dict[str, Any]:
-    if not isinstance(limits, dict) or 'maxBodyBytes' not in limits:
+    if not isinstance(limits, dict) or limits.get('maxBodyBytes') is None:
         return {}
     return {'body_limit_bytes': limits['maxBodyBytes']}
 
@@ -94,6 +94,11 @@
         'cold_start_ms': _round_ms(entry.get('coldStartS')),
         'cold_calls_per_s': _round(entry.get('coldPerS'), _COLD_RATE_FACTOR),
     }
+    return _without_none(translated)
+
+
+def _without_none(translated: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the entries that are set, so that defaults apply to the others."""
     return {
         name: content
         for name, content in translated.items()
@@ -103,17 +108,23 @@
 
 def _route(entry: Mapping[str, Any]) -> dict[str, Any]:
     kind = entry.get('kind')
-    return {
+    translated = {
         'host': entry.get('host'),
         'prefix': entry.get('pathPrefix'),
         'services': _traffic_split(entry),
         'repeatable': kind in _REPEATABLE_KINDS,
         'bulky': kind == _BULKY_KIND,
-        'targets': entry.get('maxAttempts', 1),
-        'priority': entry.get('priority', 1),
-        'deadline_ms': _round_ms(entry.get('timeoutS', 0)),
-        'objective_ms': _round_ms(entry.get('targetLatencyS', 0)),
+        'targets': _or_default(entry.get('maxAttempts'), 1),
+        'priority': entry.get('priority'),
+        'deadline_ms': _round_ms(entry.get('timeoutS')),
+        'objective_ms': _round_ms(entry.get('targetLatencyS')),
     }
+    return _without_none(translated)
+
+
+def _or_default(content: Any, default: Any) -> Any:
+    """Return a value, or the default if it is missing or null."""
+    return default if content is None else content
 
 
 def _traffic_split(entry: Mapping[str, Any]) -> Any:
@@ -124,7 +135,8 @@
     """
     shares = entry.get('trafficSplit')
     if not shares:
-        return {str(entry['service']): 1} if 'service' in entry else None
+        service = entry.get('service')
+        return None if service is None else {str(service): 1}
     if not isinstance(shares, list):
         return shares
     return {
--- a/daisyline/platform/settings_file.py
+++ b/daisyline/platform/settings_file.py
@@ -72,10 +72,16 @@
                 Finding(name, 'takes effect only after a restart')
                 for name in changed
                 if name in _NEEDS_RESTART
+                or _is_toggled(name, previous, current)
             ),
         )
 
 
+def _is_toggled(name: str, previous: Boot, current: Boot) -> bool:
+    """Return whether a setting that turns something on was added or removed."""
+    return None in {getattr(previous, name), getattr(current, name)}
+
+
 def _read(path: Path) -> Boot | list[Finding]:
     try:
         text = path.read_text(encoding='utf-8')
--- a/tests/journeys/test_users_platform.py
+++ b/tests/journeys/test_users_platform.py
@@ -6,6 +6,7 @@
 
 from tests.fixtures import wait_until
 from tests.journeys.users_rig import UsersFleet, UsersPlace
+from tests.platform.fixtures import DEPLOYMENT_SETTINGS
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
@@ -245,3 +246,18 @@
 
 def _run_counts(fleet: UsersFleet) -> list[int]:
     return [len(place.control_target()['ran']) for place in fleet.places]
+
+
+def test_a_node_starts_from_the_settings_of_each_kind_of_deployment(
+    users_fleet: UsersFleet,
+) -> None:
+    for number, changes in enumerate(DEPLOYMENT_SETTINGS.values()):
+        # The default operators' port can be taken by another test.
+        operators_port = users_fleet.ports.take()
+        settings = {**changes, 'operators_port': operators_port}
+        place = users_fleet.add('ghent-a', **settings)
+        place.ports['operators'] = operators_port
+        wait_until(place.is_listening)
+        wait_until(place.is_ready)
+        answer = place.send_request('/pages/1', f'k{number}')
+        assert answer.status == 200
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -73,6 +74,13 @@
         """Change the target's behaviour and return its records."""
         return fetch(self.ports['target'], '/control', 'POST', fields)
 
+    def is_listening(self) -> bool:
+        """Return whether the node has opened its port for readiness."""
+        with contextlib.suppress(OSError):
+            with socket.create_connection((HOST, self.ports['ready'])):
+                return True
+        return False
+
     def is_ready(self) -> bool:
         """Return whether the node is ready for clients."""
         with contextlib.closing(
@@ -112,8 +120,8 @@
         self.processes.append(process)
         return process
 
-    def add(self, zone: str) -> UsersPlace:
-        """Start another node and its target."""
+    def add(self, zone: str, **settings: Any) -> UsersPlace:
+        """Start another node, with some settings changed, and its target."""
         name = f'n{len(self.places)}'
         roles = ('callers', 'notices', 'ready', 'target', 'peers', 'operators')
         ports = {role: self.ports.take() for role in roles}
@@ -121,7 +129,7 @@
             name,
             zone,
             ports,
-            self.start_node(name, zone, ports),
+            self.start_node(name, zone, ports, **settings),
             self.start_program(
                 'standins.users_target',
                 '--port',
@@ -136,9 +144,9 @@
         return place
 
     def start_node(
-        self, name: str, zone: str, ports: dict[str, int]
+        self, name: str, zone: str, ports: dict[str, int], **settings: Any
     ) -> Process:
-        """Start a node."""
+        """Start a node, with some settings changed."""
         fields = {
             **SETTINGS_FIELDS,
             'name': name,
@@ -150,6 +158,7 @@
         }
         for role in ('callers', 'notices', 'ready', 'target'):
             fields[role] = f'{HOST}:{ports[role]}'
+        fields.update(settings)
         path = pathlib.Path(self.folder, f'{name}.json')
         path.write_text(json.dumps(fields), encoding='utf-8')
         return self.start_program(
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -29,6 +29,35 @@
         'retry_share': 0.2,
         'retry_slack': 56,
         'exposed_share': 0.1,
+        'memory_mb': 300,
+    }
+)
+
+# The settings that each kind of deployment adds to those that all have.
+DEPLOYMENT_SETTINGS = types.MappingProxyType(
+    {
+        'rollouts': {'exposed_share': 0.1},
+        'no rollouts': {'exposed_share': None},
+        'customers and duties': {
+            'exposed_share': 0.1,
+            'duty_api': f'{HOST}:8150',
+            'duty_calls_per_s': 50,
+            'duty_lease_s': 3,
+            'duty_fenced': True,
+            'usage_window_s': 5,
+            'usage_late_s': 10,
+        },
+        'required settings only': dict.fromkeys(
+            (
+                'operators_port',
+                'heartbeat_s',
+                'stop_s',
+                'retry_share',
+                'retry_slack',
+                'exposed_share',
+                'memory_mb',
+            )
+        ),
     }
 )
 
