Translate customers and their keys to hashes in the settings tree

Cause: the platform's settings may list customers with keys; the tree had only weights of tenants, and a manifest with customers lost them in the translation.

Change: section `tenants` has `keys` (hashes) and `priority`, routes have `key_exempt`, and a table leads from a hash to its customer. A translation lists what it can't translate in `problems`, by path and without values. Rules of the check can be secret. A list of keys that is empty still makes keys required, so that withdrawing the last key lets no request in.

--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from daisyline.platform.boot import Boot
+from daisyline.platform.customers import TranslatedCustomers
 from daisyline.state.limits import PERCENT
 
 _MS_PER_S = 1000
@@ -33,14 +34,19 @@
     """Return the settings tree of a manifest.
 
     Values that can't be translated are copied unchanged, so that the check of
-    the tree reports their path.
+    the tree reports their path. Customers are translated without their keys,
+    of which only hashes remain.
 
     Args:
         manifest: The decoded JSON of the stored manifest; any JSON value.
         boot: The node's settings file.
     """
     if not isinstance(manifest, dict):
-        return manifest
+        return {'problems': {'manifest': 'must be an object'}}
+    customers = TranslatedCustomers.from_list(manifest.get('tenants'))
+    # Left out where there are none, so that nodes of the build before accept
+    # the tree of a deployment without customers.
+    optional = {'tenants': customers.entries, 'problems': customers.problems}
     return {
         'cluster': boot.cluster,
         'defaults': {**_defaults(boot), **_limits(manifest.get('limits'))},
@@ -49,6 +55,7 @@
         },
         'services': _translate_by_name(manifest.get('services'), _service),
         'routes': _translate_by_name(manifest.get('routes'), _route),
+        **{name: section for name, section in optional.items() if section},
     }
 
 
@@ -118,6 +125,7 @@
         'priority': entry.get('priority'),
         'deadline_ms': _round_ms(entry.get('timeoutS')),
         'objective_ms': _round_ms(entry.get('targetLatencyS')),
+        'key_exempt': entry.get('authExempt'),
     }
     return _without_none(translated)
 
--- a/daisyline/state/routes.py
+++ b/daisyline/state/routes.py
@@ -33,6 +33,7 @@
             if only the service's limit applies.
         objective_ms: The time within which an answer is wanted, in
             milliseconds; 0 if none is stated.
+        key_exempt: Whether requests need no key where customers have keys.
     """
 
     name: str
@@ -45,6 +46,7 @@
     priority: int = DEFAULT_PRIORITY
     deadline_ms: int = 0
     objective_ms: int = 0
+    key_exempt: bool = False
 
     @classmethod
     def from_fields(cls, name: str, fields: Mapping[str, Any]) -> 'Route':
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from daisyline.state.customers import CustomerTable
 from daisyline.state.failures import Finding
 from daisyline.state.limits import LIMIT_NAMES, Limits
 from daisyline.state.orders import Orders
@@ -22,6 +23,7 @@
 
 _ZONES = 'zones'
 _SERVICES = 'services'
+_TENANTS = 'tenants'
 
 _Level = tuple[str, Mapping[str, Any]]
 
@@ -97,6 +99,11 @@
         """Return the routes of the tree."""
         return RouteTable.from_tree(self._section('routes'))
 
+    @functools.cached_property
+    def customers(self) -> CustomerTable:
+        """Return the customers of the tree, by the hashes of their keys."""
+        return CustomerTable.from_tree(self._section(_TENANTS))
+
     @property
     def zones_out(self) -> frozenset[str]:
         """Return the zones that operators have taken out of use."""
@@ -144,11 +151,11 @@
     @property
     def tenant_weights(self) -> Mapping[str, int]:
         """Return the weights of the tenants in the tree, by name."""
-        return {name: self.weight_of(name) for name in self._section('tenants')}
+        return {name: self.weight_of(name) for name in self._section(_TENANTS)}
 
     def weight_of(self, tenant: str) -> int:
         """Return a tenant's weight: its share of a queue relative to others."""
-        entry = self._section('tenants').get(tenant, {})
+        entry = self._section(_TENANTS).get(tenant, {})
         return int(entry.get('weight', DEFAULT_WEIGHT))
 
     def rollout_of(self, service: str) -> RolloutPlan | None:
--- a/daisyline/state/settings_check.py
+++ b/daisyline/state/settings_check.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.state.customers import HASH_DIGITS, KEYS
 from daisyline.state.failures import Finding
 from daisyline.state.limits import (
     IS_PATH,
@@ -28,6 +29,8 @@
     NamedEntries,
     OneOf,
     Pattern,
+    Problems,
+    Secret,
     Section,
     UniqueList,
     check_value,
@@ -44,6 +47,7 @@
 _SERVICES = 'services'
 _ZONES = 'zones'
 _HOSTS = 'hosts'
+_TENANTS = 'tenants'
 
 _NAME = Pattern(
     re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'),
@@ -53,6 +57,14 @@
     re.compile(r'[^\s\x00-\x1f\x7f](.{0,126}[^\s\x00-\x1f\x7f])?'),
     'a name of 1 to 128 characters without space around it',
 )
+# A customer's name is sent in a header, so no control characters are allowed.
+_TENANT_NAME = Pattern(
+    re.compile(
+        r'(?!\s)[^\x00-\x1f\x7f\ud800-\udfff]{1,128}(?<!\s)',
+    ),
+    'a name of 1 to 128 printable characters without space around it',
+)
+_KEY_HASH = Pattern(re.compile(f'[0-9a-f]{{{HASH_DIGITS}}}'), '')
 _HOST = Pattern(
     re.compile('[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?'),
     'a host name in lowercase, without a port',
@@ -115,19 +127,32 @@
         'priority': IntegerRange(0, MAX_PRIORITY),
         'deadline_ms': IntegerRange(0, MAX_DEADLINE_MS),
         'objective_ms': IntegerRange(0, MAX_DEADLINE_MS),
+        'key_exempt': Boolean(),
     },
     required=('host', 'prefix', _SERVICES),
 )
-_TENANT = Section({'weight': IntegerRange(1, MAX_WEIGHT)})
+_TENANT = Section(
+    {
+        'weight': IntegerRange(1, MAX_WEIGHT),
+        'priority': IntegerRange(0, MAX_PRIORITY),
+        KEYS: Secret(
+            UniqueList(_KEY_HASH),
+            f'a list of different hashes of keys, each of {HASH_DIGITS} hex'
+            ' digits',
+        ),
+    },
+    is_secret=True,
+)
 _TREE = Section(
     {
         'cluster': _TEXT,
         'defaults': _LIMITS,
         _ZONES: NamedEntries(_NAME, _ZONE),
         _SERVICES: NamedEntries(_NAME, _SERVICE),
-        'tenants': NamedEntries(_TEXT, _TENANT),
+        _TENANTS: NamedEntries(_TENANT_NAME, _TENANT, is_secret=True),
         'rollouts': NamedEntries(_NAME, _ROLLOUT),
         'routes': NamedEntries(_TEXT, _ROUTE),
+        'problems': Problems(),
     },
     required=('cluster',),
 )
@@ -143,6 +168,7 @@
         check_value(_TREE, '', tree),
         _undefined_names(tree),
         _duplicate_hosts(tree),
+        _shared_keys(tree),
         _rollouts_without_change(tree),
         _routes_without_service(tree),
     )
@@ -190,6 +216,21 @@
                 yield service, host
 
 
+def _shared_keys(tree: Any) -> Iterator[Finding]:
+    """Yield a finding for each key that an earlier customer holds."""
+    owners: dict[str, str] = {}
+    for name, entry in _object_in(tree, _TENANTS).items():
+        hashes = entry.get(KEYS) if isinstance(entry, dict) else None
+        for index, key_hash in enumerate(
+            hashes if isinstance(hashes, list) else ()
+        ):
+            if owners.setdefault(str(key_hash), name) != name:
+                yield Finding(
+                    f'{child_path(_TENANTS, name)}.{KEYS}[{index}]',
+                    'is also a key of an earlier customer',
+                )
+
+
 def _rollouts_without_change(tree: Any) -> Iterator[Finding]:
     """Yield a finding for each rollout whose two versions are the same."""
     for service, entry in _object_in(tree, 'rollouts').items():
--- a/daisyline/state/settings_rules.py
+++ b/daisyline/state/settings_rules.py
@@ -49,6 +49,28 @@
     description: str
 
 
+@attrs.frozen
+class Secret:
+    """Rule: a value that findings never show.
+
+    Attributes:
+        rule: The rule that the value follows.
+        description: What is allowed, for error messages.
+    """
+
+    rule: Any
+    description: str
+
+
+@attrs.frozen
+class Problems:
+    """Rule: problems that were found before, by their paths.
+
+    A translation to a settings tree lists here what it can't put into the
+    tree; each problem is a violation.
+    """
+
+
 @attrs.frozen
 class UniqueList:
     """Rule: a list without duplicates whose entries follow a rule."""
@@ -63,10 +85,13 @@
     Attributes:
         rules: The rule of each key's value.
         required: The keys that have to be present.
+        is_secret: Whether a value that is no object may hold a secret, which
+            findings must not show.
     """
 
     rules: Mapping[str, Any]
     required: tuple[str, ...] = ()
+    is_secret: bool = False
 
 
 @attrs.frozen
@@ -76,10 +101,13 @@
     Attributes:
         key: The rule of each key.
         entry: The rule of each value.
+        is_secret: Whether a value that is no object may hold a secret, which
+            findings must not show.
     """
 
     key: Pattern
     entry: Any
+    is_secret: bool = False
 
 
 @functools.singledispatch
@@ -131,6 +159,23 @@
         )
 
 
+@check_value.register
+def _check_secret(rule: Secret, path: str, content: Any) -> Iterator[Finding]:
+    for finding in check_value(rule.rule, path, content):
+        yield Finding(finding.path, f'is not {rule.description}')
+
+
+@check_value.register
+def _check_problems(
+    rule: Problems, path: str, content: Any
+) -> Iterator[Finding]:
+    if not isinstance(content, dict):
+        yield Finding(path, 'is not an object')
+        return
+    for problem_path, problem in content.items():
+        yield Finding(problem_path or path, f'{problem}' or 'is not valid')
+
+
 @check_value.register
 def _check_list(rule: UniqueList, path: str, content: Any) -> Iterator[Finding]:
     if not isinstance(content, list):
@@ -149,9 +194,7 @@
 @check_value.register
 def _check_section(rule: Section, path: str, content: Any) -> Iterator[Finding]:
     if not isinstance(content, dict):
-        yield Finding(
-            path or 'tree', f'{format_value(content)} is not an object'
-        )
+        yield Finding(path or 'tree', _not_an_object(rule, content))
         return
     for key, entry in content.items():
         entry_path = child_path(path, key)
@@ -171,7 +214,7 @@
     rule: NamedEntries, path: str, content: Any
 ) -> Iterator[Finding]:
     if not isinstance(content, dict):
-        yield Finding(path, f'{format_value(content)} is not an object')
+        yield Finding(path, _not_an_object(rule, content))
         return
     for key, entry in content.items():
         entry_path = child_path(path, key)
@@ -179,6 +222,12 @@
         yield from check_value(rule.entry, entry_path, entry)
 
 
+def _not_an_object(rule: Section | NamedEntries, content: Any) -> str:
+    if rule.is_secret:
+        return 'is not an object'
+    return f'{format_value(content)} is not an object'
+
+
 def child_path(path: str, key: str) -> str:
     """Return the path of a key in the object at `path`.
 
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -10,12 +10,19 @@
 
 from daisyline.platform.boot import Boot
 from daisyline.platform.manifest import settings_tree
+from daisyline.state.customers import Customer, hash_key
 from daisyline.state.settings import Settings
+from daisyline.state.settings_rules import child_path
 from tests.platform.fixtures import MANIFEST, SETTINGS_FIELDS
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
 
+SECRET = 'k-5f0c81d2'
+CUSTOMERS = (
+    {'name': 'hule930', 'apiKeys': [SECRET, SECRET, 'k-2'], 'priority': 0},
+    {'name': 'fida11', 'apiKeys': ['k-3']},
+)
 PLAIN = st.one_of(
     st.none(), st.booleans(), st.integers(), st.floats(), st.text()
 )
@@ -95,18 +102,85 @@
     assert 'routes.r-pages.services.2' in paths
 
 
+def test_customers_are_translated_with_hashes_in_place_of_keys(
+    boot: Boot,
+) -> None:
+    manifest = {**copy.deepcopy(dict(MANIFEST)), 'tenants': list(CUSTOMERS)}
+    manifest['routes'][1]['authExempt'] = True
+    tree = settings_tree(manifest, boot)
+    assert SECRET not in json.dumps(tree)
+    parsed = _settings(manifest, boot)
+    assert isinstance(parsed, Settings)
+    found = parsed.customers.find(hash_key(SECRET.encode()))
+    assert found == Customer('hule930', 0)
+    assert parsed.customers.find(hash_key(b'')) is None
+    order = parsed.routes.find('shop.example', b'/orders/1')
+    page = parsed.routes.find('shop.example', b'/pages/1')
+    assert order is not None
+    assert page is not None
+    assert (order.key_exempt, page.key_exempt) == (False, True)
+
+
+def test_customers_without_keys_left_still_require_keys(boot: Boot) -> None:
+    # Guards against a withdrawal of the last key that lets all requests in.
+    for keys in ([], None):
+        listed = [{'name': 'hule930', 'apiKeys': keys}]
+        parsed = _settings({**MANIFEST, 'tenants': listed}, boot)
+        assert isinstance(parsed, Settings)
+        assert parsed.customers.requires_keys
+    for listed in ([], None):
+        tree = settings_tree({**MANIFEST, 'tenants': listed}, boot)
+        assert 'tenants' not in tree
+
+
+def test_malformed_customers_are_findings_that_show_no_key(boot: Boot) -> None:
+    # Guards against keys in the logs, wherever an operator puts one by mistake.
+    hule = {'name': 'hule930', 'apiKeys': [SECRET]}
+    cases: list[tuple[Any, str]] = [
+        (SECRET, 'tenants'),
+        ({SECRET: 'hule930'}, 'tenants'),
+        ([SECRET], 'tenants[0]'),
+        ([{'apiKeys': [SECRET]}], 'tenants[0].name'),
+        ([{'name': [SECRET], 'apiKeys': []}], 'tenants[0].name'),
+        ([hule, {**hule, 'apiKeys': ['other']}], 'tenants[1].name'),
+        ([{**hule, 'apiKeys': SECRET}], 'tenants[0].apiKeys'),
+        ([{**hule, 'apiKeys': {SECRET: 1}}], 'tenants[0].apiKeys'),
+        ([{**hule, 'apiKeys': [[SECRET]]}], 'tenants[0].apiKeys[0]'),
+        ([{**hule, 'apiKeys': [SECRET, '']}], 'tenants[0].apiKeys[1]'),
+        ([{**hule, 'apiKeys': [7]}], 'tenants[0].apiKeys[0]'),
+        ([{**hule, 'priority': SECRET}], 'tenants[0].priority'),
+        ([{**hule, 'priority': True}], 'tenants[0].priority'),
+        ([{**hule, 'priority': -1}], 'tenants.hule930.priority'),
+        ([hule, {**hule, 'name': 'fida11'}], 'tenants.fida11.keys[0]'),
+        ([{**hule, 'name': 'a\rb'}], child_path('tenants', 'a\rb')),
+        ([{**hule, 'name': ''}], "tenants.''"),
+    ]
+    for listed, path in cases:
+        findings = _settings({**MANIFEST, 'tenants': listed}, boot)
+        assert isinstance(findings, list), listed
+        assert [finding.path for finding in findings] == [path], findings
+        assert SECRET not in ' '.join(map(str, findings))
+    for manifest in (SECRET, [{'tenants': [hule]}]):
+        findings = _settings(manifest, boot)
+        assert findings
+        assert SECRET not in ' '.join(map(str, findings))
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
-    key=st.sampled_from(['routes', 'services', 'limits', 'host', 'weight']),
+    key=st.sampled_from(
+        ['routes', 'services', 'limits', 'host', 'weight', 'tenants', 'apiKeys']
+    ),
     content=JSON,
 )
 def test_a_manifest_with_any_json_in_it_is_accepted_or_refused(
     key: str, content: Any
 ) -> None:
-    manifest = copy.deepcopy(dict(MANIFEST))
+    manifest = copy.deepcopy({**MANIFEST, 'tenants': list(CUSTOMERS)})
     parents = {
         'host': manifest['routes'][0],
         'weight': manifest['routes'][1]['trafficSplit'][0],
+        'apiKeys': manifest['tenants'][0],
     }
     parents.get(key, manifest)[key] = content
     boot = Boot.from_text(json.dumps(dict(SETTINGS_FIELDS)))
--- a/tests/state/test_settings_check.py
+++ b/tests/state/test_settings_check.py
@@ -113,6 +113,22 @@
     assert 'ghent-a' in problems['services.docs.zones.gent-a']
 
 
+def test_findings_about_keys_show_neither_keys_nor_their_values() -> None:
+    # Guards against a key that an operator wrote in place of its hash.
+    secret = 'k-5f0c81d2'
+    wrong: tuple[Any, ...] = (secret, [secret], {secret: 1}, [[secret]])
+    for keys in wrong:
+        tree = {'cluster': 'c', 'tenants': {'acme': {'keys': keys}}}
+        findings = check_tree(tree)
+        assert [one.path.split('[')[0] for one in findings] == [
+            'tenants.acme.keys'
+        ]
+        assert secret not in ' '.join(map(str, findings))
+    for tenants in (secret, {'acme': secret}):
+        findings = check_tree({'cluster': 'c', 'tenants': tenants})
+        assert secret not in ' '.join(map(str, findings))
+
+
 def test_the_number_of_findings_is_bounded() -> None:
     findings = check_tree({str(number): 1 for number in range(5000)})
     assert len(findings) == MAX_FINDINGS
