Check the keys of requests at their entry

Cause: the settings list customers with keys, but each request was let in, and its `Authorization` and `Tenant` headers reached the target as the client sent them.

Ruled out: the check at the target's node, as the key would cross the fleet; a line in the log for each refusal, as wrong keys could then displace the lines about all other calls; 404 before 401 for paths without a route, as it tells strangers which routes there are.

Change: a decision module returns the customer or why the key is refused; the reader of requests drops the key and puts the customer's name in its place, into `RunCall.tenant` as well. Without a known customer that is empty, which no customer's name can be. 401 has no `Retry-After`. A node without settings still answers 503, and a target's node with customers refuses calls of an entry node that had no settings yet. Refusals are counted by cause; at most five lines a second tell of them, with the hash of the key.

--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -18,7 +18,8 @@
     Attributes:
         call: The new id of the call.
         service: The service that is called.
-        tenant: The tenant or class of the caller.
+        tenant: The tenant or class of the caller. Where customers have keys,
+            the name of the customer; empty if none is known.
         method: The method of the request.
         path: The path and query of the request, unchanged.
         headers: End-to-end headers, in order.
@@ -32,6 +33,8 @@
             no routes.
         objective: When the answer should be there, in monotonic seconds;
             infinity if the settings state no objective.
+        priority: The priority of the customer under load; None if the route's
+            priority applies.
     """
 
     call: str
@@ -47,6 +50,7 @@
     retried: bool = False
     route: Route | None = None
     objective: float = math.inf
+    priority: int | None = None
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -4,7 +4,6 @@
 """
 
 import heapq
-import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -13,6 +12,7 @@
 
 from daisyline.coordination import events as log
 from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls.customer_keys import KeyRefusals
 from daisyline.coordination.calls.entry_call import (
     EXCLUDING_REASONS,
     REROUTED_REASONS,
@@ -80,6 +80,7 @@
         is_suspect: Returns whether a request is suspected to crash targets.
         suspected_nodes: Returns the nodes that the failure detector suspects.
         events: Where decisions are recorded.
+        key_refusals: The requests that were refused because of their keys.
     """
 
     _own_name: str
@@ -104,6 +105,7 @@
     )
     suspected_nodes: Callable[[], Iterable[str]] = attrs.field(default=tuple)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
+    key_refusals: KeyRefusals = attrs.field(factory=KeyRefusals)
 
     @classmethod
     def from_config(
@@ -348,7 +350,7 @@
         """Return when to call `tick` next, in monotonic seconds or infinity."""
         while self._timeouts and self._timeouts[0][1] not in self._calls:
             heapq.heappop(self._timeouts)
-        return self._timeouts[0][0] if self._timeouts else math.inf
+        return self._timeouts[0][0] if self._timeouts else float('inf')
 
     def tick(self, now: float) -> Effects:
         """Refuse calls whose deadline and grace period have passed."""
--- a/daisyline/coordination/calls/entry_call.py
+++ b/daisyline/coordination/calls/entry_call.py
@@ -106,7 +106,7 @@
         may_move=call.may_move,
         accepts_slow_target=route is not None and route.bulky,
         settings_version=settings_version,
-        priority=DEFAULT_PRIORITY if route is None else route.priority,
+        priority=_priority_of(request),
         objective_ms=_objective_ms(request, now),
         method=request.method,
         path=request.path,
@@ -115,6 +115,12 @@
     )
 
 
+def _priority_of(request: ev.RequestReceived) -> int:
+    if request.priority is not None:
+        return request.priority
+    return DEFAULT_PRIORITY if request.route is None else request.route.priority
+
+
 def _objective_ms(request: ev.RequestReceived, now: float) -> int:
     if math.isinf(request.objective):
         return NO_OBJECTIVE
--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -7,6 +7,7 @@
 from daisyline.coordination import internal_effects
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.customer_keys import RequestUnauthorized
 from daisyline.coordination.calls.entry import Effects, Entry
 from daisyline.coordination.calls.entry_call import (
     EntryCall,
@@ -31,6 +32,17 @@
     return entry.accept(event, now)
 
 
+@handle.register
+def _(event: RequestUnauthorized, entry: Entry, now: float) -> Effects:
+    version = entry.table.settings.version
+    line = entry.key_refusals.record(event, version, now)
+    if line is not None:
+        entry.events.add(line)
+    cause = event.refusal.cause.value
+    failure = Failure(Reason.UNAUTHORIZED, detail=f'the key is {cause}')
+    return [ev.RefuseCaller(event.call, failure)]
+
+
 @handle.register
 def _(event: ev.CallMessageReceived, entry: Entry, now: float) -> Effects:
     call = entry.calls.get(getattr(event.message, 'call', ''))
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -60,7 +60,8 @@
         call: The call's id, the same in each attempt.
         attempt: The number of the attempt over all nodes, from 1.
         service: The service that is called.
-        tenant: The tenant or class of the caller.
+        tenant: The tenant or class of the caller. Where customers have keys,
+            the name of the customer; empty if none is known.
         budget_ms: Milliseconds left until the call's deadline.
         repeatable: Whether the call may run more than once.
         key: The caller's idempotency key, or empty.
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -331,6 +331,11 @@
                 Reason.NO_TARGET,
                 detail='this node has no target of the service',
             )
+        if not run.settings_version and self._settings.customers.requires_keys:
+            # Without settings the entry node can't have checked the key.
+            return Failure(
+                Reason.NO_SETTINGS, detail='the entry node has no settings yet'
+            )
         if run.call in self.calls:
             return Failure(Reason.DUPLICATE, Outcome.UNKNOWN)
         if self.records.get(run.call, now) is not None:
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -80,6 +80,16 @@
     detail: str = ''
 
 
+@attrs.frozen(slots=True)
+class KeyRefused(Event):
+    """A request was refused because of its key."""
+
+    cause: str = ''
+    key_hash: str = ''
+    settings_version: int = 0
+    left_out: int = 0
+
+
 @attrs.frozen(slots=True)
 class Retried(Event):
     """An entry node sent a call again, within the retry budget."""
--- a/daisyline/platform/wire.py
+++ b/daisyline/platform/wire.py
@@ -38,8 +38,10 @@
     load=b'server-load',
     named_limit=b'server-limit',
     leaving=b'server-leaving',
+    customer_key=b'authorization',
+    customer=b'Tenant',
     reserved_headers=frozenset(
-        (b'deadline-ms', b'expected-instance', b'caller-service')
+        (b'deadline-ms', b'expected-instance', b'caller-service', b'tenant')
     ),
     statuses=_STATUSES,
     needs_route=True,
--- a/daisyline/protocol/dialect.py
+++ b/daisyline/protocol/dialect.py
@@ -45,6 +45,9 @@
             together, in its answers while it is in need.
         leaving: Present, with the value 1, in the answers of a target that is
             about to stop.
+        customer_key: The caller's key, as `Bearer KEY`. It is not forwarded
+            where customers have keys.
+        customer: The name of the customer that a call is from, for the target.
         reserved_headers: Headers of callers that are not forwarded.
         statuses: HTTP statuses of refusals that differ from the defaults.
         needs_route: Whether a request without a matching route is refused. If
@@ -68,6 +71,8 @@
     load: bytes = b''
     named_limit: bytes = b''
     leaving: bytes = b''
+    customer_key: bytes = b'authorization'
+    customer: bytes = b'Daisyline-Tenant'
     reserved_headers: frozenset[bytes] = frozenset()
     statuses: Mapping[Reason, HTTPStatus] = attrs.field(factory=dict)
     needs_route: bool = False
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.customer_keys import Cause
 from daisyline.coordination.events import Event
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
@@ -68,7 +69,10 @@
     from daisyline.protocol.metrics import metrics_text  # noqa: PLC0415
 
     load = core.target_side.load
-    counters = {'sink_failures_total': core.events.sink_failures}
+    counters = {
+        'sink_failures_total': core.events.sink_failures,
+        **_key_refusals(core),
+    }
     gauges = {
         'running': load.running,
         'waiting': load.waiting,
@@ -79,6 +83,18 @@
     return metrics_text(core.latencies, counters, gauges)
 
 
+def _key_refusals(core: NodeCore) -> dict[str, float]:
+    """Return the counters of refused keys, if customers have keys."""
+    if not core.fleet.settings.customers.requires_keys:
+        return {}
+    count = core.entry.key_refusals.count
+    return {
+        'keys_missing_total': count(Cause.MISSING),
+        'keys_malformed_total': count(Cause.MALFORMED),
+        'keys_unknown_total': count(Cause.UNKNOWN),
+    }
+
+
 def _event(event: Event, epoch_offset_s: float) -> dict[str, Any]:
     fields = attrs.asdict(event)
     if not event.call:
--- a/daisyline/protocol/refusals.py
+++ b/daisyline/protocol/refusals.py
@@ -12,6 +12,7 @@
     {
         Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
         Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        Reason.UNAUTHORIZED: HTTPStatus.UNAUTHORIZED,
         Reason.NO_SERVICE: HTTPStatus.NOT_FOUND,
         Reason.DUPLICATE: HTTPStatus.CONFLICT,
         Reason.QUARANTINED: HTTPStatus.UNPROCESSABLE_ENTITY,
@@ -58,7 +59,10 @@
         (b'Daisyline-Reason', failure.reason.value.encode()),
         (b'Daisyline-Call', call.encode()),
     ]
-    if failure.outcome == Outcome.NOT_RUN:
+    if failure.reason == Reason.UNAUTHORIZED:
+        # Sending the request again is of no use without another key.
+        headers.append((b'WWW-Authenticate', b'Bearer'))
+    elif failure.outcome == Outcome.NOT_RUN:
         headers.append((b'Retry-After', b'%d' % failure.retry_after_s))
     return tuple(headers)
 
--- a/daisyline/state/customers.py
+++ b/daisyline/state/customers.py
@@ -7,6 +7,8 @@
 import attrs
 
 KEYS = 'keys'
+# Stands for the customer of a call where none is known; no customer has it.
+NO_CUSTOMER = ''
 # 128 bits: a second key with the hash of a known one can't be found. Half of
 # SHA-256 halves what keys add to the settings that nodes send each other.
 HASH_DIGITS = 32
--- a/daisyline/state/failures.py
+++ b/daisyline/state/failures.py
@@ -12,6 +12,7 @@
 
     BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
+    UNAUTHORIZED = 'unauthorized'
     NO_SERVICE = 'no-service'
     NO_SETTINGS = 'no-settings'
     NO_TARGET = 'no-target'
--- a/daisyline/transport/request_reader.py
+++ b/daisyline/transport/request_reader.py
@@ -12,13 +12,20 @@
     RequestUnroutable,
 )
 from daisyline.coordination.calls.caller_timeouts import CallerTimeouts
+from daisyline.coordination.calls.customer_keys import (
+    KeyRefusal,
+    RequestUnauthorized,
+    identify,
+)
 from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.routing.traffic_split import TrafficSplit
 from daisyline.protocol.decision_lines import CALLER_ID_END
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import Request
+from daisyline.state.customers import NO_CUSTOMER, Customer
 from daisyline.state.failures import Failure, Reason
+from daisyline.state.limits import Limits
 from daisyline.state.routes import Route
 
 _MS_PER_S = 1000
@@ -72,7 +79,7 @@
 
     def read(
         self, request: Request, parent: ParentCall, now: float
-    ) -> RequestReceived | RequestUnroutable:
+    ) -> RequestReceived | RequestUnroutable | RequestUnauthorized:
         """Return the event for a request, with a new id for the call.
 
         Args:
@@ -83,31 +90,35 @@
         route = self.route_of(request)
         call = self._call_id(request.header(self._dialect.request_id))
         failure = self._routing_failure(route)
+        if failure is not None and failure.reason == Reason.NO_SETTINGS:
+            return RequestUnroutable(call, failure)
+        customer = self._customer_of(request, route)
+        if isinstance(customer, KeyRefusal):
+            return RequestUnauthorized(call, customer)
         if failure is not None:
             return RequestUnroutable(call, failure)
         service = self._service_of(request, route)
         limits = self._core.fleet.settings.limits_for(service, '')
-        max_ms = limits.deadline_ms
-        if route is not None and route.deadline_ms:
-            max_ms = route.deadline_ms
         requested = request.header(self._dialect.caller_deadline_ms)
-        tenant = _tenant_of(request, limits.tenant_header)
+        tenant = self._tenant_of(request, customer, limits.tenant_header)
         return RequestReceived(
             call=call,
             service=service,
             tenant=tenant,
             method=request.method,
             path=request.path,
-            headers=self._headers_of(request),
+            headers=self._headers_of(request, customer),
             body=request.body,
             key=_key_of(request, tenant),
             deadline=min(
-                now + _time_limit_s(requested, max_ms), parent.deadline
+                now + _time_limit_s(requested, _max_ms(route, limits)),
+                parent.deadline,
             ),
             parent=parent.call,
             retried=parent.retried,
             route=route,
             objective=self._objective(route, requested, now),
+            priority=None if customer is None else customer.priority,
         )
 
     def route_of(self, request: Request) -> Route | None:
@@ -153,15 +164,47 @@
             return Failure(Reason.NO_SETTINGS, detail='no settings yet')
         return Failure(Reason.NO_SERVICE, detail='no route leads there')
 
-    def _headers_of(self, request: Request) -> Headers:
-        """Return the headers to forward, without the reserved ones."""
-        reserved = self._dialect.reserved_headers
-        if not reserved:
+    def _customer_of(
+        self, request: Request, route: Route | None
+    ) -> Customer | KeyRefusal | None:
+        """Return the customer, None if not known, or why the key is refused."""
+        name = self._dialect.customer_key
+        credentials = [
+            content for key, content in request.headers if key.lower() == name
+        ]
+        customers = self._core.fleet.settings.customers
+        is_exempt = route is not None and route.key_exempt
+        return identify(credentials, customers, is_exempt=is_exempt)
+
+    def _tenant_of(
+        self, request: Request, customer: Customer | None, header: str
+    ) -> str:
+        """Return the customer's name, or the tenant that a request names."""
+        if not self._core.fleet.settings.customers.requires_keys:
+            return _named_tenant(request, header)
+        return NO_CUSTOMER if customer is None else customer.name
+
+    def _headers_of(
+        self, request: Request, customer: Customer | None
+    ) -> Headers:
+        """Return the headers to forward, without the reserved ones.
+
+        They have the customer's name in place of its key.
+        """
+        dialect = self._dialect
+        dropped = dialect.reserved_headers
+        if self._core.fleet.settings.customers.requires_keys:
+            dropped |= {dialect.customer_key}
+        if not dropped:
             return request.headers
-        forwarded = [
-            pair for pair in request.headers if pair[0].lower() not in reserved
+        headers = [
+            pair for pair in request.headers if pair[0].lower() not in dropped
         ]
-        return (*forwarded, (self._dialect.origin_service, self._origin))
+        if dialect.origin_service:
+            headers.append((dialect.origin_service, self._origin))
+        if customer is not None:
+            headers.append((dialect.customer, customer.name.encode()))
+        return tuple(headers)
 
     def _service_of(self, request: Request, route: Route | None) -> str:
         """Return the service that a request is for.
@@ -189,6 +232,13 @@
     return host.split(':')[0]
 
 
+def _max_ms(route: Route | None, limits: Limits) -> int:
+    """Return the longest time that a caller waits, in milliseconds."""
+    if route is not None and route.deadline_ms:
+        return route.deadline_ms
+    return limits.deadline_ms
+
+
 def _time_limit_s(requested: bytes, max_ms: int) -> float:
     """Return how long the caller waits, in seconds.
 
@@ -212,7 +262,7 @@
     return int(whole) if is_valid else None
 
 
-def _tenant_of(request: Request, header: str) -> str:
+def _named_tenant(request: Request, header: str) -> str:
     """Return the tenant that a request names, truncated to a maximum."""
     named = request.header(header.lower().encode())
     return named[:_MAX_TENANT_BYTES].decode('latin-1') or _DEFAULT_TENANT
