Test customers' keys with processes on the users' platform

Cause: the check of keys had only tests without sockets.

Change: the stand-in target records the customer's name and any key that it gets.

--- a/standins/users_target.py
+++ b/standins/users_target.py
@@ -110,6 +110,8 @@
                 'left_ms': request.headers.get('deadline-ms'),
                 'caller': request.headers.get('caller-service'),
                 'path': request.path,
+                'tenant': request.headers.get('tenant'),
+                'authorization': request.headers.get('authorization'),
             }
         )
         work_s = self._state.work_ms / _MS_PER_S
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -50,6 +50,7 @@
         request_id: str,
         method: str = 'GET',
         deadline_ms: str = '2000',
+        **extra_headers: str,
     ) -> Response:
         """Send a request from a client on the same machine."""
         with contextlib.closing(
@@ -62,6 +63,7 @@
                 'Attempt-Id': request_id,
                 'Deadline-Ms': deadline_ms,
                 'Expected-Instance': 'forged',
+                **extra_headers,
             }
             connection.request(method, path, headers=headers)
             response = connection.getresponse()
