Keep the service of each customer above a floor under load

Cause: no customer may be served less than a quarter as often as all.

Ruled out: weights in proportion to what customers ask for, as a flood would raise its own weight and priorities would still starve others; a fixed part of the starts for each rank, which holds for a rank and not for its customers.

Change: the node beside a target counts the calls of each customer that were offered and started, older ones less. The calls of a customer below half of the share of all go first. Calls without a known customer, such as those that targets make themselves, weigh as much as all customers that wait. Only where customers have keys, and only for customers that are listed.

`python -m tests admission`, no failure in the tests that were there before.

--- a/daisyline/coordination/admission/admission.py
+++ b/daisyline/coordination/admission/admission.py
@@ -2,7 +2,6 @@
 
 import heapq
 import math
-from collections.abc import Mapping
 
 import attrs
 
@@ -11,9 +10,13 @@
 from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.coordination.admission.ranked_queue import RankedQueue
 from daisyline.coordination.admission.rate_limit import RateLimit
+from daisyline.coordination.admission.service_floor import (
+    FIRST_PRIORITY,
+    ServiceFloor,
+)
 from daisyline.coordination.admission.start_rate import StartRates
 from daisyline.state.failures import Failure, Outcome, Reason
-from daisyline.state.settings import Limits
+from daisyline.state.settings import Limits, Settings
 from daisyline.state.targets import LoadReport, Phase
 
 MS_PER_S = 1000
@@ -110,6 +113,7 @@
     _running: set[str] = attrs.field(factory=set)
     _wait_deadlines: _WaitDeadlines = attrs.field(factory=_WaitDeadlines)
     _pending_refusals: Refusals = attrs.field(factory=list)
+    _floor: ServiceFloor | None = None
 
     @classmethod
     def from_limits(
@@ -163,6 +167,9 @@
         failure = self._refusal(ticket, now)
         if failure is not None:
             return failure
+        if self._floor is not None:
+            raised = self._queue.waiting_count(ticket.tenant, FIRST_PRIORITY)
+            ticket = self._floor.rank(ticket, raised, now)
         if self._has_room(now) and not self._queue:
             self._start(ticket, now)
             return Admitted()
@@ -296,9 +303,19 @@
         self._breaker = CircuitBreaker()
         self._rates.named.limit_to(0, now)
 
-    def set_weights(self, weights: Mapping[str, int]) -> None:
-        """Replace the tenants' weights; an unlisted tenant has weight 1."""
+    def use_tenants(self, settings: Settings) -> None:
+        """Apply the tenants' weights; an unlisted tenant has weight 1.
+
+        Where customers have keys, none of them is served far less often than
+        all, whatever its priority and weight are.
+        """
+        weights = settings.tenant_weights
         self._queue.set_weights(weights)
+        if settings.customers.requires_keys:
+            self._floor = self._floor or ServiceFloor()
+            self._floor.use_customers(weights)
+        else:
+            self._floor = None
 
     def _refusal(self, ticket: Ticket, now: float) -> Failure | None:
         """Return why a call can neither start nor wait, or None."""
@@ -349,6 +366,8 @@
         self._running.add(ticket.call)
         self._queue.charge(ticket, self._concurrency.expected_end_at(now))
         self._rates.record_start(now)
+        if self._floor is not None:
+            self._floor.record_start(ticket.tenant, now)
 
     def _refuse_all(
         self, reason: Reason, *, movable_only: bool = False
--- a/daisyline/coordination/admission/fair_queue.py
+++ b/daisyline/coordination/admission/fair_queue.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from daisyline.state.customers import NO_CUSTOMER
 from daisyline.state.routes import DEFAULT_PRIORITY
 
 DEFAULT_WEIGHT = 1
@@ -49,6 +50,9 @@
     cost of one for each call. The virtual time of a tenant advances by the
     inverse of its weight with each call that starts, and the tenant with the
     lowest virtual time is served next. An idle tenant accumulates no credit.
+
+    Calls without a known customer weigh as much as all waiting customers
+    together, as they may be calls that targets make to serve any of these.
     """
 
     _max_calls: int
@@ -83,9 +87,14 @@
             dropped.append(self._drop_from(self._heaviest_tenant()))
         return dropped
 
+    def waiting_count(self, tenant: str) -> int:
+        """Return the number of waiting calls of a tenant."""
+        queue = self._queues.get(tenant)
+        return len(queue.calls) if queue else 0
+
     def calls_ahead(self, tenant: str) -> float:
         """Return how many waiting calls start before a tenant's next one."""
-        own_count = self._waiting_count(tenant) + 1
+        own_count = self.waiting_count(tenant) + 1
         weight = self._weight(tenant)
         return sum(
             min(len(queue.calls), own_count * self._weight(name) / weight)
@@ -102,7 +111,7 @@
         new call if its tenant would then be that tenant.
         """
         tenant = ticket.tenant
-        if self._waiting_count(tenant) >= math.ceil(
+        if self.waiting_count(tenant) >= math.ceil(
             self._max_calls * MAX_TENANT_FRACTION
         ):
             return [ticket]
@@ -180,21 +189,21 @@
         This always holds for a tenant that occupies less than its share of a
         full queue.
         """
-        own_load = (self._waiting_count(tenant) + 1) / self._weight(tenant)
-        return own_load < self._waiting_count(heaviest) / self._weight(heaviest)
+        own_load = (self.waiting_count(tenant) + 1) / self._weight(tenant)
+        return own_load < self.waiting_count(heaviest) / self._weight(heaviest)
 
     def _heaviest_tenant(self) -> str:
         """Return the tenant with the most waiting calls for its weight."""
         return max(
             self._queues,
-            key=lambda name: self._waiting_count(name) / self._weight(name),
+            key=lambda name: self.waiting_count(name) / self._weight(name),
         )
 
-    def _waiting_count(self, tenant: str) -> int:
-        queue = self._queues.get(tenant)
-        return len(queue.calls) if queue else 0
-
     def _weight(self, tenant: str) -> int:
+        if tenant == NO_CUSTOMER:
+            return max(
+                1, sum(map(self._weight, self._queues.keys() - {tenant}))
+            )
         return max(1, self._tenant_weights.get(tenant, DEFAULT_WEIGHT))
 
     def _start_tag(self, tenant: str) -> float:
--- a/daisyline/coordination/admission/ranked_queue.py
+++ b/daisyline/coordination/admission/ranked_queue.py
@@ -69,6 +69,14 @@
         )
         return ahead + self._queue(own_rank).calls_ahead(ticket.tenant)
 
+    def waiting_count(self, tenant: str, priority: int) -> int:
+        """Return how many calls of a tenant wait with a priority."""
+        return sum(
+            queue.waiting_count(tenant)
+            for rank, queue in self._ranks.items()
+            if rank[1] == priority
+        )
+
     def push(
         self, ticket: Ticket, expected_end_at: float = -math.inf
     ) -> list[Ticket]:
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -102,7 +102,7 @@
         if self._admission is None or self.target is None:
             return []
         limits = self.limits_of(self.target)
-        self._admission.set_weights(settings.tenant_weights)
+        self._admission.use_tenants(settings)
         change = self._admission.set_limits(limits, now)
         return self.apply_decisions(change.started, change.refused, now)
 
@@ -123,7 +123,7 @@
             self._admission = Admission.from_limits(
                 limits, now, announces_cold=target.slots > 0
             )
-            self._admission.set_weights(self._settings.tenant_weights)
+            self._admission.use_tenants(self._settings)
         elif (
             previous is not None and previous.incarnation != target.incarnation
         ):
