Let no restarted node accept a withdrawn key

Cause: on the users' platform a node used what it read after its start at once. If the store's answer was older than what the other nodes held, the node accepted withdrawn keys until it had met them. And a node that read malformed settings first remembered their version as one that newer settings must exceed, so it refused the valid ones before, which the others still had, and answered 503 for as long as the platform held the malformed ones.

Ruled out: the wait for other nodes in all deployments, as those without customers would start later; a write of the newest version to the store, as a stale read would miss it too.

Change: settings with customers' keys that a node has read after its start come into force when other nodes have answered, or after 3 s if none does. Rejected versions are remembered one by one, so that older ones from other nodes count.

--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -47,8 +47,6 @@
     neighbours = gossip.members.overlay.recipients()
     effects: list[Any] = []
     is_settings_kind = result.kind == SETTINGS_KIND
-    if is_settings_kind and read_config.lists_are_current:
-        gossip.settings.end_start_wait(now)
     for read_object in result.read_objects:
         is_settings = (
             read_object.content is not None
@@ -60,6 +58,8 @@
                     read_object.version, read_object.content, neighbours, now
                 )
             )
+    if is_settings_kind and read_config.lists_are_current:
+        effects.extend(gossip.settings.end_start_wait(now))
     if is_settings_kind and gossip.reader_role.confirm(now):
         effects.extend(gossip.pass_on_confirmation())
     for order in orders_in(result, gossip.fact_store.facts):
--- a/daisyline/coordination/settings/settings_spread.py
+++ b/daisyline/coordination/settings/settings_spread.py
@@ -5,6 +5,7 @@
 
 import json
 import zlib
+from collections import deque
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -26,7 +27,14 @@
 MAX_CONTENT_BYTES = 2 * 1024 * 1024
 REQUEST_TIMEOUT_S = 1.0
 START_WAIT_S = 5.0
+# Rejected versions that are remembered, so that they are not read again.
+_MAX_REJECTED_VERSIONS = 16
 OTHER_ANSWERS_WAIT_S = 0.5
+# A node that has read customers' keys after its start waits so long for an answer
+# of another node; a node that is alone has to become ready, too. On idle machines
+# others answer within some 0.1 s, on machines with far too much load within
+# seconds.
+PEERS_WAIT_S = 3.0
 
 
 def pack_value(value: Any) -> bytes:
@@ -68,7 +76,9 @@
     _held: Settings = attrs.field(factory=Settings)
     _content: bytes = b''
     _versions: dict[str, int] = attrs.field(factory=dict)
-    _rejected_version: int = 0
+    _rejected_versions: deque[int] = attrs.field(
+        factory=lambda: deque(maxlen=_MAX_REJECTED_VERSIONS)
+    )
     _requested_from: str = ''
     _request_expires_at: float = 0
     _is_start_wait_over: bool = False
@@ -118,7 +128,7 @@
         effects: list[Any] = []
         if version < self.version:
             effects.append(Send(node, SettingsVersionNotice(self.version)))
-        elif version > self._newest_seen_version():
+        elif self._is_wanted(version):
             effects.extend(self._request_from(node, now))
         return effects + self._put_in_force(now)
 
@@ -139,7 +149,7 @@
         self, message: SettingsContent, peers: Iterable[str], now: float
     ) -> list[Any]:
         """Adopt settings that a peer sent; damaged ones are ignored."""
-        if message.version <= self._newest_seen_version():
+        if not self._is_wanted(message.version):
             return []
         try:
             value = unpack_value(message.content)
@@ -161,11 +171,11 @@
         Returns:
             Effects; `SettingsRefused` if the settings aren't valid.
         """
-        if version <= self._newest_seen_version():
+        if not self._is_wanted(version):
             return []
         settings = Settings.from_object(version, value)
         if isinstance(settings, list):
-            self._rejected_version = version
+            self._rejected_versions.append(version)
             return [SettingsRefused(version, tuple(settings))]
         self._held = attrs.evolve(settings, orders=self._held.orders)
         # Nodes need only the tree; operators read the history of changes from
@@ -180,9 +190,15 @@
         ]
         return self._put_in_force(now) + effects
 
-    def end_start_wait(self, now: float) -> None:
-        """End the wait after a start, as the platform was just read."""
-        self._start_wait_until = min(self._start_wait_until, now)
+    def end_start_wait(self, now: float) -> list[Any]:
+        """End the wait after a start, as the platform was just read.
+
+        Settings with customers' keys still wait for other nodes, as a read that
+        is older than what they hold would bring withdrawn keys back.
+        """
+        wait_s = PEERS_WAIT_S if self._held.customers.requires_keys else 0
+        self._start_wait_until = min(self._start_wait_until, now + wait_s)
+        return self._put_in_force(now)
 
     def apply_orders(self, orders: Orders) -> list[Any]:
         """Apply the orders that are kept apart from the settings tree."""
@@ -205,7 +221,7 @@
         newer = [
             name
             for name in live
-            if self._versions.get(name, 0) > self._newest_seen_version()
+            if self._is_wanted(self._versions.get(name, 0))
         ]
         others = [name for name in newer if name != requested_from] or newer
         if others:
@@ -221,9 +237,13 @@
             self._start_wait_until = max(self._start_wait_until, wait_until)
         return self._put_in_force(now)
 
-    def _newest_seen_version(self) -> int:
-        """Return the version that newer settings must exceed."""
-        return max(self.version, self._rejected_version)
+    def _is_wanted(self, version: int) -> bool:
+        """Return whether a version is newer than the one held, and not rejected.
+
+        Versions before a rejected one count: a node that starts while the
+        platform holds malformed settings gets those before from other nodes.
+        """
+        return version > self.version and version not in self._rejected_versions
 
     def _request_from(self, node: str, now: float) -> list[Any]:
         if self._requested_from and now < self._request_expires_at:
@@ -235,8 +255,7 @@
     def _put_in_force(self, now: float) -> list[Any]:
         """Put the settings held in force, unless newer ones are known."""
         if not self._is_start_wait_over:
-            newest = max(self._versions.values(), default=0)
-            behind = newest > self._newest_seen_version()
+            behind = any(map(self._is_wanted, self._versions.values()))
             self._is_start_wait_over = (
                 now >= self._start_wait_until and not behind
             )
--- a/tests/coordination/settings/test_settings_spread.py
+++ b/tests/coordination/settings/test_settings_spread.py
@@ -86,6 +86,19 @@
     assert spread.handle_peer_version('peer', 4, 1) == []
 
 
+def test_a_node_that_read_invalid_settings_first_gets_those_before() -> None:
+    # Guards against a restarted node that serves nobody while the platform
+    # holds malformed settings.
+    spread = started_spread()
+    assert isinstance(spread.adopt(8, {'tree': 1}, (), 1)[0], SettingsRefused)
+    asked = spread.handle_peer_version('peer', 7, 1)
+    assert asked == [Send('peer', SettingsRequest(0))]
+    content = SettingsContent(7, pack_value(settings_value()))
+    spread.handle_content(content, (), 1)
+    assert spread.in_force.version == 7
+    assert spread.adopt(8, {'tree': 1}, (), 1) == []
+
+
 def test_a_peer_is_sent_the_tree_without_its_history() -> None:
     spread = started_spread()
     changes = [{'id': f'change-{number}'} for number in range(64)]
--- a/tests/journeys/test_customer_keys.py
+++ b/tests/journeys/test_customer_keys.py
@@ -120,6 +120,13 @@
         assert _send(place, ORDER, 'kept', KEY).status == 200
         assert _send(place, ORDER, 'none', 'wrong').status == UNAUTHORIZED
     assert OTHER_KEY not in repr(users_fleet.read_decisions())
+    # A restarted node finds them malformed, too, and asks the other one.
+    first = users_fleet.places[0]
+    first.node.kill()
+    first.node = users_fleet.start_node(first.name, first.zone, first.ports)
+    wait_until(first.is_listening)
+    wait_until(lambda: _send(first, ORDER, 'again', KEY).status == 200)
+    assert _send(first, ORDER, 'none', 'wrong').status == UNAUTHORIZED
 
 
 def test_a_node_without_settings_judges_no_key(
