Bound the text of problems in settings

Cause: an entry of `problems` that something other than the translation wrote could be a value of any length.

Change: its path and text are cut at the length that findings show.

--- a/daisyline/state/settings_rules.py
+++ b/daisyline/state/settings_rules.py
@@ -173,7 +173,8 @@
         yield Finding(path, 'is not an object')
         return
     for problem_path, problem in content.items():
-        yield Finding(problem_path or path, f'{problem}' or 'is not valid')
+        text = str(problem)[:MAX_SHOWN_LENGTH] or 'is not valid'
+        yield Finding(problem_path[:MAX_SHOWN_LENGTH] or path, text)
 
 
 @check_value.register
