Test calls of entry nodes that had no settings yet

Cause: the refusal of calls whose key no node can have checked had no test.

Change: one test at the target's side.

--- a/tests/coordination/calls/test_target_side.py
+++ b/tests/coordination/calls/test_target_side.py
@@ -403,3 +403,19 @@
     assert len(started) == 4
     assert len(_started(_announce(6, side, 1))) == 2
     assert side.load.running == 6
+
+
+def test_a_call_whose_entry_node_has_no_settings_is_refused_if_keys_are_needed(
+    ready_target_side: TargetSide,
+) -> None:
+    # Guards against calls whose key no node has checked.
+    side = ready_target_side
+    tree = {'services': {'docs': {}}, 'tenants': {'acme': {'keys': []}}}
+    side.use_settings(Settings.from_tree(2, tree), 0)
+    for version, kind in ((0, ev.SendReply), (1, ev.StartTargetCall)):
+        run = run_message(f'c{version}', settings_version=version)
+        received = ev.CallMessageReceived('e', run)
+        effect = _only(target_side_handlers.handle(received, side, 1))
+        assert isinstance(effect, kind)
+        if version == 0:
+            assert effect.message.reason == 'no-settings'
