Learn service times for each kind of call

Cause: admission expected each call to take the mean of all calls of its target. Beside long calls a short one with a short objective counted as late on arrival, waited behind all others whatever its priority, and was refused when its deadline was closer than the mean. Ruled out: the priority of the route, as late calls are ranked after it.

Change: the node beside a target smooths the service time of each kind of call, the method and the first segment of the path, and uses it for the objective, the deadline and the order of waiting calls.

--- a/daisyline/coordination/admission/admission.py
+++ b/daisyline/coordination/admission/admission.py
@@ -11,6 +11,7 @@
 from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.coordination.admission.ranked_queue import RankedQueue
 from daisyline.coordination.admission.rate_limit import RateLimit
+from daisyline.coordination.admission.service_times import ServiceTimes
 from daisyline.coordination.admission.start_rate import StartRates
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.state.settings import Limits
@@ -107,9 +108,10 @@
     _breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
     _announced_phase: Phase = Phase.READY
     _rates: StartRates = attrs.field(factory=StartRates)
-    _running: set[str] = attrs.field(factory=set)
+    _running: dict[str, str] = attrs.field(factory=dict)
     _wait_deadlines: _WaitDeadlines = attrs.field(factory=_WaitDeadlines)
     _pending_refusals: Refusals = attrs.field(factory=list)
+    service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
     @classmethod
     def from_limits(
@@ -163,6 +165,9 @@
         failure = self._refusal(ticket, now)
         if failure is not None:
             return failure
+        ticket = self.service_times.with_extra_time(
+            ticket, self._concurrency.service_s, now
+        )
         if self._has_room(now) and not self._queue:
             self._start(ticket, now)
             return Admitted()
@@ -186,7 +191,9 @@
         """
         if call not in self._running:
             return []
-        self._running.remove(call)
+        kind = self._running.pop(call)
+        if succeeded:
+            self.service_times.record(kind, service_s)
         if succeeded is not None:
             if self._concurrency.record_result(service_s, succeeded=succeeded):
                 self._refuse_all(Reason.OVERLOADED, movable_only=True)
@@ -346,7 +353,7 @@
 
     def _start(self, ticket: Ticket, now: float) -> None:
         assert self.running < self._contract_limits.slots_per_upstream
-        self._running.add(ticket.call)
+        self._running[ticket.call] = ticket.kind
         self._queue.charge(ticket, self._concurrency.expected_end_at(now))
         self._rates.record_start(now)
 
@@ -382,7 +389,7 @@
     Args:
         ticket: The call.
         queue_wait_s: The longest wait that the contract allows, in seconds.
-        service_s: The expected service time, in seconds.
+        service_s: The mean service time of the target's calls, in seconds.
         cold_interval_s: The time between two starts of a cold target, in
             seconds; 0 if it is warm.
         now: Monotonic seconds.
@@ -395,8 +402,9 @@
             MOVE_WAIT_START_INTERVALS * cold_interval_s,
         )
         wait_s = min(wait_s, move_wait_s)
-    late_at = max(now, ticket.objective - service_s)
+    own_service_s = service_s + ticket.extra_s
+    late_at = max(now, ticket.objective - own_service_s)
     if late_at < ticket.deadline:
         late_s = LATE_WAIT_FRACTION * (ticket.deadline - late_at)
         wait_s = min(wait_s, late_at + late_s - now)
-    return min(now + wait_s, ticket.deadline - service_s)
+    return min(now + wait_s, ticket.deadline - own_service_s)
--- a/daisyline/coordination/admission/fair_queue.py
+++ b/daisyline/coordination/admission/fair_queue.py
@@ -24,6 +24,10 @@
         may_move: Whether its entry node can still offer it to another target.
         priority: The call's priority; 0 is the most urgent.
         objective: When an answer becomes late, in monotonic seconds.
+        kind: What the call does, as far as its service time depends on it;
+            empty if that is not known.
+        extra_s: How much longer the call is expected to take than the mean of
+            the target's calls, in seconds; negative for shorter calls.
     """
 
     call: str
@@ -32,6 +36,8 @@
     may_move: bool = False
     priority: int = DEFAULT_PRIORITY
     objective: float = math.inf
+    kind: str = ''
+    extra_s: float = 0
 
 
 @attrs.define
--- a/daisyline/coordination/admission/ranked_queue.py
+++ b/daisyline/coordination/admission/ranked_queue.py
@@ -21,8 +21,8 @@
     is a `FairQueue`. A call that arrives at a full queue displaces the newest
     call of the last rank after its own.
 
-    The argument `expected_end_at` is when a call that starts now is expected
-    to end, in monotonic seconds.
+    The argument `expected_end_at` is when a call of mean length that starts now
+    is expected to end, in monotonic seconds.
     """
 
     _max_calls: int
@@ -121,7 +121,7 @@
         """Move calls that became late while they waited to a later rank."""
 
         def is_late(ticket: Ticket) -> bool:
-            return ticket.objective < expected_end_at
+            return _is_late(ticket, expected_end_at)
 
         on_time = [queue for rank, queue in self._ranks.items() if not rank[0]]
         for queue in on_time:
@@ -150,4 +150,9 @@
 
 
 def _rank_of(ticket: Ticket, expected_end_at: float) -> _Rank:
-    return (ticket.objective < expected_end_at, ticket.priority)
+    return (_is_late(ticket, expected_end_at), ticket.priority)
+
+
+def _is_late(ticket: Ticket, expected_end_at: float) -> bool:
+    """Return whether the answer would be late if the call started now."""
+    return ticket.objective < expected_end_at + ticket.extra_s
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -98,6 +98,14 @@
     headers: Headers
     body: bytes
 
+    @property
+    def kind(self) -> str:
+        """Return the method and the first path segment of the request."""
+        path = self.path.partition(b'?')[0].decode('latin-1')
+        first = path.strip('/').partition('/')[0]
+        method = self.method.decode('latin-1')
+        return f'{method} /{first}'
+
 
 @attrs.frozen
 class AnswerHead:
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -12,6 +12,7 @@
 from daisyline.coordination.admission.admission import Admission, Admitted
 from daisyline.coordination.admission.fair_queue import Ticket
 from daisyline.coordination.admission.pace import Pace
+from daisyline.coordination.admission.service_times import ServiceTimes
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
 from daisyline.coordination.calls.answer_records import AnswerRecords
@@ -19,8 +20,7 @@
 from daisyline.coordination.calls.registration import Registration
 from daisyline.coordination.calls.target_call import TargetCall
 from daisyline.state.failures import Failure, Outcome, Reason
-from daisyline.state.limits import Limits
-from daisyline.state.settings import Settings
+from daisyline.state.settings import Limits, Settings
 from daisyline.state.targets import LoadReport, Phase, Target
 
 MS_PER_S = 1000
@@ -52,6 +52,7 @@
         pace: The pace that the target reported last.
         registration: The newest announcement of the target.
         awaiting_pace: The calls that wait for a probe of the pace, by id.
+        service_times: How long the target takes for each kind of call.
         stopping: Whether the node is stopping.
     """
 
@@ -70,6 +71,7 @@
     pace: Pace = attrs.field(factory=Pace)
     registration: Registration = attrs.field(factory=Registration)
     awaiting_pace: list[str] = attrs.field(factory=list)
+    service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
     stopping: bool = False
 
     @classmethod
@@ -123,6 +125,7 @@
             self._admission = Admission.from_limits(
                 limits, now, announces_cold=target.slots > 0
             )
+            self._admission.service_times = self.service_times
             self._admission.set_weights(self._settings.tenant_weights)
         elif (
             previous is not None and previous.incarnation != target.incarnation
@@ -171,6 +174,7 @@
             run.may_move,
             run.priority,
             target_call.objective,
+            run.kind,
         )
         decision = self._admission.offer(ticket, now)
         if isinstance(decision, Failure):
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -304,7 +304,7 @@
             service=target.service,
             version=target.version,
             target=target.instance,
-            route=_route_of(event.run),
+            route=event.run.kind,
             succeeded=bool(event.status) and event.status < _SERVER_ERROR,
             service_us=int(event.service_s * _US_PER_S),
             # Slowness caused by other load on the host is not evidence
@@ -318,14 +318,6 @@
     return fingerprint(run.method, run.path, run.body)
 
 
-def _route_of(run: msg.RunCall) -> str:
-    """Return the method and the first path segment of a call."""
-    path = run.path.partition(b'?')[0].decode('latin-1')
-    first = path.strip('/').partition('/')[0]
-    method = run.method.decode('latin-1')
-    return f'{method} /{first}'
-
-
 def _target_changed_event(
     target: Target | None, cold_s: float, now: float
 ) -> log.TargetChanged:
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -21,6 +21,7 @@
         'zone': own_member.zone,
         'region': own_member.region,
         'settings_version': core.fleet.settings.version,
+        'service_times_ms': core.target_side.service_times.by_kind_ms,
         'members': [
             _member(core, member, versions.get(member.name, 0))
             for member in core.fleet.members.values()
