Wait for the first target in the test of settings of each kind

Cause: the test expected 200 from a node that had just become ready. Change: the test sends the request until it is served and allows 200 and 503 only, so a refusal for another reason still fails it.

--- a/tests/journeys/test_users_platform.py
+++ b/tests/journeys/test_users_platform.py
@@ -259,5 +259,17 @@
         place.ports['operators'] = operators_port
         wait_until(place.is_listening)
         wait_until(place.is_ready)
-        answer = place.send_request('/pages/1', f'k{number}')
-        assert answer.status == 200
+        # A ready node refuses requests until it has met a target.
+        assert _statuses_until_served(place, f'k{number}') <= {200, 503}
+
+
+def _statuses_until_served(place: UsersPlace, name: str) -> set[int]:
+    """Send a request until it is answered with 200; return all statuses."""
+    statuses = set()
+
+    def is_served() -> bool:
+        statuses.add(place.send_request('/pages/1', name).status)
+        return 200 in statuses
+
+    wait_until(is_served)
+    return statuses
