Fill in optional settings as text in the template

Change: settings that a deployment may lack stand as text, which is empty without a value; a placeholder that was left counts as no value.

--- a/daisyline/platform/boot.py
+++ b/daisyline/platform/boot.py
@@ -77,6 +77,28 @@
     return number
 
 
+def _as_text(convert: Any) -> Any:
+    """Return a converter that also takes a number or boolean as text."""
+
+    def convert_text(setting: Any) -> Any:
+        # A JSON error is a ValueError as well.
+        parsed = json.loads(setting) if isinstance(setting, str) else setting
+        return convert(parsed)
+
+    return convert_text
+
+
+def _is_missing(setting: Any) -> bool:
+    """Return whether an optional setting has no value.
+
+    The template gives some as text, which is empty without a value. A program
+    that knows fewer fields than the template leaves their placeholders.
+    """
+    if isinstance(setting, str):
+        return not setting or setting.startswith('{{')
+    return setting is None
+
+
 def _field(convert: Any, default: Any = attrs.NOTHING) -> Any:
     """Define a field with a function that checks and converts its value.
 
@@ -153,13 +175,13 @@
     retry_share: float = _field(_share, _RETRY_SHARE)
     retry_slack: float = _field(_number, _RETRY_SLACK)
     exposed_share: float | None = _field(_share, None)
-    memory_mb: float | None = _field(_positive, None)
+    memory_mb: float | None = _field(_as_text(_positive), None)
     duty_api: Address | None = _field(_address, None)
-    duty_calls_per_s: float | None = _field(_positive, None)
-    duty_lease_s: float = _field(_positive, _DUTY_LEASE_S)
-    duty_fenced: bool = _field(_boolean, default=True)
-    usage_window_s: float | None = _field(_positive, None)
-    usage_late_s: float | None = _field(_positive, None)
+    duty_calls_per_s: float | None = _field(_as_text(_positive), None)
+    duty_lease_s: float = _field(_as_text(_positive), _DUTY_LEASE_S)
+    duty_fenced: bool = _field(_as_text(_boolean), default=True)
+    usage_window_s: float | None = _field(_as_text(_positive), None)
+    usage_late_s: float | None = _field(_as_text(_positive), None)
 
     @classmethod
     def from_text(cls, text: str) -> 'Boot | list[Finding]':
@@ -174,7 +196,7 @@
         converted: dict[str, Any] = {}
         for field in attrs.fields(cls):
             setting = settings.get(field.name)
-            if setting is None and field.default is not attrs.NOTHING:
+            if _is_missing(setting) and field.default is not attrs.NOTHING:
                 continue
             try:
                 converted[field.name] = field.metadata['convert'](setting)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -86,6 +86,22 @@
         assert isinstance(parsed, Boot), parsed
 
 
+def test_an_optional_setting_may_be_text_without_a_value() -> None:
+    for name in OPTIONAL:
+        default = attrs.fields_dict(Boot)[name].default
+        for text in ('', '{{limits.unknown}}'):
+            parsed = _parse(**{name: text})
+            assert isinstance(parsed, Boot), (name, parsed)
+            assert getattr(parsed, name) == default
+
+
+def test_optional_numbers_and_booleans_may_be_text() -> None:
+    parsed = _parse(memory_mb='300', duty_fenced='false', usage_late_s='2.5')
+    assert isinstance(parsed, Boot), parsed
+    assert (parsed.memory_mb, parsed.usage_late_s) == (300, 2.5)
+    assert not parsed.duty_fenced
+
+
 def test_all_missing_required_settings_are_reported_at_once() -> None:
     for absent in (MISSING, None):
         findings = _parse(**dict.fromkeys(REQUIRED, absent))
