Let crashed-together targets and later answers clear a harmless request

Cause: two targets that crash together each counted as a sole crash of the request that both ran, so a harmless page was blocked although neither run came after the other. Successes between a crash and its report (the target's next start) were not seen, as only known suspects are looked up. A block never ended, because only a success clears it and a blocked request can't have one.

Ruled out: a window of time in which crashes count as one, as nodes receive reports at different times and would disagree; clocks of machines are not compared.

An entry node tells of an answer to a call that an earlier target was lost with, and the node beside that target drops the interruption. The new numbers are in facts of kinds of their own, so that nodes of the build before read the old one unchanged. The crashes of a node's target have a module of their own.

--- a/daisyline/coordination/calls/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -21,6 +21,7 @@
     is_never_suspect,
     is_possible_crash,
     make_run_call,
+    no_retrial_node,
     parent_retry_effects,
     pick_node_for_key,
     retried_event,
@@ -78,6 +79,8 @@
             if the service has no rollout.
         trial_of: Returns the version of a service that a rollout tries.
         is_suspect: Returns whether a request is suspected to crash targets.
+        retrial_node: Returns the node that may try a request that is blocked
+            again; empty if there is none.
         suspected_nodes: Returns the nodes that the failure detector suspects.
         events: Where decisions are recorded.
     """
@@ -102,6 +105,9 @@
     is_suspect: Callable[[ev.RequestReceived], bool] = attrs.field(
         default=is_never_suspect
     )
+    retrial_node: Callable[[ev.RequestReceived], str] = attrs.field(
+        default=no_retrial_node
+    )
     suspected_nodes: Callable[[], Iterable[str]] = attrs.field(default=tuple)
     events: log.EventLog = attrs.field(factory=log.EventLog.from_config)
 
@@ -257,8 +263,10 @@
             return [ev.AbortCaller(call.request.call, failure)]
         # A retry could reach the next target before the report of the crash
         # that this request may have caused, and crash that target too.
-        if is_possible_crash(failure) and self.is_suspect(call.request):
-            return self.refuse(call, failure, now)
+        if is_possible_crash(failure):
+            call.has_lost_target = True
+            if self.is_suspect(call.request):
+                return self.refuse(call, failure, now)
         if call.is_keyed and failure.outcome == Outcome.NOT_RUN:
             # A re-send by the caller goes to the key's own target first and
             # would run there a second time if the call had been rerouted only
@@ -414,6 +422,11 @@
         Suspected nodes are used only if there is no other.
         """
         request = call.request
+        retrial = self.retrial_node(request)
+        if retrial not in call.tried and any(
+            one.node == retrial and one.weight > 0 for one in candidates
+        ):
+            return retrial
         limits = self._settings.limits_for(request.service, '')
         router = self.router(request.service)
         avoided = call.tried.union(self.suspected_nodes())
--- a/daisyline/coordination/calls/entry_call.py
+++ b/daisyline/coordination/calls/entry_call.py
@@ -65,6 +65,8 @@
         is_keyed: Whether the call must not be repeated and has an idempotency
             key.
         targets_reached: The number of targets that the request was handed to.
+        has_lost_target: Whether a target may have crashed while it ran the
+            call.
     """
 
     request: ev.RequestReceived
@@ -80,6 +82,7 @@
     may_move: bool = False
     is_keyed: bool = False
     targets_reached: int = 0
+    has_lost_target: bool = False
 
     @property
     def max_targets(self) -> int:
@@ -127,6 +130,11 @@
     return may_have_run and failure.reason == Reason.TARGET_LOST
 
 
+def no_retrial_node(_request: ev.RequestReceived) -> str:
+    """Return no node; the default while a node has no quarantine."""
+    return ''
+
+
 def is_never_suspect(_request: ev.RequestReceived) -> bool:
     """Return False; the default while a node has no quarantine."""
     return False
--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -185,7 +185,12 @@
     request = call.request
     took_s = now - call.received_at
     return [
-        internal_effects.CallServed(request.service, request.tenant, took_s)
+        internal_effects.CallServed(
+            request.service,
+            request.tenant,
+            took_s,
+            request if call.has_lost_target else None,
+        )
     ]
 
 
--- a/daisyline/coordination/calls/quarantine.py
+++ b/daisyline/coordination/calls/quarantine.py
@@ -1,24 +1,35 @@
 """Quarantine of requests that crash each target that runs them."""
 
+import contextlib
 import hashlib
+import math
 from collections.abc import Sequence
 from random import Random
 
 import attrs
 
+from daisyline.coordination.calls.crash_history import (
+    CrashHistory,
+    CrashReport,
+    Report,
+    RetrialReport,
+)
 from daisyline.coordination.events import EventLog, Quarantined
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from daisyline.state.facts import Fact
 
 FACT_KIND = 'quarantine'
+RETRIALS_KIND = 'quarantine-retrials'
+# Tells that a request was answered after its connection to a target was lost.
+ANSWERED_KIND = 'quarantine-answered'
 FACT_TTL_MS = 86_400_000
+# A crash is reported at most 10 s after the loss, when the target has restarted.
+ANSWERED_TTL_MS = 30_000
 # Maximum number of requests whose crashes are remembered.
 MAX_HISTORIES = 1024
-# A request is blocked after this many crashes of targets that ran nothing else.
-MIN_SOLE_CRASHES = 2
-# One such crash is enough if the request was also in flight at this many
-# crashes of targets that ran other requests too.
-MIN_SHARED_CRASHES = 2
+# The wait between the claim of a retrial and its run, in seconds, in which all
+# nodes learn of the claim. Gossip takes up to about a second.
+CLAIM_WAIT_S = 1.5
 _DIGEST_BYTES = 16
 _LENGTH_BYTES = 8
 _SOURCE_ID_BITS = 32
@@ -37,84 +48,6 @@
     return digest.hexdigest()
 
 
-@attrs.frozen
-class CrashReport:
-    """What one node observed of one request at its own target.
-
-    Attributes:
-        sole_crashes: Crashes of targets that ran nothing else.
-        shared_crashes: Crashes of targets that ran other requests too.
-        cleared_sole_crashes: How many sole crashes, over all nodes, were known
-            when the request last completed here.
-        cleared_crashes: How many crashes of either sort were known then.
-        revision: Grows with each change of the report.
-    """
-
-    sole_crashes: int = 0
-    shared_crashes: int = 0
-    cleared_sole_crashes: int = 0
-    cleared_crashes: int = 0
-    revision: int = 0
-
-
-@attrs.define
-class CrashHistory:
-    """The reports of all nodes about one request in flight at a crash."""
-
-    _reports: dict[str, CrashReport] = attrs.field(factory=dict)
-
-    @property
-    def crashes(self) -> int:
-        """Return the number of crashes of targets that ran the request."""
-        return sum(
-            report.sole_crashes + report.shared_crashes
-            for report in self._reports.values()
-        )
-
-    @property
-    def sole_crashes(self) -> int:
-        """Return the number of crashes of targets that ran nothing else."""
-        return sum(report.sole_crashes for report in self._reports.values())
-
-    @property
-    def cleared_crashes(self) -> int:
-        """Return how many of the crashes a later success has cleared."""
-        return max(
-            (report.cleared_crashes for report in self._reports.values()),
-            default=0,
-        )
-
-    @property
-    def is_suspect(self) -> bool:
-        """Return whether a target crashed since the request last completed."""
-        return self.crashes > self.cleared_crashes
-
-    @property
-    def is_blocked(self) -> bool:
-        """Return whether enough crashes followed the latest success to block.
-
-        See `MIN_SOLE_CRASHES` and `MIN_SHARED_CRASHES`.
-        """
-        cleared_sole = max(
-            (report.cleared_sole_crashes for report in self._reports.values()),
-            default=0,
-        )
-        uncleared_sole = self.sole_crashes - cleared_sole
-        uncleared_shared = self.crashes - self.cleared_crashes - uncleared_sole
-        if uncleared_sole >= MIN_SOLE_CRASHES:
-            return True
-        return uncleared_sole > 0 and uncleared_shared >= MIN_SHARED_CRASHES
-
-    def report_from(self, source: str) -> CrashReport:
-        """Return the latest report of a source, empty if there is none."""
-        return self._reports.get(source, CrashReport())
-
-    def merge(self, source: str, report: CrashReport) -> None:
-        """Store a report if it is newer than the stored one of its source."""
-        if report.revision > self.report_from(source).revision:
-            self._reports[source] = report
-
-
 @attrs.define
 class Quarantine:
     """Counts the crashes of each request over the whole fleet.
@@ -126,12 +59,17 @@
     A request in flight at a crash becomes a suspect. From then on it runs
     alone, so that only it can be the cause of a second crash. It stops being a
     suspect when it completes at any target.
+
+    A blocked request is tried again a few times. The node beside a target claims
+    a retrial and runs it once the others know of the claim.
     """
 
     _source: str
     _log: EventLog | None = None
     _histories: dict[str, CrashHistory] = attrs.field(factory=dict)
     _suspected: set[str] = attrs.field(factory=set)
+    _claimed_at: dict[str, float] = attrs.field(factory=dict)
+    _answers: int = 0
 
     @classmethod
     def from_config(
@@ -150,7 +88,11 @@
         return not self._suspected
 
     def record_crash(
-        self, in_flight: Sequence[str], target: str, now: float
+        self,
+        in_flight: Sequence[str],
+        target: str,
+        now: float,
+        began_at: float = math.inf,
     ) -> list[PutFact]:
         """Record that a target crashed while it ran these requests.
 
@@ -158,6 +100,7 @@
             in_flight: The fingerprints of the requests.
             target: The target's name, for the event log.
             now: Monotonic seconds.
+            began_at: When the last of the runs began, in monotonic seconds.
 
         Returns:
             The facts to spread.
@@ -166,15 +109,17 @@
         is_alone = len(fingerprints) == 1
         effects = []
         for request in fingerprints:
-            previous = self._history_of(request).report_from(self._source)
+            history = self._history_of(request)
             if is_alone:
-                report = attrs.evolve(
-                    previous, sole_crashes=previous.sole_crashes + 1
-                )
-            else:
-                report = attrs.evolve(
-                    previous, shared_crashes=previous.shared_crashes + 1
+                effects.append(
+                    self._extend_chain(request, history, now, began_at)
                 )
+            report = history.report_from(self._source)
+            report = attrs.evolve(
+                report,
+                sole_crashes=report.sole_crashes + is_alone,
+                shared_crashes=report.shared_crashes + (not is_alone),
+            )
             effects.append(self._record_report(request, report, now, target))
         return effects
 
@@ -188,7 +133,69 @@
             cleared_sole_crashes=history.sole_crashes,
             cleared_crashes=history.crashes,
         )
-        return [self._record_report(request, report, now)]
+        retrials = attrs.evolve(
+            history.retrials_from(self._source),
+            cleared_sole_chain=history.sole_chain,
+            cleared_claimed=history.claimed,
+        )
+        return [
+            self._record_report(request, one, now) for one in (report, retrials)
+        ]
+
+    def record_late_answer(self, request: str, now: float) -> list[PutFact]:
+        """Record an answer to a request that an earlier target was lost with.
+
+        The crash of that target may not be known yet. The node beside it, which
+        reports the crash, is told by a fact.
+        """
+        if request in self._suspected:
+            return self.record_success(request, now)
+        self._answers += 1
+        name = f'{request}/{self._source}'
+        fact = Fact(ANSWERED_KIND, name, self._answers, (), ANSWERED_TTL_MS)
+        return [PutFact(fact, is_urgent=True)]
+
+    def claim_retrial(self, request: str, now: float) -> list[PutFact]:
+        """Claim a retrial of a blocked request if one is due.
+
+        To be called only while a target could run it.
+        """
+        if not self.is_blocked(request, now):
+            return []
+        history = self._histories[request]
+        number = history.next_retrial(now)
+        if not number:
+            return []
+        self._claimed_at[request] = now
+        claim = attrs.evolve(
+            history.retrials_from(self._source), claimed=number
+        )
+        put = self._record_report(request, claim, now)
+        return [attrs.evolve(put, is_urgent=True)]
+
+    def may_retry(self, request: str, now: float) -> bool:
+        """Return whether this node holds a retrial that has not run yet."""
+        claimed_at = self._claimed_at.get(request, math.inf)
+        if now < claimed_at + CLAIM_WAIT_S:
+            return False
+        return self._histories[request].retrial_source(request) == self._source
+
+    def end_retrial(self, request: str, began_at: float) -> None:
+        """Note that a run of a request that began then ended in any way."""
+        claimed_at = self._claimed_at.get(request, math.inf)
+        if began_at >= claimed_at + CLAIM_WAIT_S:
+            self._claimed_at.pop(request)
+
+    def retrial_node(self, request: str) -> str:
+        """Return the node that claimed the last retrial of a blocked request.
+
+        The result is empty for a request that is not blocked, or if no node has
+        claimed a retrial.
+        """
+        if not self.is_blocked(request, 0):
+            return ''
+        source = self._histories[request].retrial_source(request)
+        return source.rpartition('.')[0]
 
     def is_blocked(self, request: str, now: float) -> bool:
         """Return whether a request is refused at every node."""
@@ -200,52 +207,63 @@
         """Return whether a target may run no other request beside this one."""
         return request in self._suspected
 
-    def facts_about(self, request: str) -> list[Fact]:
-        """Return the fact with this node's own report, if there is one.
+    def handle(self, event: FactChanged, now: float) -> list[PutFact]:
+        """Merge another node's report; other or malformed facts are ignored.
 
-        The fact is meant to be sent ahead of the request.
+        Returns:
+            The facts to spread if a request that this node reported was
+            answered since.
         """
+        fact = event.fact
+        request, _, source = fact.name.partition('/')
+        if fact.kind == ANSWERED_KIND:
+            return self._clear_own(request, now)
+        kind = CrashReport if fact.kind == FACT_KIND else RetrialReport
+        if fact.kind in {FACT_KIND, RETRIALS_KIND}:
+            with contextlib.suppress(TypeError):
+                report = kind(*fact.payload, revision=fact.rank)
+                self._merge_report(request, source, report, now)
+        return []
+
+    def _clear_own(self, request: str, now: float) -> list[PutFact]:
         history = self._histories.get(request)
-        if history is None:
+        if history is None or not history.report_from(self._source).revision:
             return []
-        report = history.report_from(self._source)
-        return [self._fact(request, report)] if report.revision else []
+        return self.record_success(request, now)
 
-    def handle(self, event: FactChanged, now: float) -> None:
-        """Merge another node's report; other or malformed facts are ignored."""
-        fact = event.fact
-        if fact.kind != FACT_KIND:
-            return
-        request, _, source = fact.name.partition('/')
-        try:
-            report = CrashReport(*fact.payload, revision=fact.rank)
-        except TypeError:
-            return
-        self._merge_report(request, source, report, now)
+    def _extend_chain(
+        self, request: str, history: CrashHistory, now: float, began_at: float
+    ) -> PutFact:
+        report = history.retrials_from(self._source)
+        chain = history.chain_known_at(min(now, began_at)) + 1
+        report = attrs.evolve(report, sole_chain=max(chain, report.sole_chain))
+        return self._record_report(request, report, now)
 
     def _record_report(
-        self, request: str, report: CrashReport, now: float, target: str = ''
+        self, request: str, report: Report, now: float, target: str = ''
     ) -> PutFact:
         report = attrs.evolve(report, revision=report.revision + 1)
         self._merge_report(request, self._source, report, now, target)
         return PutFact(self._fact(request, report))
 
-    def _fact(self, request: str, report: CrashReport) -> Fact:
+    def _fact(self, request: str, report: Report) -> Fact:
         *payload, rank = attrs.astuple(report)
         name = f'{request}/{self._source}'
-        return Fact(FACT_KIND, name, rank, payload, FACT_TTL_MS)
+        is_crash = isinstance(report, CrashReport)
+        kind = FACT_KIND if is_crash else RETRIALS_KIND
+        return Fact(kind, name, rank, payload, FACT_TTL_MS)
 
     def _merge_report(
         self,
         request: str,
         source: str,
-        report: CrashReport,
+        report: Report,
         now: float,
         target: str = '',
     ) -> None:
         was_blocked = self.is_blocked(request, now)
         history = self._history_of(request)
-        history.merge(source, report)
+        history.merge(source, report, now)
         if history.is_suspect:
             self._suspected.add(request)
         else:
@@ -270,6 +288,7 @@
                 evicted = self._request_to_evict()
                 self._histories.pop(evicted)
                 self._suspected.discard(evicted)
+                self._claimed_at.pop(evicted, None)
             self._histories[request] = CrashHistory()
         return self._histories[request]
 
--- a/daisyline/coordination/internal_effects.py
+++ b/daisyline/coordination/internal_effects.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.call_events import RequestReceived
 from daisyline.coordination.calls.messages import RunCall
 from daisyline.state.targets import Target
 
@@ -53,8 +54,11 @@
         service: The service that was called.
         tenant: The tenant or class of the caller.
         took_s: The time from the request to the end of the answer, in seconds.
+        lost_request: The request if an earlier target was lost with it, which
+            may have crashed; None otherwise.
     """
 
     service: str
     tenant: str
     took_s: float
+    lost_request: RequestReceived | None = None
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from collections import deque
 from typing import Any
 
 import attrs
@@ -12,11 +11,15 @@
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
 from daisyline.coordination.calls.entry import Entry
-from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
+from daisyline.coordination.calls.quarantine import Quarantine
 from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
+from daisyline.coordination.target_crashes import (
+    TargetCrashes,
+    request_fingerprint,
+)
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
 from daisyline.state.members import Member
@@ -28,14 +31,6 @@
 # The lease of the first announcement of a target that was started before this
 # process: two of the intervals at which targets announce themselves, in seconds.
 FIRST_LEASE_S = 3.0
-# All connections of a crashed target are found closed within this time, in
-# seconds. The calls that fail within it count as one crash.
-_CRASH_WINDOW_S = 1.0
-# The longest time from a crash of a target to its next start, in seconds.
-_MAX_RESTART_S = 10.0
-# The number of interrupted requests that are kept until the target restarts;
-# larger than the number of calls that a target runs at a time.
-_MAX_INTERRUPTED_REQUESTS = 64
 _US_PER_S = 1_000_000
 _US_PER_MS = 1_000
 _SERVER_ERROR = 500
@@ -54,6 +49,7 @@
         fleet: Membership and settings.
         rollouts: The progress of rollouts.
         quarantine: Requests that are suspected to crash targets.
+        crashes: Crashes of the target beside this node.
         events: The record of decisions.
         latencies: Histograms of call durations.
         lease_s: The lease of the target's announcements, in seconds.
@@ -71,17 +67,13 @@
     fleet: Fleet
     rollouts: Rollouts
     quarantine: Quarantine
+    crashes: TargetCrashes
     events: log.EventLog
     latencies: Latencies
     lease_s: float = TARGET_LEASE_S
     lease_ends_at: float = math.inf
     warm_at: float = math.inf
     is_leaving: bool = False
-    _interrupted_requests: deque[tuple[str, float]] = attrs.field(
-        factory=lambda: deque(maxlen=_MAX_INTERRUPTED_REQUESTS)
-    )
-    _crashed_calls: set[str] = attrs.field(factory=set)
-    _crashed_at: float = -math.inf
     started_ms: int = 0
 
     @classmethod
@@ -105,22 +97,22 @@
             read_config: Where settings and other objects are read from.
         """
         events = log.EventLog.from_config()
+        target_side = TargetSide.from_config(
+            own_member.name, own_member.zone, events, own_member.incarnation
+        )
+        quarantine = Quarantine.from_config(own_member.name, rng, events)
         core = cls(
             name=own_member.name,
             entry=Entry.from_config(
                 own_member.name, rng, events, own_member.zone
             ),
-            target_side=TargetSide.from_config(
-                own_member.name,
-                own_member.zone,
-                events,
-                own_member.incarnation,
-            ),
+            target_side=target_side,
             fleet=Fleet.from_config(
                 own_member, cluster, peers, rng, now, read_config
             ),
             rollouts=Rollouts.from_config(own_member.name, rng, now, events),
-            quarantine=Quarantine.from_config(own_member.name, rng, events),
+            quarantine=quarantine,
+            crashes=TargetCrashes(quarantine, own_member.name, target_side),
             events=events,
             latencies=Latencies.from_config(),
             started_ms=own_member.incarnation // _US_PER_MS,
@@ -128,6 +120,7 @@
         core.entry.shares_of = core.rollouts.shares
         core.entry.trial_of = core.rollouts.trial_of
         core.entry.is_suspect = core.is_suspect
+        core.entry.retrial_node = core.retrial_node
         core.entry.suspected_nodes = lambda: core.fleet.suspects
         core.target_side.check_call = core.check_call
         core.entry.update_members(core.fleet.members.values(), (), now)
@@ -178,30 +171,28 @@
         if target is not None:
             if self.rollouts.is_rolled_back(target.service, target.version):
                 return Failure(Reason.VERSION_STOPPED, detail=target.version)
-        return (
-            None
-            if self.quarantine.is_empty
-            else self._check_quarantine(run, now)
-        )
+        return self.crashes.check(run, now)
 
     def is_suspect(self, received: ev.RequestReceived) -> bool:
         """Return whether a request was in flight when a target crashed."""
         if self.quarantine.is_empty:
             return False
-        request = fingerprint(received.method, received.path, received.body)
+        request = request_fingerprint(received)
         return self.quarantine.must_run_alone(request, received.deadline)
 
+    def retrial_node(self, received: ev.RequestReceived) -> str:
+        """Return the node that may try a blocked request again, or nothing."""
+        if self.quarantine.is_empty:
+            return ''
+        return self.quarantine.retrial_node(request_fingerprint(received))
+
     def record_observation(
         self, event: internal_effects.TargetCallEnded, now: float
     ) -> Effects:
         """Pass the end of a call at the target to quarantine and rollouts."""
         target = self.target_side.target
         effects: Effects = []
-        if event.crashed:
-            effects += self._handle_crash(event.run, now)
-        elif event.status and not self.quarantine.is_empty:
-            request = _fingerprint(event.run)
-            effects += self.quarantine.record_success(request, now)
+        effects += self.crashes.record_end(event, now)
         if target is not None:
             self.rollouts.record_call(self._sample(event, target), now)
         return effects
@@ -226,7 +217,7 @@
         effects: Effects = []
         if target is not None and previous is not None:
             if target.incarnation != previous.incarnation:
-                effects += self._handle_restart(now)
+                effects += self.crashes.record_restart(now)
         return [
             *effects,
             internal_effects.TargetChanged(target),
@@ -234,69 +225,6 @@
             *self.fleet.set_target(target, now),
         ]
 
-    def _handle_restart(self, now: float) -> Effects:
-        """Count a crash if calls were interrupted shortly before a restart."""
-        recent = [
-            request
-            for request, at in self._interrupted_requests
-            if at > now - _MAX_RESTART_S
-        ]
-        self._interrupted_requests.clear()
-        if not recent:
-            return []
-        return self.quarantine.record_crash(recent, self.name, now)
-
-    def _handle_crash(self, run: msg.RunCall, now: float) -> Effects:
-        """Count a crash once, though each interrupted call reports it.
-
-        If the target reports its start time, a lost answer alone does not
-        prove a crash; the crash is counted when a later start is announced.
-        """
-        target = self.target_side.target
-        if target is not None and target.started_ms:
-            self._interrupted_requests.append((_fingerprint(run), now))
-            return []
-        if (
-            run.call in self._crashed_calls
-            and now < self._crashed_at + _CRASH_WINDOW_S
-        ):
-            return []
-        self._crashed_calls = set(self.target_side.calls)
-        self._crashed_at = now
-        in_flight = [_fingerprint(run), *self._in_flight()]
-        return self.quarantine.record_crash(in_flight, self.name, now)
-
-    def _check_quarantine(self, run: msg.RunCall, now: float) -> Failure | None:
-        """Return why a suspected request must not run now, or None.
-
-        Other requests are refused too while a suspected one runs.
-        """
-        request = _fingerprint(run)
-        if self.quarantine.is_blocked(request, now):
-            return Failure(
-                Reason.QUARANTINED,
-                detail='the request crashed every target that ran it',
-            )
-        alone = self.quarantine.must_run_alone(request, now)
-        if (alone and self.target_side.calls) or self._is_suspect_running(now):
-            return Failure(
-                Reason.OVERLOADED, detail='a suspected request runs alone'
-            )
-        return None
-
-    def _is_suspect_running(self, now: float) -> bool:
-        return any(
-            self.quarantine.must_run_alone(request, now)
-            for request in self._in_flight()
-        )
-
-    def _in_flight(self) -> list[str]:
-        return [
-            _fingerprint(call.run)
-            for call in self.target_side.calls.values()
-            if call.started_at is not None
-        ]
-
     def _sample(
         self, event: internal_effects.TargetCallEnded, target: Target
     ) -> CallSample:
@@ -314,10 +242,6 @@
         )
 
 
-def _fingerprint(run: msg.RunCall) -> str:
-    return fingerprint(run.method, run.path, run.body)
-
-
 def _route_of(run: msg.RunCall) -> str:
     """Return the method and the first path segment of a call."""
     path = run.path.partition(b'?')[0].decode('latin-1')
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -30,6 +30,7 @@
     reading_event,
     zone_events,
 )
+from daisyline.coordination.target_crashes import request_fingerprint
 from daisyline.state.orders import ORDER_KINDS
 
 _US_PER_S = 1_000_000
@@ -110,7 +111,13 @@
 @_dispatch.register
 def _(event: ev.CallMessageReceived, core: NodeCore, now: float) -> Effects:
     if isinstance(event.message, _CALL_MESSAGES):
+        claims = (
+            core.crashes.claim_retrial(event.message, now)
+            if isinstance(event.message, msg.RunCall)
+            else ()
+        )
         return [
+            *claims,
             *entry_handlers.handle(event, core.entry, now),
             *target_side_handlers.handle(event, core.target_side, now),
         ]
@@ -202,8 +209,9 @@
 
 @_apply.register
 def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
-    core.quarantine.handle(effect, now)
-    effects = core.rollouts.handle(effect, now)
+    effects: Effects = []
+    effects += core.crashes.apply_fact(effect, now)
+    effects += core.rollouts.handle(effect, now)
     effects += target_notices.apply_departure(effect.fact, core, now)
     if effect.fact.kind in ORDER_KINDS:
         effects += core.fleet.apply_orders(now)
@@ -279,4 +287,7 @@
 ) -> Effects:
     took_us = int(effect.took_s * _US_PER_S)
     core.latencies.record(effect.service, effect.tenant, took_us)
-    return []
+    if effect.lost_request is None:
+        return []
+    request = request_fingerprint(effect.lost_request)
+    return core.quarantine.record_late_answer(request, now)
--- /dev/null
+++ b/daisyline/coordination/target_crashes.py
@@ -0,0 +1,189 @@
+"""Crashes of the target beside a node, and which requests may run there.
+
+Finds out which requests were in flight at a crash, reports them to the
+quarantine, and refuses requests that the quarantine stops.
+"""
+
+import math
+from collections import deque
+
+import attrs
+
+from daisyline.coordination import internal_effects
+from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.quarantine import (
+    ANSWERED_KIND,
+    Quarantine,
+    fingerprint,
+)
+from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.membership.fact_events import FactChanged, PutFact
+from daisyline.state.failures import Failure, Reason
+from daisyline.state.targets import Phase
+
+# All connections of a crashed target are found closed within this time, in
+# seconds. The calls that fail within it count as one crash.
+_CRASH_WINDOW_S = 1.0
+# The longest time from a crash of a target to its next start, in seconds.
+_MAX_RESTART_S = 10.0
+# How long after a lost answer no retrial is claimed, in seconds. If the target
+# crashed, the lease of its announcements ends in that time.
+_LOSS_CAUTION_S = 3.0
+# The number of interrupted requests that are kept until the target restarts;
+# larger than the number of calls that a target runs at a time.
+_MAX_INTERRUPTED_REQUESTS = 64
+
+
+@attrs.frozen
+class _InterruptedRun:
+    """A run that ended without an answer; times in monotonic seconds."""
+
+    request: str
+    began_at: float
+    ended_at: float
+
+
+@attrs.define
+class TargetCrashes:
+    """The crashes of one target, as far as requests may have caused them.
+
+    Attributes:
+        quarantine: Requests that are suspected to crash targets.
+    """
+
+    quarantine: Quarantine
+    _node: str
+    _target_side: TargetSide
+    _interrupted: deque[_InterruptedRun] = attrs.field(
+        factory=lambda: deque(maxlen=_MAX_INTERRUPTED_REQUESTS)
+    )
+    _crashed_calls: set[str] = attrs.field(factory=set)
+    _crashed_at: float = -math.inf
+
+    def record_end(
+        self, event: internal_effects.TargetCallEnded, now: float
+    ) -> list[PutFact]:
+        """Record the end of a run at the target; return the facts to spread."""
+        if event.crashed:
+            return self._record_interrupted(event, now)
+        if self.quarantine.is_empty:
+            return []
+        request = _fingerprint(event.run)
+        self.quarantine.end_retrial(request, now - event.service_s)
+        if not event.status:
+            return []
+        return self.quarantine.record_success(request, now)
+
+    def record_restart(self, now: float) -> list[PutFact]:
+        """Count a crash if calls were interrupted shortly before a restart."""
+        recent = [
+            run
+            for run in self._interrupted
+            if run.ended_at > now - _MAX_RESTART_S
+        ]
+        self._interrupted.clear()
+        if not recent:
+            return []
+        began_at = max(run.began_at for run in recent)
+        requests = [run.request for run in recent]
+        return self.quarantine.record_crash(requests, self._node, now, began_at)
+
+    def apply_fact(self, event: FactChanged, now: float) -> list[PutFact]:
+        """Apply a fact of any kind; return the facts to spread.
+
+        A request that was answered since its interruption is no part of the
+        crash that the target's next start will show.
+        """
+        fact = event.fact
+        if fact.kind == ANSWERED_KIND:
+            request = fact.name.partition('/')[0]
+            for run in tuple(self._interrupted):
+                if run.request == request:
+                    self._interrupted.remove(run)
+        return self.quarantine.handle(event, now)
+
+    def claim_retrial(self, run: msg.RunCall, now: float) -> list[PutFact]:
+        """Claim a retrial of a blocked request if the target can run it."""
+        target = self._target_side.target
+        if self.quarantine.is_empty or target is None:
+            return []
+        lost_at = max(
+            (lost.ended_at for lost in self._interrupted), default=-math.inf
+        )
+        if (
+            target.service != run.service
+            or target.phase == Phase.LEAVING
+            or now < lost_at + _LOSS_CAUTION_S
+        ):
+            return []
+        return self.quarantine.claim_retrial(_fingerprint(run), now)
+
+    def check(self, run: msg.RunCall, now: float) -> Failure | None:
+        """Return why a suspected request must not run now, or None.
+
+        Other requests are refused too while a suspected one runs.
+        """
+        if self.quarantine.is_empty:
+            return None
+        request = _fingerprint(run)
+        is_blocked = self.quarantine.is_blocked(request, now)
+        if is_blocked and not self.quarantine.may_retry(request, now):
+            return Failure(
+                Reason.QUARANTINED,
+                detail='the request crashed every target that ran it',
+            )
+        alone = self.quarantine.must_run_alone(request, now)
+        if (alone and self._target_side.calls) or self._is_suspect_running(now):
+            return Failure(
+                Reason.OVERLOADED, detail='a suspected request runs alone'
+            )
+        return None
+
+    def _record_interrupted(
+        self, event: internal_effects.TargetCallEnded, now: float
+    ) -> list[PutFact]:
+        """Count a crash once, though each interrupted call reports it.
+
+        If the target reports its start time, a lost answer alone does not
+        prove a crash; the crash is counted when a later start is announced.
+        """
+        run, began_at = event.run, now - event.service_s
+        request = _fingerprint(run)
+        self.quarantine.end_retrial(request, began_at)
+        target = self._target_side.target
+        if target is not None and target.started_ms:
+            self._interrupted.append(_InterruptedRun(request, began_at, now))
+            return []
+        if (
+            run.call in self._crashed_calls
+            and now < self._crashed_at + _CRASH_WINDOW_S
+        ):
+            return []
+        self._crashed_calls = set(self._target_side.calls)
+        self._crashed_at = now
+        return self.quarantine.record_crash(
+            [request, *self._in_flight()], self._node, now, began_at
+        )
+
+    def _is_suspect_running(self, now: float) -> bool:
+        return any(
+            self.quarantine.must_run_alone(request, now)
+            for request in self._in_flight()
+        )
+
+    def _in_flight(self) -> list[str]:
+        return [
+            _fingerprint(call.run)
+            for call in self._target_side.calls.values()
+            if call.started_at is not None
+        ]
+
+
+def request_fingerprint(received: ev.RequestReceived) -> str:
+    """Return the fingerprint of a request at its entry node."""
+    return fingerprint(received.method, received.path, received.body)
+
+
+def _fingerprint(run: msg.RunCall) -> str:
+    return fingerprint(run.method, run.path, run.body)
