Report a suspect's crash at once and keep a target free for a retrial

Cause: a crash was reported only when the target started again, so a poison that was sent each second crashed targets for 3 s more after each report, and a target that stayed away for longer than its lease was never counted: the announcement after a lapse has no earlier start to compare with. A retrial could wait for ever at a target that always runs some call.

Change: the loss of a suspect that ran alone counts at once; a crash also counts when the target's lease ends. A target that is too busy for a retrial takes no other calls for 2 s, at most once in 12 s. The last report of a crash is sent without waiting for the next batch.

--- a/daisyline/coordination/calls/quarantine.py
+++ b/daisyline/coordination/calls/quarantine.py
@@ -121,7 +121,8 @@
                 shared_crashes=report.shared_crashes + (not is_alone),
             )
             effects.append(self._record_report(request, report, now, target))
-        return effects
+        # A push sends all that is queued, so one is enough.
+        return [*effects[:-1], attrs.evolve(effects[-1], is_urgent=True)]
 
     def record_success(self, request: str, now: float) -> list[PutFact]:
         """Record that a target completed a request; return facts to spread."""
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -215,9 +215,10 @@
             return []
         self.events.add(_target_changed_event(target, self.warm_at - now, now))
         effects: Effects = []
-        if target is not None and previous is not None:
-            if target.incarnation != previous.incarnation:
-                effects += self.crashes.record_restart(now)
+        if previous is not None and (
+            target is None or target.incarnation != previous.incarnation
+        ):
+            effects += self.crashes.record_silence(now)
         return [
             *effects,
             internal_effects.TargetChanged(target),
--- a/daisyline/coordination/target_crashes.py
+++ b/daisyline/coordination/target_crashes.py
@@ -25,11 +25,17 @@
 # All connections of a crashed target are found closed within this time, in
 # seconds. The calls that fail within it count as one crash.
 _CRASH_WINDOW_S = 1.0
-# The longest time from a crash of a target to its next start, in seconds.
-_MAX_RESTART_S = 10.0
+# The longest time from a crash of a target to its next start, or to the end of
+# its lease, in seconds.
+_MAX_SILENCE_S = 10.0
 # How long after a lost answer no retrial is claimed, in seconds. If the target
 # crashed, the lease of its announcements ends in that time.
 _LOSS_CAUTION_S = 3.0
+# How long a target takes no other calls if it is too busy for a retrial, in
+# seconds: enough for its calls to end and the caller to send again after 1 s.
+_RESERVATION_S = 2.0
+# The least time between two reservations of a target, in seconds.
+_RESERVATION_PAUSE_S = 10.0
 # The number of interrupted requests that are kept until the target restarts;
 # larger than the number of calls that a target runs at a time.
 _MAX_INTERRUPTED_REQUESTS = 64
@@ -60,6 +66,8 @@
     )
     _crashed_calls: set[str] = attrs.field(factory=set)
     _crashed_at: float = -math.inf
+    _reserved_until: float = -math.inf
+    _reserved_for: str = ''
 
     def record_end(
         self, event: internal_effects.TargetCallEnded, now: float
@@ -75,12 +83,17 @@
             return []
         return self.quarantine.record_success(request, now)
 
-    def record_restart(self, now: float) -> list[PutFact]:
-        """Count a crash if calls were interrupted shortly before a restart."""
+    def record_silence(self, now: float) -> list[PutFact]:
+        """Count a crash if calls were interrupted before the target was lost.
+
+        To be called when another start of the target is announced, or when its
+        announcements have ceased. The latter comes first if the target takes
+        long to start, and the request could crash others meanwhile.
+        """
         recent = [
             run
             for run in self._interrupted
-            if run.ended_at > now - _MAX_RESTART_S
+            if run.ended_at > now - _MAX_SILENCE_S
         ]
         self._interrupted.clear()
         if not recent:
@@ -134,12 +147,30 @@
                 detail='the request crashed every target that ran it',
             )
         alone = self.quarantine.must_run_alone(request, now)
-        if (alone and self._target_side.calls) or self._is_suspect_running(now):
+        is_reserved = now < self._reserved_until
+        if (
+            (alone and self._target_side.calls)
+            or (is_reserved and request != self._reserved_for)
+            or self._is_suspect_running(now)
+        ):
+            if is_blocked:
+                self._reserve(request, now)
             return Failure(
                 Reason.OVERLOADED, detail='a suspected request runs alone'
             )
+        if request == self._reserved_for:
+            self._reserved_until = min(now, self._reserved_until)
         return None
 
+    def _reserve(self, request: str, now: float) -> None:
+        """Keep other calls away for a while, so that a retrial can run alone.
+
+        A target that always runs some call would never try the request again.
+        """
+        if now >= self._reserved_until + _RESERVATION_PAUSE_S:
+            self._reserved_for = request
+            self._reserved_until = now + _RESERVATION_S
+
     def _record_interrupted(
         self, event: internal_effects.TargetCallEnded, now: float
     ) -> list[PutFact]:
@@ -147,12 +178,18 @@
 
         If the target reports its start time, a lost answer alone does not
         prove a crash; the crash is counted when a later start is announced.
+        That of a suspect which ran alone is counted at once, as the request
+        could crash a target with each re-send until then.
         """
         run, began_at = event.run, now - event.service_s
         request = _fingerprint(run)
         self.quarantine.end_retrial(request, began_at)
         target = self._target_side.target
-        if target is not None and target.started_ms:
+        in_flight = self._in_flight()
+        is_sole_suspect = not in_flight and self.quarantine.must_run_alone(
+            request, now
+        )
+        if target is not None and target.started_ms and not is_sole_suspect:
             self._interrupted.append(_InterruptedRun(request, began_at, now))
             return []
         if (
@@ -163,7 +200,7 @@
         self._crashed_calls = set(self._target_side.calls)
         self._crashed_at = now
         return self.quarantine.record_crash(
-            [request, *self._in_flight()], self._node, now, began_at
+            [request, *in_flight], self._node, now, began_at
         )
 
     def _is_suspect_running(self, now: float) -> bool:
