--- a/daisyline/coordination/calls/answer_records.py
+++ b/daisyline/coordination/calls/answer_records.py
@@ -4,13 +4,13 @@
 
 import attrs
 
+from daisyline.coordination.calls.fingerprint import fingerprint
 from daisyline.coordination.calls.messages import (
     AnswerHead,
     CallRefused,
     QueryCall,
     RunCall,
 )
-from daisyline.coordination.calls.quarantine import fingerprint
 
 # Longer than an entry node takes to detect a broken stream and to ask for the
 # outcome of its calls, in seconds.
--- a/daisyline/coordination/calls/crash_history.py
+++ b/daisyline/coordination/calls/crash_history.py
@@ -1,7 +1,7 @@
 """What all nodes together know about a request in flight at a crash."""
 
 import hashlib
-from collections import deque
+from typing import Any
 
 import attrs
 
@@ -81,10 +81,14 @@
 
     _crashes: dict[str, CrashReport] = attrs.field(factory=dict)
     _retrials: dict[str, RetrialReport] = attrs.field(factory=dict)
-    _chain_moments: deque[tuple[float, int]] = attrs.field(
-        factory=lambda: deque(maxlen=_MAX_MOMENTS)
-    )
+    _chain_moments: tuple[tuple[float, int], ...] = ()
     _changed_at: float = 0
+    _reported_at: float = 0
+
+    @property
+    def reported_at(self) -> float:
+        """Return when the last report came, in monotonic seconds."""
+        return self._reported_at
 
     @property
     def crashes(self) -> int:
@@ -157,16 +161,19 @@
 
     def merge(self, source: str, report: Report, now: float) -> None:
         """Store a report if it is newer than the stored one of its source."""
+        is_crash = isinstance(report, CrashReport)
+        reports: dict[str, Any] = self._crashes if is_crash else self._retrials
+        held = reports.get(source)
+        if held is not None and report.revision <= held.revision:
+            return
         before = (self.is_blocked, self.claimed, self.sole_chain)
-        if isinstance(report, CrashReport):
-            if report.revision > self.report_from(source).revision:
-                self._crashes[source] = report
-        elif report.revision > self.retrials_from(source).revision:
-            self._retrials[source] = report
+        reports[source] = report
+        self._reported_at = now
         if (self.is_blocked, self.claimed) != before[:2]:
             self._changed_at = now
         if self.sole_chain != before[2]:
-            self._chain_moments.append((now, self.sole_chain))
+            moment = (now, self.sole_chain)
+            self._chain_moments = (*self._chain_moments, moment)[-_MAX_MOMENTS:]
 
     def chain_known_at(self, moment: float) -> int:
         """Return the longest chain that this node knew at a moment."""
--- a/daisyline/coordination/calls/quarantine.py
+++ b/daisyline/coordination/calls/quarantine.py
@@ -1,7 +1,6 @@
 """Quarantine of requests that crash each target that runs them."""
 
 import contextlib
-import hashlib
 import math
 from collections.abc import Sequence
 from random import Random
@@ -23,6 +22,7 @@
 # Tells that a request was answered after its connection to a target was lost.
 ANSWERED_KIND = 'quarantine-answered'
 FACT_TTL_MS = 86_400_000
+_FACT_TTL_S = FACT_TTL_MS / 1000
 # A crash is reported at most 10 s after the loss, when the target has restarted.
 ANSWERED_TTL_MS = 30_000
 # Maximum number of requests whose crashes are remembered.
@@ -30,24 +30,9 @@
 # The wait between the claim of a retrial and its run, in seconds, in which all
 # nodes learn of the claim. Gossip takes up to about a second.
 CLAIM_WAIT_S = 1.5
-_DIGEST_BYTES = 16
-_LENGTH_BYTES = 8
 _SOURCE_ID_BITS = 32
 
 
-def fingerprint(method: bytes, path: bytes, body: bytes) -> str:
-    """Return a digest that is the same each time a request is sent.
-
-    The length of each part is hashed as well, so that moving bytes from one
-    part to the next changes the digest.
-    """
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (method, path, body):
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 @attrs.define
 class Quarantine:
     """Counts the crashes of each request over the whole fleet.
@@ -201,12 +186,21 @@
     def is_blocked(self, request: str, now: float) -> bool:
         """Return whether a request is refused at every node."""
         return (
-            request in self._suspected and self._histories[request].is_blocked
+            self.must_run_alone(request, now)
+            and self._histories[request].is_blocked
         )
 
     def must_run_alone(self, request: str, now: float) -> bool:
-        """Return whether a target may run no other request beside this one."""
-        return request in self._suspected
+        """Return whether a target may run no other request beside this one.
+
+        A suspect is forgotten when the facts about it have expired.
+        """
+        if request not in self._suspected:
+            return False
+        if now < self._histories[request].reported_at + _FACT_TTL_S:
+            return True
+        self._forget(request)
+        return False
 
     def handle(self, event: FactChanged, now: float) -> list[PutFact]:
         """Merge another node's report; other or malformed facts are ignored.
@@ -286,13 +280,15 @@
         """
         if request not in self._histories:
             if len(self._histories) >= MAX_HISTORIES:
-                evicted = self._request_to_evict()
-                self._histories.pop(evicted)
-                self._suspected.discard(evicted)
-                self._claimed_at.pop(evicted, None)
+                self._forget(self._request_to_evict())
             self._histories[request] = CrashHistory()
         return self._histories[request]
 
+    def _forget(self, request: str) -> None:
+        self._histories.pop(request)
+        self._suspected.discard(request)
+        self._claimed_at.pop(request, None)
+
     def _request_to_evict(self) -> str:
         """Return the oldest request that is not blocked, else the oldest."""
         for request, history in self._histories.items():
--- a/daisyline/coordination/target_crashes.py
+++ b/daisyline/coordination/target_crashes.py
@@ -12,10 +12,10 @@
 from daisyline.coordination import internal_effects
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.fingerprint import fingerprint
 from daisyline.coordination.calls.quarantine import (
     ANSWERED_KIND,
     Quarantine,
-    fingerprint,
 )
 from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
--- a/tests/coordination/calls/test_quarantine.py
+++ b/tests/coordination/calls/test_quarantine.py
@@ -6,7 +6,11 @@
 from hypothesis import strategies as st
 
 from daisyline.coordination.calls.crash_history import MAX_RETRIALS
-from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
+from daisyline.coordination.calls.fingerprint import fingerprint
+from daisyline.coordination.calls.quarantine import (
+    FACT_TTL_MS,
+    Quarantine,
+)
 from daisyline.coordination.events import EventLog, Quarantined
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from tests.support import function_tests
@@ -110,6 +114,14 @@
     assert not any(node.must_run_alone('page', 12) for node in nodes)
 
 
+def test_a_block_ends_when_the_facts_about_it_expire() -> None:
+    nodes = [_node(index) for index in range(2)]
+    _block(nodes, POISON)
+    day_s = FACT_TTL_MS / 1000
+    assert all(node.is_blocked(POISON, day_s - 1) for node in nodes)
+    assert not any(node.must_run_alone(POISON, day_s) for node in nodes)
+
+
 def test_a_poison_gets_two_retrials_over_all_nodes() -> None:
     """Guards against retrials without end, as each can crash a target."""
 
--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -6,7 +6,7 @@
 from daisyline.coordination import events as log
 from daisyline.coordination import node_handlers
 from daisyline.coordination.calls import call_events as ev
-from daisyline.coordination.calls.quarantine import fingerprint
+from daisyline.coordination.calls.fingerprint import fingerprint
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.settings.reader_role import SETTINGS_KIND
--- a/tests/coordination/test_target_crashes.py
+++ b/tests/coordination/test_target_crashes.py
@@ -9,7 +9,7 @@
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import entry_handlers
 from daisyline.coordination.calls import messages as msg
-from daisyline.coordination.calls.quarantine import fingerprint
+from daisyline.coordination.calls.fingerprint import fingerprint
 from daisyline.coordination.membership.fact_events import FactChanged
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.facts import Fact
