Remove a stopped seed from a list with enough live ones

Cause: a zone's list was rewritten only while it had fewer than three live seeds. A list written after one failure was noticed and before the next keeps the second stopped seed, and as three live ones stand beside it no write removes it.

Ruled out: the order in which nodes start (the same on other seeds), and reviews that don't come (they do, without a write).

Change: a writer also writes if the list names a seed that is not live, then only the live ones if these are enough. A fleet whose seeds are all live writes no more than before. The test is unchanged.

--- a/daisyline/coordination/membership/seeds.py
+++ b/daisyline/coordination/membership/seeds.py
@@ -1,7 +1,6 @@
 """Finds other nodes through peer addresses and the platform's `seeds`."""
 
 import heapq
-import ipaddress
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -15,6 +14,10 @@
 )
 from daisyline.coordination.jitter import jittered, new_nonce
 from daisyline.coordination.membership.overlay import stable_hash
+from daisyline.coordination.membership.seed_addresses import (
+    Address,
+    addresses_in,
+)
 from daisyline.state.members import Member
 
 SEEDS_KIND = 'seeds'
@@ -35,36 +38,8 @@
 WRITERS_PER_ZONE = 2
 _OK = 200
 _CONFLICT = 409
-_MAX_PORT = 65_535
 _TOKEN_PREFIX = 'fleet-seeds-'
 
-Address = tuple[str, int]
-
-
-def addresses_in(value: Any) -> list[Address]:
-    """Return the addresses in a `seeds` object; malformed ones are skipped."""
-    listed = value.get('addresses') if isinstance(value, dict) else None
-    if not isinstance(listed, (list, tuple)):
-        return []
-    return [
-        (entry[0], entry[1])
-        for entry in listed
-        if isinstance(entry, (list, tuple))
-        and len(entry) == 2
-        and _is_address(*entry)
-    ]
-
-
-def _is_address(host: Any, port: Any) -> bool:
-    """Return whether these are an IPv4 address and a TCP port."""
-    if not isinstance(host, str) or not isinstance(port, int):
-        return False
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return 0 < port <= _MAX_PORT and not isinstance(port, bool)
-
 
 def _rank(name: str) -> int:
     return stable_hash(f'seeds/{name}')
@@ -223,10 +198,12 @@
     def _write_if_needed(
         self, live: tuple[Member, ...], now: float
     ) -> list[Any]:
-        """Return a write that adds this node, if too few seeds are live."""
+        """Return a write that makes the zone list enough seeds, all of them live.
+
+        There is none if that is so, or if it can't be.
+        """
         if not self._writes_seeds(live):
             return []
-        own = (self._own_member.host, self._own_member.port)
         known = {
             (member.host, member.port)
             for member in live
@@ -234,14 +211,17 @@
         }
         live_seeds = [entry for entry in self._zone_seeds if entry in known]
         lacking = known.difference(live_seeds)
-        if len(live_seeds) >= MIN_LIVE_SEEDS or not lacking:
+        if len(live_seeds) >= MIN_LIVE_SEEDS:
+            # An entry can stay from a write that came before its failure was
+            # noticed. No later write would replace it, as enough are live.
+            if len(live_seeds) == len(self._zone_seeds):
+                return []
+            entries = live_seeds
+        elif lacking:
+            entries = self._extended(live_seeds, known)
+        else:
             return []
-        kept = [own, *live_seeds] if own in lacking else live_seeds
-        spare = sorted(known.difference(kept))
-        added = self._rng.sample(
-            spare, min(len(spare), MAX_LISTED_SEEDS - len(kept))
-        )
-        listed = [list(entry) for entry in (*kept, *added)]
+        listed = [list(entry) for entry in entries]
         return [
             PlatformWrite(
                 self._new_token(now),
@@ -252,6 +232,19 @@
             )
         ]
 
+    def _extended(
+        self, live_seeds: list[Address], known: set[Address]
+    ) -> list[Address]:
+        """Return live seeds with others of the zone, this node first of all."""
+        own = (self._own_member.host, self._own_member.port)
+        is_listed = own in live_seeds or own not in known
+        kept = live_seeds if is_listed else [own, *live_seeds]
+        spare = sorted(known.difference(kept))
+        added = self._rng.sample(
+            spare, min(len(spare), MAX_LISTED_SEEDS - len(kept))
+        )
+        return [*kept, *added]
+
     def _writes_seeds(self, live: Iterable[Member]) -> bool:
         """Return whether this node is one of the zone's writers.
 
