--- a/daisyline/coordination/calls/crash_history.py
+++ b/daisyline/coordination/calls/crash_history.py
@@ -20,6 +20,10 @@
 # block or from the claim of the retrial before. The first is short, as a request
 # that was blocked in error should run again within 15 s.
 RETRIAL_DELAYS_S = (3.0, 12.0)
+# How much later a node may claim a retrial if it has reported a crash of its own
+# target, in seconds. A target that breaks off its answers looks as if it crashed,
+# and could use up all retrials.
+REPORTER_DELAY_S = 2.0
 _MAX_MOMENTS = 4
 
 
@@ -180,8 +184,8 @@
         known = [chain for at, chain in self._chain_moments if at <= moment]
         return known[-1] if known else 0
 
-    def next_retrial(self, now: float) -> int:
-        """Return the number of the retrial that is due; 0 if none is."""
+    def next_retrial(self, source: str, now: float) -> int:
+        """Return the number of the retrial that a source may claim, or 0."""
         cleared = max(
             (report.cleared_claimed for report in self._retrials.values()),
             default=0,
@@ -189,8 +193,9 @@
         made = self.claimed - cleared
         if not self.is_blocked or made >= MAX_RETRIALS:
             return 0
-        is_due = now >= self._changed_at + RETRIAL_DELAYS_S[made]
-        return self.claimed + 1 if is_due else 0
+        has_crashed = self.report_from(source).revision > 0
+        delay_s = RETRIAL_DELAYS_S[made] + REPORTER_DELAY_S * has_crashed
+        return self.claimed + 1 if now >= self._changed_at + delay_s else 0
 
     def retrial_source(self, request: str) -> str:
         """Return the source that holds the last retrial; empty if none does.
--- a/daisyline/coordination/calls/quarantine.py
+++ b/daisyline/coordination/calls/quarantine.py
@@ -149,7 +149,7 @@
         if not self.is_blocked(request, now):
             return []
         history = self._histories[request]
-        number = history.next_retrial(now)
+        number = history.next_retrial(self._source, now)
         if not number:
             return []
         self._claimed_at[request] = now
--- a/tests/coordination/calls/test_quarantine.py
+++ b/tests/coordination/calls/test_quarantine.py
@@ -114,6 +114,17 @@
     assert not any(node.must_run_alone('page', 12) for node in nodes)
 
 
+def test_a_node_whose_target_crashed_claims_a_retrial_after_the_others() -> (
+    None
+):
+    """Guards against one faulty target that uses up all retrials."""
+    reporter, other = _node(0), _node(2)
+    _block([reporter, _node(1), other], 'page')
+    assert not reporter.claim_retrial('page', 4)
+    assert other.claim_retrial('page', 4)
+    assert reporter.claim_retrial('page', 5)
+
+
 def test_a_block_ends_when_the_facts_about_it_expire() -> None:
     nodes = [_node(index) for index in range(2)]
     _block(nodes, POISON)
