Hold a target of an earlier start back until the node has joined

Cause: a restarted node that has its settings used the check-ins of a target that had left, which went on, until another node told it of the departure; beside load the join takes seconds. Ruled out: a longer lease of the first announcement or a second announcement as proof, as this target goes on announcing itself; waiting with readiness, as the node's callers can be served by other targets.

Change: a target that states a start before that of its node's process is used 0.25 s after a node that runs for longer has sent all facts that it holds, and in any case after 3 s. A node counts as running for longer if it is older than the target or by 10 s than this process, as nodes that were killed together know nothing. A target that was started later, or that states no start, is used at once as before.

--- a/daisyline/coordination/calls/registration.py
+++ b/daisyline/coordination/calls/registration.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from daisyline.coordination.departures.start_hold import StartHold
 from daisyline.state.departures import Incarnation
 from daisyline.state.targets import Phase, Target
 
@@ -58,6 +59,7 @@
             One need not have announced itself to this process before.
         _is_confirmed: Whether the registered start has announced itself more
             than once.
+        start_hold: Holds back a start that may have left before.
     """
 
     _latest: Announcement | None = None
@@ -69,12 +71,27 @@
     )
     _left: dict[Incarnation, None] = attrs.field(factory=dict)
     _is_confirmed: bool = False
+    start_hold: StartHold = attrs.field(factory=StartHold)
+
+    @classmethod
+    def from_start(cls, process_ms: int) -> 'Registration':
+        """Build the registration of a node without a target.
+
+        Args:
+            process_ms: When this process started, in Unix milliseconds.
+        """
+        return cls(start_hold=StartHold(process_ms))
 
     @property
     def latest(self) -> Announcement | None:
         """Return the newest announcement, as leaving if its start left."""
         return self._latest
 
+    @property
+    def latest_at(self) -> float:
+        """Return when the newest announcement came, in monotonic seconds."""
+        return self._latest_at
+
     @property
     def is_confirmed(self) -> bool:
         """Return whether the registered start has announced itself twice.
--- a/daisyline/coordination/calls/target_side.py
+++ b/daisyline/coordination/calls/target_side.py
@@ -24,6 +24,7 @@
 from daisyline.state.targets import LoadReport, Phase, Target
 
 MS_PER_S = 1000
+_US_PER_MS = 1000
 _SERVER_ERROR = 500
 # The shortest time budget with which a call is sent to its target.
 _MIN_BUDGET_S = 0.001
@@ -86,6 +87,7 @@
             zone=zone,
             events=events,
             records=AnswerRecords(incarnation),
+            registration=Registration.from_start(incarnation // _US_PER_MS),
         )
 
     @property
--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -21,6 +21,7 @@
     MemberRecord,
     MemberState,
 )
+from daisyline.coordination.membership.join_progress import JoinProgress
 from daisyline.coordination.membership.outbox import compact, update_messages
 from daisyline.coordination.membership.seeds import SeedDiscovery
 from daisyline.coordination.settings.platform_reading import (
@@ -53,6 +54,7 @@
     _read_config: PlatformReadConfig = attrs.field(factory=PlatformReadConfig)
     _last_call_at: float = 0
     _has_left: bool = False
+    _join_progress: JoinProgress = attrs.field(factory=JoinProgress)
 
     @classmethod
     def from_config(
@@ -200,6 +202,8 @@
             return []
         self._detect_pause(now)
         effects = receive(event.message, self._gossip, event.node, now)
+        sender = self.members.get(event.node)
+        effects += self._join_progress.record(event.message, sender, effects)
         return effects + self._collect_changes(now)
 
     @handle.register
--- a/daisyline/coordination/membership/fleet_events.py
+++ b/daisyline/coordination/membership/fleet_events.py
@@ -35,6 +35,17 @@
     node: str
 
 
+@attrs.frozen
+class FactsReceived:
+    """Another node has sent all facts that it holds.
+
+    Attributes:
+        peer_started_ms: When its process started, in Unix milliseconds.
+    """
+
+    peer_started_ms: int
+
+
 @attrs.frozen
 class SendToAddress:
     """Send a message to an address, whose node may be unknown.
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -142,6 +142,7 @@
             self.rollouts.next_at(),
             self.lease_ends_at,
             self.warm_at,
+            self.target_side.registration.start_hold.next_at(),
         )
 
     @property
@@ -161,9 +162,21 @@
         """
         self.warm_at = now + cold_s if cold_s else math.inf
         if target is not None:
-            self.lease_ends_at = now + self._lease_of(target)
+            self.lease_ends_at = now + self.lease_of(target)
         return self._use_target(target, now)
 
+    def lease_of(self, target: Target) -> float:
+        """Return how long an announcement holds, in seconds.
+
+        A target that runs since before this process may have left. Until
+        other nodes have told of that, only a second announcement shows that
+        the target goes on.
+        """
+        is_older = target.started_ms <= self.started_ms
+        if is_older and not self.target_side.registration.is_confirmed:
+            return min(self.lease_s, FIRST_LEASE_S)
+        return self.lease_s
+
     def mark_warm(self, now: float) -> Effects:
         """Mark the target as ready after the announced time as cold."""
         self.warm_at = math.inf
@@ -206,18 +219,6 @@
             self.rollouts.record_call(self._sample(event, target), now)
         return effects
 
-    def _lease_of(self, target: Target) -> float:
-        """Return how long an announcement holds, in seconds.
-
-        A target that runs since before this process may have left. Until
-        other nodes have told of that, only a second announcement shows that
-        the target goes on.
-        """
-        is_older = target.started_ms <= self.started_ms
-        if is_older and not self.target_side.registration.is_confirmed:
-            return min(self.lease_s, FIRST_LEASE_S)
-        return self.lease_s
-
     def _use_target(self, target: Target | None, now: float) -> Effects:
         previous = self.target_side.target
         if target == previous:
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -62,6 +62,8 @@
         effects += core.apply_announcement(None, now)
     if core.warm_at <= now:
         effects += core.mark_warm(now)
+    if core.target_side.registration.start_hold.next_at() <= now:
+        effects += target_notices.release_target(core, now)
     if core.target_side.next_at() <= now:
         effects += target_side_handlers.tick(core.target_side, now)
     for part in (core.entry, core.fleet, core.rollouts):
@@ -172,13 +174,9 @@
     """Apply an effect on this node; return None if it is for the transport."""
 
 
-@_apply.register
-def _(effect: Send, core: NodeCore, now: float) -> Effects | None:
-    return _deliver_to_self(effect.node, effect.message, core, now)
-
-
-@_apply.register
-def _(effect: ev.SendReply, core: NodeCore, now: float) -> Effects | None:
+@_apply.register(Send)
+@_apply.register(ev.SendReply)
+def _(effect: Any, core: NodeCore, now: float) -> Effects | None:
     return _deliver_to_self(effect.node, effect.message, core, now)
 
 
@@ -210,6 +208,13 @@
     return effects
 
 
+@_apply.register
+def _(
+    effect: fleet_events.FactsReceived, core: NodeCore, now: float
+) -> Effects:
+    return target_notices.apply_told(effect, core, now)
+
+
 @_apply.register
 def _(
     effect: fleet_events.MembersChanged, core: NodeCore, now: float
--- a/daisyline/coordination/target_notices.py
+++ b/daisyline/coordination/target_notices.py
@@ -1,15 +1,22 @@
 """Applies the notices of the target beside a node, and tells of its departure.
 
+A target that was started before this process is used only after its hold.
+
 All nodes are told that a target leaves before the target is acknowledged. If
 the node restarts while the target still runs, an announcement that was sent
 before the departure may arrive at its new process, which the others tell.
 """
 
+import functools
 from typing import Any
 
+import attrs
+
+from daisyline.coordination import events as log
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.membership.fact_events import PutFact
+from daisyline.coordination.membership.fleet_events import FactsReceived
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.departures import (
     Incarnation,
@@ -17,7 +24,7 @@
     departure_fact,
 )
 from daisyline.state.facts import Fact
-from daisyline.state.targets import Phase
+from daisyline.state.targets import Phase, Target
 
 Effects = list[Any]
 
@@ -38,10 +45,45 @@
         registration.mark_leaving(*incarnation)
     latest = registration.latest
     assert latest is not None
-    effects = core.apply_announcement(latest.target, now, latest.cold_s)
     if latest.target.phase == Phase.LEAVING:
-        effects.append(_departure_effect(latest.target.incarnation))
-    return effects
+        return [
+            *core.apply_announcement(latest.target, now, latest.cold_s),
+            _departure_effect(latest.target.incarnation),
+        ]
+    hold = registration.start_hold
+    was_holding = hold.is_holding
+    if hold.holds(latest.target, now):
+        return [] if was_holding else _begin_hold(latest.target, core, now)
+    return core.apply_announcement(latest.target, now, latest.cold_s)
+
+
+def release_target(core: NodeCore, now: float) -> Effects:
+    """Use the target that was held back, unless it has left meanwhile."""
+    registration = core.target_side.registration
+    registration.start_hold.end()
+    latest, used = registration.latest, core.target_side.target
+    if latest is None or latest.target.phase == Phase.LEAVING:
+        return []
+    if used is not None and used.incarnation == latest.target.incarnation:
+        return []
+    return _use_earlier(latest, now - registration.latest_at, core, now)
+
+
+@functools.singledispatch
+def apply_told(effect: Any, core: NodeCore, now: float) -> Effects:
+    """Apply what others have told this process of the time before its start.
+
+    Raises:
+        TypeError: If no handler is registered for the effect.
+    """
+    raise TypeError(f'no handler is registered for {effect!r}')
+
+
+@apply_told.register
+def _(effect: FactsReceived, core: NodeCore, now: float) -> Effects:
+    hold = core.target_side.registration.start_hold
+    hold.record_join(effect.peer_started_ms, now)
+    return []
 
 
 def apply_leave(event: ev.TargetLeaving, core: NodeCore, now: float) -> Effects:
@@ -71,6 +113,34 @@
     return core.apply_announcement(leaving.target, now)
 
 
+def _use_earlier(
+    announcement: Announcement, age_s: float, core: NodeCore, now: float
+) -> Effects:
+    """Apply an announcement that came some time ago, if it still holds."""
+    target = announcement.target
+    if age_s >= core.lease_of(target):
+        return []
+    cold_s = max(0, announcement.cold_s - age_s)
+    if announcement.cold_s and not cold_s:
+        target = attrs.evolve(target, phase=Phase.READY)
+    effects = core.apply_announcement(target, now, cold_s)
+    core.lease_ends_at -= age_s
+    return effects
+
+
+def _begin_hold(target: Target, core: NodeCore, now: float) -> Effects:
+    core.events.add(
+        log.TargetChanged(
+            now,
+            target=target.instance,
+            version=target.version,
+            phase='held',
+            slots=target.slots,
+        )
+    )
+    return []
+
+
 def _departure_effect(departed: Incarnation) -> PutFact:
     """Return the effect that tells all nodes that a target start leaves."""
     return PutFact(departure_fact(departed), is_urgent=True)
--- /dev/null
+++ b/tests/coordination/departures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `daisyline.coordination.routing.routing`."""
--- a/tests/coordination/test_target_notices.py
+++ b/tests/coordination/test_target_notices.py
@@ -11,6 +11,7 @@
 from daisyline.coordination import node_handlers
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls.registration import MAX_LEFT
+from daisyline.coordination.departures.start_hold import HOLD_S, SETTLE_S
 from daisyline.coordination.effects import Send
 from daisyline.coordination.membership.fleet_events import SendToAddress
 from daisyline.coordination.membership.gossip_messages import RecordUpdates
@@ -213,3 +214,51 @@
         pair.handle('n1', _announced(sequence))
     pair.wait(LEASE_S - 0.1)
     assert pair.phase_at('n1') == Phase.READY
+
+
+def test_an_older_target_that_left_is_held_until_the_join(
+    core_pair: CorePair,
+) -> None:
+    # Guards against requests to a target that left, between the start of a new
+    # process of its node and its join (issue 29).
+    core_pair.deliver('n1', core_pair.handle('n1', LEAVING))
+    core_pair.start('n1', 9_000)
+    core_pair.handle('n1', _announced(2))
+    assert core_pair.phase_at('n1') is None
+    core_pair.wait(1)
+    assert core_pair.phase_at('n1') == Phase.LEAVING
+
+
+def test_an_older_target_is_used_soon_after_the_join(
+    core_pair: CorePair,
+) -> None:
+    # Guards against a hold that costs the fleet a target for longer than the
+    # others need to tell of its departure.
+    core_pair.start('n1', 9_000)
+    core_pair.wait(1)
+    core_pair.handle('n1', _announced(2))
+    assert core_pair.phase_at('n1') is None
+    core_pair.wait(SETTLE_S + 0.1)
+    assert core_pair.phase_at('n1') == Phase.READY
+
+
+def test_nodes_that_were_killed_together_hold_their_targets_for_a_bounded_time(
+    core_pair: CorePair,
+) -> None:
+    # A node that was started as late as this one knows of no departure.
+    for name in PORTS:
+        core_pair.start(name, 9_000)
+    core_pair.handle('n1', _announced(2))
+    core_pair.wait(HOLD_S - 0.1)
+    assert core_pair.phase_at('n1') is None
+    core_pair.handle('n1', _announced(3))
+    core_pair.wait(0.2)
+    assert core_pair.phase_at('n1') == Phase.READY
+
+
+def test_a_target_that_was_started_after_its_node_is_used_at_once(
+    core_pair: CorePair,
+) -> None:
+    core_pair.start('n1', 4_000)
+    core_pair.handle('n1', _announced(1))
+    assert core_pair.phase_at('n1') == Phase.READY
