Store departures so that they outlast a restart of all nodes

Cause: a departure was a fact in the memory of nodes only. If all were killed at once, a target that had left and whose announcements went on, or came late, was used again. Ruled out: one object for all nodes (writers meet in conflicts and each node reads what others wrote), and an acknowledgement that waits for the store without a bound, as a target counts it only within a second.

Change: on the users' platform a node keeps one object of kind `departures` with the starts of targets beside it that have left. It is written when the node learns of a departure; the acknowledgement waits for that, for 0.5 s at most. Writes are conditional and are repeated until one succeeds; after a conflict, a deletion or a lost answer the object is read first. A process whose target was started before it reads the object once, and holds the target until the answer and a short time for the join, or for 3 s. Entries older than 2 min go with the next write. The stand-in of the users' platform answers a write with the object, as its review harness does; before, each write counted as one without an answer.

--- a/daisyline/coordination/calls/registration.py
+++ b/daisyline/coordination/calls/registration.py
@@ -56,7 +56,9 @@
         _replaced: The starts that were replaced by newer ones; never
             registered again.
         _left: The starts that have announced that they leave, oldest first.
-            One need not have announced itself to this process before.
+            One need not have announced itself to this process before. The
+            value is the time in Unix milliseconds up to which a departure
+            that states no start holds for the starts of its instance.
         _is_confirmed: Whether the registered start has announced itself more
             than once.
         start_hold: Holds back a start that may have left before.
@@ -69,7 +71,7 @@
     _replaced: deque[Incarnation] = attrs.field(
         factory=lambda: deque(maxlen=MAX_REPLACED)
     )
-    _left: dict[Incarnation, None] = attrs.field(factory=dict)
+    _left: dict[Incarnation, float] = attrs.field(factory=dict)
     _is_confirmed: bool = False
     start_hold: StartHold = attrs.field(factory=StartHold)
 
@@ -137,13 +139,13 @@
             The updated announcement, or None if another instance or a newer
             start is registered.
         """
-        self._record_left((instance, started_ms))
+        self.record_left((instance, started_ms))
         latest = self._latest
         if latest is None or latest.target.instance != instance:
             return None
         if started_ms and started_ms < latest.target.started_ms:
             return None
-        self._record_left(latest.target.incarnation)
+        self.record_left(latest.target.incarnation)
         self._latest = _as_leaving(latest)
         return self._latest
 
@@ -157,13 +159,22 @@
             target: The target.
             process_started_ms: When this process started, in Unix milliseconds.
         """
-        is_older = target.started_ms <= process_started_ms
-        return target.incarnation in self._left or (
-            is_older and (target.instance, 0) in self._left
-        )
+        if target.incarnation in self._left:
+            return True
+        until_ms = self._left.get((target.instance, 0), -math.inf)
+        return target.started_ms <= min(until_ms, process_started_ms)
+
+    def record_left(
+        self, incarnation: Incarnation, until_ms: float = math.inf
+    ) -> None:
+        """Remember a start that has announced that it leaves.
 
-    def _record_left(self, incarnation: Incarnation) -> None:
-        self._left[incarnation] = None
+        Args:
+            incarnation: The instance and its start; 0 if it isn't known.
+            until_ms: When an earlier process heard a departure that does not
+                state the start, in Unix milliseconds.
+        """
+        self._left[incarnation] = until_ms
         if len(self._left) > MAX_LEFT:
             self._left.pop(next(iter(self._left)))
 
--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination.departures.departure_record import DepartureRecord
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.membership.fleet_events import (
     GossipMessageReceived,
@@ -35,6 +36,7 @@
 from daisyline.state.targets import Target
 
 PAUSE_THRESHOLD_S = 1.0
+_US_PER_MS = 1000
 
 
 @attrs.define
@@ -46,9 +48,11 @@
 
     Attributes:
         cluster: The name of the cluster.
+        departures: What the platform stores of targets beside this node.
     """
 
     cluster: str
+    departures: DepartureRecord
     _gossip: Gossip
     _seed_discovery: SeedDiscovery
     _read_config: PlatformReadConfig = attrs.field(factory=PlatformReadConfig)
@@ -83,6 +87,13 @@
         seed_discovery = SeedDiscovery(own_member, peers, rng, now)
         return cls(
             cluster=cluster,
+            departures=DepartureRecord(
+                own_member.name,
+                rng,
+                now,
+                own_member.incarnation // _US_PER_MS,
+                is_enabled=read_config.keeps_departures,
+            ),
             gossip=gossip,
             seed_discovery=seed_discovery,
             read_config=read_config,
@@ -133,6 +144,7 @@
             self._gossip.next_at(),
             self._gossip.reader_role.next_at(),
             self._seed_discovery.next_at(),
+            self.departures.next_at(),
         )
 
     def tick(self, now: float) -> list[Any]:
@@ -150,6 +162,7 @@
         effects.extend(
             self._gossip.join_request(*address) for address in addresses
         )
+        effects.extend(self.departures.tick(now))
         effects.extend(self._collect_changes(now))
         assert self.next_at() > now, 'tick left overdue work'
         return effects
@@ -209,7 +222,7 @@
     @handle.register
     def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
         gossip = self._gossip
-        effects: list[Any] = []
+        effects: list[Any] = self.departures.handle(event, now)
         result = gossip.reader_role.handle_reply(event, now)
         if result is not None:
             effects.extend(
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -20,6 +20,7 @@
     target_side_handlers,
 )
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.departures.departure_events import DeparturesRead
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
@@ -208,10 +209,9 @@
     return effects
 
 
-@_apply.register
-def _(
-    effect: fleet_events.FactsReceived, core: NodeCore, now: float
-) -> Effects:
+@_apply.register(fleet_events.FactsReceived)
+@_apply.register(DeparturesRead)
+def _(effect: Any, core: NodeCore, now: float) -> Effects:
     return target_notices.apply_told(effect, core, now)
 
 
--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -23,10 +23,12 @@
         lists_are_current: Whether a list always has the state at the time of
             its request or a later one, so that a node may use the settings it
             has read without asking other nodes for newer ones.
+        keeps_departures: Whether the platform stores which targets have left.
     """
 
     kinds: tuple[str, ...] = (SETTINGS_KIND,)
     lists_are_current: bool = False
+    keeps_departures: bool = False
 
 
 def apply_read_result(
--- a/daisyline/coordination/target_notices.py
+++ b/daisyline/coordination/target_notices.py
@@ -15,6 +15,7 @@
 from daisyline.coordination import events as log
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls.registration import Announcement
+from daisyline.coordination.departures.departure_events import DeparturesRead
 from daisyline.coordination.membership.fact_events import PutFact
 from daisyline.coordination.membership.fleet_events import FactsReceived
 from daisyline.coordination.node_core import NodeCore
@@ -48,7 +49,7 @@
     if latest.target.phase == Phase.LEAVING:
         return [
             *core.apply_announcement(latest.target, now, latest.cold_s),
-            _departure_effect(latest.target.incarnation),
+            *_departure_effects(latest.target.incarnation, core, now),
         ]
     hold = registration.start_hold
     was_holding = hold.is_holding
@@ -86,15 +87,34 @@
     return []
 
 
+@apply_told.register
+def _(effect: DeparturesRead, core: NodeCore, now: float) -> Effects:
+    registration = core.target_side.registration
+    registration.start_hold.record_answer(now)
+    for departure in effect.departures:
+        registration.record_left(departure.incarnation, departure.left_ms)
+    latest = registration.latest
+    if latest is None or not registration.has_left(
+        latest.target, core.started_ms
+    ):
+        return []
+    leaving = registration.mark_leaving(*latest.target.incarnation)
+    assert leaving is not None
+    return [
+        *core.apply_announcement(leaving.target, now),
+        *_departure_effects(leaving.target.incarnation, core, now),
+    ]
+
+
 def apply_leave(event: ev.TargetLeaving, core: NodeCore, now: float) -> Effects:
     """Apply a target's notice that it leaves, also if it is not registered."""
     departed = (event.instance, event.started_ms)
     leaving = core.target_side.registration.mark_leaving(*departed)
     if leaving is None:
-        return [_departure_effect(departed)]
+        return _departure_effects(departed, core, now)
     return [
         *core.apply_announcement(leaving.target, now),
-        _departure_effect(leaving.target.incarnation),
+        *_departure_effects(leaving.target.incarnation, core, now),
     ]
 
 
@@ -110,7 +130,10 @@
         return []
     leaving = registration.mark_leaving(*departed)
     assert leaving is not None
-    return core.apply_announcement(leaving.target, now)
+    return [
+        *core.apply_announcement(leaving.target, now),
+        *core.fleet.departures.add(departed, now),
+    ]
 
 
 def _use_earlier(
@@ -138,9 +161,14 @@
             slots=target.slots,
         )
     )
-    return []
+    return core.fleet.departures.read(now)
 
 
-def _departure_effect(departed: Incarnation) -> PutFact:
-    """Return the effect that tells all nodes that a target start leaves."""
-    return PutFact(departure_fact(departed), is_urgent=True)
+def _departure_effects(
+    departed: Incarnation, core: NodeCore, now: float
+) -> Effects:
+    """Return the effects that tell all nodes of a departure and store it."""
+    return [
+        PutFact(departure_fact(departed), is_urgent=True),
+        *core.fleet.departures.add(departed, now),
+    ]
--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -26,7 +26,9 @@
     return FrontEnd(
         dialect=wire.DIALECT,
         platform_codec=StoreCodec.from_boot(boot),
-        read_config=PlatformReadConfig(_kinds_read(boot), True),
+        read_config=PlatformReadConfig(
+            _kinds_read(boot), lists_are_current=True, keeps_departures=True
+        ),
         read_notice=NoticeReader.from_boot(boot).read,
         acknowledge=acknowledge,
         lease_s=_LEASE_HEARTBEATS * boot.heartbeat_s,
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -12,6 +12,7 @@
 from daisyline.coordination.settings import order_reading, reader_role
 from daisyline.platform.boot import Boot
 from daisyline.platform.manifest import settings_tree
+from daisyline.state.departures import DEPARTURES_KIND
 from daisyline.state.limits import PERCENT
 from daisyline.state.rollout_plan import FULL_PERCENT
 from daisyline.state.rollout_state import Stage
@@ -101,7 +102,21 @@
     path: str = 'node-seeds'
 
 
-Kind = Manifests | Evacuations | RolloutOrders | RolloutRecords | SeedLists
+@attrs.frozen
+class DepartureLists:
+    """The targets beside each node that have left."""
+
+    path: str = 'departures'
+
+
+Kind = (
+    Manifests
+    | Evacuations
+    | RolloutOrders
+    | RolloutRecords
+    | SeedLists
+    | DepartureLists
+)
 
 
 def kinds_of(boot: Boot) -> dict[str, Kind]:
@@ -112,6 +127,7 @@
         order_reading.ROLLOUTS_KIND: RolloutOrders(boot),
         rollout_record.OBJECT_KIND: RolloutRecords(),
         seeds.SEEDS_KIND: SeedLists(),
+        DEPARTURES_KIND: DepartureLists(),
     }
 
 
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -9,6 +9,7 @@
 from daisyline.coordination import internal_effects
 from daisyline.coordination.admission.pace_events import ProbeTarget
 from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.departures.departure_events import DeparturesStored
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -113,6 +114,11 @@
     transports.platform.call(effect)
 
 
+@perform.register
+def _(effect: DeparturesStored, transports: Transports) -> None:
+    transports.ports.acknowledgements.send_all()
+
+
 @perform.register
 def _(effect: ev.AnswerCaller, transports: Transports) -> None:
     connection = transports.ports.find_caller(effect.call, effect.last)
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -16,6 +16,8 @@
 from daisyline.protocol.front_end import FrontEnd, LeaveNotice, Notice
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
+from daisyline.state.targets import Phase
+from daisyline.transport.acknowledgements import Acknowledgements
 from daisyline.transport.callers import CallerConnection
 from daisyline.transport.loop import Loop
 from daisyline.transport.request_reader import ParentCall, RequestReader
@@ -27,7 +29,11 @@
 
 
 class Ports:
-    """Turns requests into calls and maps each call to its connection."""
+    """Turns requests into calls and maps each call to its connection.
+
+    Attributes:
+        acknowledgements: The answers to departures that wait for the store.
+    """
 
     def __init__(
         self,
@@ -60,6 +66,7 @@
         self._connections: set[CallerConnection] = set()
         self._listeners: list[Listener] = []
         self._leaving = False
+        self.acknowledgements = Acknowledgements(loop)
 
     @property
     def busy_connections(self) -> int:
@@ -189,6 +196,7 @@
         """Apply a notice of the target, then acknowledge or refuse it.
 
         What other nodes are told of the notice is written before the answer.
+        The answer to a departure waits for the store, for a bounded time.
         """
         event = event_from_notice(notice)
         if isinstance(event, Failure):
@@ -198,7 +206,18 @@
         body = self._front_end.acknowledge(self._front_end.lease_s)
         headers = ((b'Content-Type', b'application/json'),)
         answer = AnswerCaller('', HTTPStatus.OK, headers, body, last=True)
-        self._loop.defer(lambda: caller.send_answer(answer))
+        self.acknowledgements.send_within(
+            lambda: caller.send_answer(answer),
+            self._acknowledgement_wait_s(event),
+        )
+
+    def _acknowledgement_wait_s(
+        self, event: TargetAnnounced | TargetLeaving
+    ) -> float:
+        if not _is_departure(event):
+            return 0
+        departures = self._core.fleet.departures
+        return departures.acknowledgement_wait_s(self._loop.now())
 
     def _start_call(
         self, caller: CallerConnection, request: Request, parent: ParentCall
@@ -209,6 +228,12 @@
         self._on_event(event)
 
 
+def _is_departure(event: TargetAnnounced | TargetLeaving) -> bool:
+    if isinstance(event, TargetLeaving):
+        return True
+    return event.target is not None and event.target.phase == Phase.LEAVING
+
+
 def event_from_notice(
     notice: Notice,
 ) -> TargetAnnounced | TargetLeaving | Failure:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -46,6 +46,8 @@
             body = {'items': shown, 'events': events, 'at': at, 'more': False}
         elif status == store.OK and 'value' in body:
             body = _object_of(body)
+        elif status == store.OK and self.name:
+            body = _object_of({'name': self.name, 'value': {}, **body})
         self.exchange.answer(status, body)
 
 
--- a/tests/coordination/departures/__init__.py
+++ b/tests/coordination/departures/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of `daisyline.coordination.routing.routing`."""
+"""Tests of `daisyline.coordination.departures`."""
--- a/tests/journeys/test_users_platform.py
+++ b/tests/journeys/test_users_platform.py
@@ -5,7 +5,12 @@
 from concurrent import futures
 
 from tests.fixtures import wait_until
-from tests.journeys.users_rig import UsersFleet, UsersPlace
+from tests.journeys.users_rig import (
+    UsersFleet,
+    UsersPlace,
+    let_target_say_that_it_leaves,
+    send_for,
+)
 from tests.platform.fixtures import DEPLOYMENT_SETTINGS
 from tests.support import function_tests
 
@@ -167,9 +172,9 @@
 ) -> None:
     for place in users_fleet.places:
         place.control_target(limit=str(LIMIT_PER_S))
-    _send_for(users_fleet, 'learn', 0.5)
+    send_for(users_fleet, 'learn', 0.5)
     before = _run_counts(users_fleet)
-    answers = _send_for(users_fleet, 'limited', LIMITED_S)
+    answers = send_for(users_fleet, 'limited', LIMITED_S)
     ran = [
         after - count
         for after, count in zip(_run_counts(users_fleet), before, strict=True)
@@ -180,18 +185,18 @@
     for place in users_fleet.places:
         place.control_target(limit='')
     # The first answer of each target ends its limit.
-    _send_for(users_fleet, 'end', 1.0)
-    assert set(_send_for(users_fleet, 'free', 1.0)) == {200}
+    send_for(users_fleet, 'end', 1.0)
+    assert set(send_for(users_fleet, 'free', 1.0)) == {200}
 
 
 def test_a_target_that_leaves_by_its_answers_gets_no_further_calls(
     users_fleet: UsersFleet,
 ) -> None:
     leaving = users_fleet.places[0]
-    _let_target_say_that_it_leaves(users_fleet, leaving)
+    let_target_say_that_it_leaves(users_fleet, leaving)
     count = len(leaving.control_target()['ran'])
     # Its heartbeats still say that it is ready.
-    assert set(_send_for(users_fleet, 'late', 1.0)) == {200}
+    assert set(send_for(users_fleet, 'late', 1.0)) == {200}
     assert len(leaving.control_target()['ran']) == count
 
 
@@ -201,49 +206,16 @@
     # Guards against a target that is used again because the process that knew
     # of its leaving was killed; its heartbeats still say that it is ready.
     leaving = users_fleet.places[0]
-    _let_target_say_that_it_leaves(users_fleet, leaving)
+    let_target_say_that_it_leaves(users_fleet, leaving)
     leaving.node.kill()
-    leaving.node = users_fleet.start_node(
-        leaving.name, leaving.zone, leaving.ports
-    )
+    users_fleet.restart_node(leaving)
     wait_until(leaving.is_ready)
     count = len(leaving.control_target()['ran'])
     # Several heartbeats arrive meanwhile.
-    assert 200 in _send_for(users_fleet, 'late', 4.0)
+    assert 200 in send_for(users_fleet, 'late', 4.0)
     assert len(leaving.control_target()['ran']) == count
 
 
-def _let_target_say_that_it_leaves(
-    fleet: UsersFleet, leaving: UsersPlace
-) -> None:
-    """Send requests until one answer of the target says that it leaves."""
-    leaving.control_target(says_leaving=True)
-    wait_until(
-        lambda: (
-            'said'
-            in [
-                run['id'][:4]
-                for place in fleet.places
-                if place.send_request('/pages/1', 'said')
-                for run in leaving.control_target()['ran']
-            ]
-        )
-    )
-
-
-def _send_for(fleet: UsersFleet, name: str, seconds: float) -> list[int]:
-    """Send requests at all nodes for a time; return the statuses."""
-    until = time.monotonic() + seconds
-    statuses = []
-    while time.monotonic() < until:
-        for place in fleet.places:
-            request_id = f'{name}{len(statuses)}'
-            answer = place.send_request('/pages/1', request_id)
-            statuses.append(answer.status)
-        time.sleep(0.01)
-    return statuses
-
-
 def _run_counts(fleet: UsersFleet) -> list[int]:
     return [len(place.control_target()['ran']) for place in fleet.places]
 
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -165,6 +165,10 @@
             'daisyline.platform', DAISYLINE_SETTINGS=str(path)
         )
 
+    def restart_node(self, place: UsersPlace) -> None:
+        """Start the node of a place again, after it was killed."""
+        place.node = self.start_node(place.name, place.zone, place.ports)
+
     def change_settings(self, name: str, **fields: Any) -> None:
         """Change the settings file of a node without sending a signal."""
         path = pathlib.Path(self.folder, f'{name}.json')
@@ -202,6 +206,37 @@
         ]
 
 
+def let_target_say_that_it_leaves(
+    fleet: UsersFleet, leaving: UsersPlace
+) -> None:
+    """Send requests until one answer of the target says that it leaves."""
+    leaving.control_target(says_leaving=True)
+    wait_until(
+        lambda: (
+            'said'
+            in [
+                run['id'][:4]
+                for place in fleet.places
+                if place.send_request('/pages/1', 'said')
+                for run in leaving.control_target()['ran']
+            ]
+        )
+    )
+
+
+def send_for(fleet: UsersFleet, name: str, seconds: float) -> list[int]:
+    """Send requests at all nodes for a time; return the statuses."""
+    until = time.monotonic() + seconds
+    statuses = []
+    while time.monotonic() < until:
+        for place in fleet.places:
+            request_id = f'{name}{len(statuses)}'
+            answer = place.send_request('/pages/1', request_id)
+            statuses.append(answer.status)
+        time.sleep(0.01)
+    return statuses
+
+
 @fixture
 def users_fleet() -> Iterator[UsersFleet]:
     """Provide two nodes and targets in two zones, once they are ready."""
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -198,6 +198,7 @@
         order_reading.ZONES_KIND,
         order_reading.ROLLOUTS_KIND,
         rollout_record.OBJECT_KIND,
+        departures.DEPARTURES_KIND,
         seeds.SEEDS_KIND,
     )
     return sorted(kinds)
