Keep the logs of a failed test's processes and print their folder

Cause: four entries of KNOWN-RED.txt could not be traced, as the runs that failed kept no logs: those of the users' platform were deleted with their folder, those of the small fleet were never written. Ruled out: keeping all folders, as a whole run makes some hundred.

Change: both fixtures write the output of their processes to a folder that is deleted if the test passes; if it fails, in the fixture or after it, the folder is kept and its path is printed. An operator's console keeps its files there, too.

--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -1,12 +1,18 @@
-"""Processes, and a fixture of a small fleet, for tests of several modules."""
+"""Processes, and a fixture of a small fleet, for tests of several modules.
+
+The logs of a test's processes are kept if it fails, and their folder is printed.
+"""
 
 import contextlib
 import json
 import os
+import pathlib
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Iterator
 from http.client import HTTPConnection, HTTPException
@@ -74,10 +80,19 @@
 
 @attrs.define
 class SmallFleet:
-    """A platform and a few nodes with their targets, each a process."""
+    """A platform and a few nodes with their targets, each a process.
+
+    Attributes:
+        ports: Allocates the TCP ports.
+        platform_port: The TCP port of the platform.
+        folder: The path of the folder with the logs of the processes.
+        processes: All processes, the ended ones included.
+        places: The nodes with their targets.
+    """
 
     ports: Ports
     platform_port: int
+    folder: str
     processes: list[Process] = attrs.field(factory=list)
     places: list[Place] = attrs.field(factory=list)
 
@@ -88,12 +103,9 @@
             for name, setting in flags.items()
             for word in (_flag(name), str(setting))
         ]
-        popen = subprocess.Popen(
-            [sys.executable, '-m', module, *words],
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL if _hides_logs() else None,
+        process = start_logged(
+            self.folder, len(self.processes), [module, *words]
         )
-        process = Process(popen)
         self.processes.append(process)
         return process
 
@@ -159,12 +171,47 @@
         return len(docs_members) == len(self.places)
 
 
+def start_logged(
+    folder: str, number: int, words: list[str], **options: Any
+) -> Process:
+    """Start a Python module whose output goes to a file.
+
+    Args:
+        folder: The path of the folder for the file.
+        number: The number of the process in its test.
+        words: The name of the module and its arguments.
+        options: Further arguments of `subprocess.Popen`.
+    """
+    log = pathlib.Path(folder, f'{number}-{words[0]}.log')
+    with log.open('wb') as lines:
+        popen = subprocess.Popen(
+            [sys.executable, '-m', *words],
+            stdout=lines,
+            stderr=None if _is_loud() else subprocess.STDOUT,
+            **options,
+        )
+    return Process(popen)
+
+
+@contextlib.contextmanager
+def kept_on_failure() -> Iterator[str]:
+    """Give the path of a new folder, which is deleted unless the test fails."""
+    folder = tempfile.mkdtemp(prefix='daisyline-test-')
+    try:
+        yield folder
+    except BaseException:
+        sys.stderr.write(f'\nThe logs of the processes are in {folder}\n')
+        raise
+    shutil.rmtree(folder)
+
+
 @fixture
 def fleet() -> Iterator[SmallFleet]:
     """Provide two nodes with their targets, once they have joined."""
     ports = Ports.from_random()
-    new_fleet = SmallFleet(ports, ports.take())
     with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(kept_on_failure())
+        new_fleet = SmallFleet(ports, ports.take(), folder)
         stack.callback(new_fleet.kill)
         new_fleet.start_program(
             'standins.platform',
@@ -248,5 +295,5 @@
     return f'--{dashed}'
 
 
-def _hides_logs() -> bool:
-    return not os.environ.get('DAISYLINE_TEST_LOUD')
+def _is_loud() -> bool:
+    return bool(os.environ.get('DAISYLINE_TEST_LOUD'))
--- a/tests/journeys/rig.py
+++ b/tests/journeys/rig.py
@@ -4,7 +4,6 @@
 import io
 import json
 import pathlib
-import tempfile
 import threading
 import time
 import uuid
@@ -151,8 +150,7 @@
 @fixture
 def console(fleet: SmallFleet) -> Iterator[OperatorConsole]:
     """Provide an operator's console for the small fleet."""
-    with tempfile.TemporaryDirectory() as folder:
-        yield OperatorConsole(fleet, pathlib.Path(folder))
+    yield OperatorConsole(fleet, pathlib.Path(fleet.folder))
 
 
 @fixture
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -5,9 +5,6 @@
 import os
 import pathlib
 import socket
-import subprocess
-import sys
-import tempfile
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -17,7 +14,13 @@
 import attrs
 
 from standins.processes import HOST, Ports
-from tests.fixtures import Process, fetch, wait_until
+from tests.fixtures import (
+    Process,
+    fetch,
+    kept_on_failure,
+    start_logged,
+    wait_until,
+)
 from tests.platform.fixtures import MANIFEST, SETTINGS_FIELDS
 from tests.support import fixture
 
@@ -106,17 +109,13 @@
         self, module: str, *arguments: str, **env: str
     ) -> Process:
         """Start a program whose output goes to a file in the folder."""
-        number = len(self.processes)
-        log = pathlib.Path(self.folder, f'{number}-{module}.log')
-        with log.open('wb') as lines:
-            popen = subprocess.Popen(
-                [sys.executable, '-m', module, *arguments],
-                stdout=lines,
-                stderr=subprocess.STDOUT,
-                cwd=_SOURCES,
-                env={**os.environ, **env},
-            )
-        process = Process(popen)
+        process = start_logged(
+            self.folder,
+            len(self.processes),
+            [module, *arguments],
+            cwd=_SOURCES,
+            env={**os.environ, **env},
+        )
         self.processes.append(process)
         return process
 
@@ -242,7 +241,7 @@
     """Provide two nodes and targets in two zones, once they are ready."""
     ports = Ports.from_random()
     with contextlib.ExitStack() as stack:
-        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        folder = stack.enter_context(kept_on_failure())
         fleet = UsersFleet(ports, folder, ports.take())
         stack.callback(fleet.kill)
         fleet.start_program(
