--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -22,7 +22,10 @@
     MemberRecord,
     MemberState,
 )
-from daisyline.coordination.membership.join_progress import JoinProgress
+from daisyline.coordination.membership.join_progress import (
+    Exchange,
+    JoinProgress,
+)
 from daisyline.coordination.membership.outbox import compact, update_messages
 from daisyline.coordination.membership.seeds import SeedDiscovery
 from daisyline.coordination.settings.platform_reading import (
@@ -215,8 +218,9 @@
             return []
         self._detect_pause(now)
         effects = receive(event.message, self._gossip, event.node, now)
-        sender = self.members.get(event.node)
-        effects += self._join_progress.record(event.message, sender, effects)
+        sender, root = self.members.get(event.node), self._gossip.digest.root
+        exchange = Exchange(event.message, sender, root, effects)
+        effects += self._join_progress.record(exchange)
         return effects + self._collect_changes(now)
 
     @handle.register
--- a/daisyline/coordination/target_notices.py
+++ b/daisyline/coordination/target_notices.py
@@ -94,9 +94,9 @@
     for departure in effect.departures:
         registration.record_left(departure.incarnation, departure.left_ms)
     latest = registration.latest
-    if latest is None or not registration.has_left(
-        latest.target, core.started_ms
-    ):
+    if latest is None or latest.target.phase == Phase.LEAVING:
+        return []
+    if not registration.has_left(latest.target, core.started_ms):
         return []
     leaving = registration.mark_leaving(*latest.target.incarnation)
     assert leaving is not None
--- a/tests/coordination/departures/test_departure_record.py
+++ b/tests/coordination/departures/test_departure_record.py
@@ -257,6 +257,24 @@
     assert stored_node.stored == ['i-1', 'i-2']
 
 
+def test_malformed_entries_of_an_object_are_skipped(
+    stored_node: StoredNode,
+) -> None:
+    good = {'instance': 'i-1', 'started_ms': 5, 'left_ms': 6}
+    entries = [7, {}, {**good, 'started_ms': '5'}, {**good, 'left_ms': True}]
+    for content, phase in (
+        ([], Phase.READY),
+        ({'departures': 5}, Phase.READY),
+        ({'departures': entries}, Phase.READY),
+        ({'departures': [*entries, good]}, Phase.LEAVING),
+    ):
+        stored_node.platform.put(*OBJECT, content)
+        stored_node.restart()
+        stored_node.announce()
+        stored_node.wait(1)
+        assert stored_node.phase == phase
+
+
 def test_nothing_is_read_or_written_unless_departures_are_kept(
     stored_node: StoredNode,
 ) -> None:
