Pause before a departure is written again after a second conflict

Cause: a store that rejects each write, such as one that knows no objects of the kind, was called again on each answer, as fast as it answers. Found by reading.

Change: the first conflict is followed by a read at once, a later one in a row by the pauses of failed calls. 32 departures are kept instead of 64, so that they displace none of those that a process hears itself. The bench runs the timers as well.

Measured: a store that rejects writes gets less than 30 calls in 20 s (test).

--- a/bench/departures.py
+++ b/bench/departures.py
@@ -7,6 +7,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 import statistics
 import sys
@@ -20,7 +21,11 @@
     ACKNOWLEDGEMENT_WAIT_S,
     DepartureRecord,
 )
-from daisyline.coordination.effects import PlatformReply, PlatformWrite
+from daisyline.coordination.effects import (
+    PlatformRead,
+    PlatformReply,
+    PlatformWrite,
+)
 
 _NODE_COUNTS = (3, 12, 48)
 _SEED_COUNT = 20
@@ -63,7 +68,12 @@
             self._carry_out(record, record.add((f'i-{number}', 1), 0), 0)
         while self._queue:
             now, _, caller, answer = heapq.heappop(self._queue)
-            self._carry_out(caller, caller.handle(answer(), now), now)
+            effects = (
+                caller.tick(now)
+                if answer is None
+                else caller.handle(answer(), now)
+            )
+            self._carry_out(caller, effects, now)
 
     def _carry_out(
         self, record: DepartureRecord, effects: list[Any], now: float
@@ -71,12 +81,17 @@
         for effect in effects:
             if isinstance(effect, DeparturesStored):
                 self.stored_at.append(now)
-            elif hasattr(effect, 'token'):
+            elif isinstance(effect, (PlatformRead, PlatformWrite)):
                 self.calls += 1
                 at = now + self.rng.uniform(*_LATENCY_S)
                 answer = functools.partial(self._answer, effect)
-                entry = (at, next(self._order), record, answer)
-                heapq.heappush(self._queue, entry)
+                self._push(at, record, answer)
+        if not effects and not math.isinf(record.next_at()):
+            self._push(record.next_at(), record, None)
+
+    def _push(self, at: float, record: DepartureRecord, answer: Any) -> None:
+        entry = (at, next(self._order), record, answer)
+        heapq.heappush(self._queue, entry)
 
     def _answer(self, effect: Any) -> PlatformReply:
         version, content = self._stored.get(effect.name, (0, None))
@@ -95,6 +110,7 @@
         played.run(names)
     calls = sum(each.calls for each in runs) / len(runs) / len(names)
     times = [at for each in runs for at in each.stored_at]
+    assert len(times) == len(runs) * len(names), 'a departure is not stored'
     late = sum(at > ACKNOWLEDGEMENT_WAIT_S for at in times)
     row = (
         f'{label}: {calls:.1f} calls each',
--- a/daisyline/coordination/departures/departure_record.py
+++ b/daisyline/coordination/departures/departure_record.py
@@ -41,7 +41,8 @@
 # acknowledgement, in seconds.
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 8.0
-MAX_DEPARTURES = 64
+# Half of the starts that a process remembers, see `registration.MAX_LEFT`.
+MAX_DEPARTURES = 32
 _MAX_DOUBLINGS = 10
 _MS_PER_S = 1000
 _OK = 200
@@ -161,6 +162,11 @@
             return self._handle_written(written, reply.version, now)
         # Another version is there, or the object was deleted.
         self._must_read = True
+        if self._failures:
+            # A store that goes on rejecting writes is not called in a loop.
+            self._schedule_retry(now)
+            return []
+        self._failures += 1
         return self._start_call(now)
 
     def _is_known(self, departed: Incarnation) -> bool:
@@ -172,7 +178,6 @@
         )
 
     def _handle_read(self, reply: PlatformReply, now: float) -> Effects:
-        self._failures = 0
         self._must_read = False
         self._has_read = True
         self._version = reply.version if reply.status == _OK else 0
@@ -180,6 +185,8 @@
         stored = {departure.incarnation: departure for departure in listed}
         was_unsaved = bool(self._unsaved)
         self._unsaved.difference_update(stored)
+        if not self._unsaved:
+            self._failures = 0
         # An object that was deleted is written anew with the next departure.
         self._known = {**stored, **self._known}
         effects: Effects = [DeparturesRead(listed)]
--- a/tests/coordination/departures/test_departure_record.py
+++ b/tests/coordination/departures/test_departure_record.py
@@ -44,6 +44,7 @@
         now: The time in monotonic seconds.
         delay_s: How long each answer of the store takes, in seconds.
         loses_answers: Whether calls take effect but are not answered.
+        rejects_writes: Whether writes are answered with a conflict.
         calls: The reads and writes of the node's object.
     """
 
@@ -52,6 +53,7 @@
     now: float = 100
     delay_s: float = 0
     loses_answers: bool = False
+    rejects_writes: bool = False
     calls: list[Any] = attrs.field(factory=list)
     _replies: list[tuple[float, PlatformReply]] = attrs.field(factory=list)
 
@@ -115,7 +117,9 @@
     def _answer(self, effect: Any) -> None:
         reply = PlatformReply(effect.token, 503)
         if self.platform.up and isinstance(effect, PlatformWrite):
-            status, version = self.platform.write(effect)
+            status, version = 409, 0
+            if not self.rejects_writes:
+                status, version = self.platform.write(effect)
             reply = PlatformReply(effect.token, status, version)
         elif self.platform.up:
             version, content = self.platform.stored.get(OBJECT, (0, None))
@@ -246,6 +250,19 @@
     assert len(stored_node.calls) == 2
 
 
+def test_a_store_that_rejects_writes_is_not_called_in_a_loop(
+    stored_node: StoredNode,
+) -> None:
+    # Guards against a call for each answer, without a pause.
+    stored_node.rejects_writes = True
+    stored_node.handle(LEAVING)
+    stored_node.wait(20)
+    assert len(stored_node.calls) < 30
+    stored_node.rejects_writes = False
+    stored_node.wait(15)
+    assert stored_node.stored == ['i-1']
+
+
 def test_an_object_that_was_deleted_is_made_again(
     stored_node: StoredNode,
 ) -> None:
