--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination.departures.departure_record import DepartureRecord
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.membership.fleet_events import (
     GossipMessageReceived,
@@ -21,6 +22,10 @@
     MemberRecord,
     MemberState,
 )
+from daisyline.coordination.membership.join_progress import (
+    Exchange,
+    JoinProgress,
+)
 from daisyline.coordination.membership.outbox import compact, update_messages
 from daisyline.coordination.membership.seeds import SeedDiscovery
 from daisyline.coordination.settings.platform_reading import (
@@ -34,6 +39,7 @@
 from daisyline.state.targets import Target
 
 PAUSE_THRESHOLD_S = 1.0
+_US_PER_MS = 1000
 
 
 @attrs.define
@@ -45,14 +51,17 @@
 
     Attributes:
         cluster: The name of the cluster.
+        departures: What the platform stores of targets beside this node.
     """
 
     cluster: str
+    departures: DepartureRecord
     _gossip: Gossip
     _seed_discovery: SeedDiscovery
     _read_config: PlatformReadConfig = attrs.field(factory=PlatformReadConfig)
     _last_call_at: float = 0
     _has_left: bool = False
+    _join_progress: JoinProgress = attrs.field(factory=JoinProgress)
 
     @classmethod
     def from_config(
@@ -81,6 +90,13 @@
         seed_discovery = SeedDiscovery(own_member, peers, rng, now)
         return cls(
             cluster=cluster,
+            departures=DepartureRecord(
+                own_member.name,
+                rng,
+                now,
+                own_member.incarnation // _US_PER_MS,
+                is_enabled=read_config.keeps_departures,
+            ),
             gossip=gossip,
             seed_discovery=seed_discovery,
             read_config=read_config,
@@ -131,6 +147,7 @@
             self._gossip.next_at(),
             self._gossip.reader_role.next_at(),
             self._seed_discovery.next_at(),
+            self.departures.next_at(),
         )
 
     def tick(self, now: float) -> list[Any]:
@@ -148,6 +165,7 @@
         effects.extend(
             self._gossip.join_request(*address) for address in addresses
         )
+        effects.extend(self.departures.tick(now))
         effects.extend(self._collect_changes(now))
         assert self.next_at() > now, 'tick left overdue work'
         return effects
@@ -200,12 +218,15 @@
             return []
         self._detect_pause(now)
         effects = receive(event.message, self._gossip, event.node, now)
+        sender, root = self.members.get(event.node), self._gossip.digest.root
+        exchange = Exchange(event.message, sender, root, effects)
+        effects += self._join_progress.record(exchange)
         return effects + self._collect_changes(now)
 
     @handle.register
     def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
         gossip = self._gossip
-        effects: list[Any] = []
+        effects: list[Any] = self.departures.handle(event, now)
         result = gossip.reader_role.handle_reply(event, now)
         if result is not None:
             effects.extend(
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -20,6 +20,7 @@
     target_side_handlers,
 )
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.departures.departure_events import DeparturesRead
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
@@ -63,6 +64,8 @@
         effects += core.apply_announcement(None, now)
     if core.warm_at <= now:
         effects += core.mark_warm(now)
+    if core.target_side.registration.start_hold.next_at() <= now:
+        effects += target_notices.release_target(core, now)
     if core.target_side.next_at() <= now:
         effects += target_side_handlers.tick(core.target_side, now)
     for part in (core.entry, core.fleet, core.rollouts):
@@ -179,13 +182,9 @@
     """Apply an effect on this node; return None if it is for the transport."""
 
 
-@_apply.register
-def _(effect: Send, core: NodeCore, now: float) -> Effects | None:
-    return _deliver_to_self(effect.node, effect.message, core, now)
-
-
-@_apply.register
-def _(effect: ev.SendReply, core: NodeCore, now: float) -> Effects | None:
+@_apply.register(Send)
+@_apply.register(ev.SendReply)
+def _(effect: Any, core: NodeCore, now: float) -> Effects | None:
     return _deliver_to_self(effect.node, effect.message, core, now)
 
 
@@ -218,6 +217,12 @@
     return effects
 
 
+@_apply.register(fleet_events.FactsReceived)
+@_apply.register(DeparturesRead)
+def _(effect: Any, core: NodeCore, now: float) -> Effects:
+    return target_notices.apply_told(effect, core, now)
+
+
 @_apply.register
 def _(
     effect: fleet_events.MembersChanged, core: NodeCore, now: float
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -5,9 +5,6 @@
 import os
 import pathlib
 import socket
-import subprocess
-import sys
-import tempfile
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -17,7 +14,13 @@
 import attrs
 
 from standins.processes import HOST, Ports
-from tests.fixtures import Process, fetch, wait_until
+from tests.fixtures import (
+    Process,
+    fetch,
+    kept_on_failure,
+    start_logged,
+    wait_until,
+)
 from tests.platform.fixtures import MANIFEST, SETTINGS_FIELDS
 from tests.support import fixture
 
@@ -108,17 +111,13 @@
         self, module: str, *arguments: str, **env: str
     ) -> Process:
         """Start a program whose output goes to a file in the folder."""
-        number = len(self.processes)
-        log = pathlib.Path(self.folder, f'{number}-{module}.log')
-        with log.open('wb') as lines:
-            popen = subprocess.Popen(
-                [sys.executable, '-m', module, *arguments],
-                stdout=lines,
-                stderr=subprocess.STDOUT,
-                cwd=_SOURCES,
-                env={**os.environ, **env},
-            )
-        process = Process(popen)
+        process = start_logged(
+            self.folder,
+            len(self.processes),
+            [module, *arguments],
+            cwd=_SOURCES,
+            env={**os.environ, **env},
+        )
         self.processes.append(process)
         return process
 
@@ -167,6 +166,10 @@
             'daisyline.platform', DAISYLINE_SETTINGS=str(path)
         )
 
+    def restart_node(self, place: UsersPlace) -> None:
+        """Start the node of a place again, after it was killed."""
+        place.node = self.start_node(place.name, place.zone, place.ports)
+
     def change_settings(self, name: str, **fields: Any) -> None:
         """Change the settings file of a node without sending a signal."""
         path = pathlib.Path(self.folder, f'{name}.json')
@@ -204,12 +207,43 @@
         ]
 
 
+def let_target_say_that_it_leaves(
+    fleet: UsersFleet, leaving: UsersPlace
+) -> None:
+    """Send requests until one answer of the target says that it leaves."""
+    leaving.control_target(says_leaving=True)
+    wait_until(
+        lambda: (
+            'said'
+            in [
+                run['id'][:4]
+                for place in fleet.places
+                if place.send_request('/pages/1', 'said')
+                for run in leaving.control_target()['ran']
+            ]
+        )
+    )
+
+
+def send_for(fleet: UsersFleet, name: str, seconds: float) -> list[int]:
+    """Send requests at all nodes for a time; return the statuses."""
+    until = time.monotonic() + seconds
+    statuses = []
+    while time.monotonic() < until:
+        for place in fleet.places:
+            request_id = f'{name}{len(statuses)}'
+            answer = place.send_request('/pages/1', request_id)
+            statuses.append(answer.status)
+        time.sleep(0.01)
+    return statuses
+
+
 @fixture
 def users_fleet() -> Iterator[UsersFleet]:
     """Provide two nodes and targets in two zones, once they are ready."""
     ports = Ports.from_random()
     with contextlib.ExitStack() as stack:
-        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        folder = stack.enter_context(kept_on_failure())
         fleet = UsersFleet(ports, folder, ports.take())
         stack.callback(fleet.kill)
         fleet.start_program(
