--- /dev/null
+++ b/daisyline/coordination/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one node at a time performs; the first is the usage report."""
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -193,6 +193,28 @@
     state: str = ''
 
 
+@attrs.frozen(slots=True)
+class DutyChanged(Event):
+    """This node took over a single-holder duty or gave it up."""
+
+    duty: str = ''
+    state: str = ''
+    token: int = 0
+    window: int = 0
+    why: str = ''
+
+
+@attrs.frozen(slots=True)
+class UsageReported(Event):
+    """The platform answered the usage report of a window, or did not."""
+
+    window: int = 0
+    token: int = 0
+    status: int = 0
+    customers: int = 0
+    calls: int = 0
+
+
 Sink = Callable[[Event], None]
 
 
--- a/daisyline/coordination/internal_effects.py
+++ b/daisyline/coordination/internal_effects.py
@@ -3,7 +3,11 @@
 import attrs
 
 from daisyline.coordination.calls.messages import RunCall
-from daisyline.state.targets import Target
+from daisyline.state.rollout_state import CallSample
+from daisyline.state.targets import Phase, Target
+
+_US_PER_S = 1_000_000
+_SERVER_ERROR = 500
 
 
 @attrs.frozen
@@ -44,6 +48,24 @@
     service_s: float
     crashed: bool = False
 
+    def sample(self, target: Target, is_slow: bool) -> CallSample:
+        """Return the evidence about the target's version.
+
+        Args:
+            target: The target that ran the call.
+            is_slow: Whether the target is slowed down by its host.
+        """
+        return CallSample(
+            service=target.service,
+            version=target.version,
+            target=target.instance,
+            route=_route_of(self.run),
+            succeeded=bool(self.status) and self.status < _SERVER_ERROR,
+            service_us=int(self.service_s * _US_PER_S),
+            cold=target.phase == Phase.COLD or is_slow,
+            target_crashed=self.crashed,
+        )
+
 
 @attrs.frozen
 class CallServed:
@@ -58,3 +80,11 @@
     service: str
     tenant: str
     took_s: float
+
+
+def _route_of(run: RunCall) -> str:
+    """Return the method and the first path segment of a call."""
+    path = run.path.partition(b'?')[0].decode('latin-1')
+    first = path.strip('/').partition('/')[0]
+    method = run.method.decode('latin-1')
+    return f'{method} /{first}'
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -14,13 +14,13 @@
 from daisyline.coordination.calls.entry import Entry
 from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
 from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.duties.duties import Duties
 from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
 from daisyline.state.members import Member
-from daisyline.state.rollout_state import CallSample
 from daisyline.state.targets import Phase, Target
 
 # A target gets no calls if it has not announced itself for this long.
@@ -36,9 +36,7 @@
 # The number of interrupted requests that are kept until the target restarts;
 # larger than the number of calls that a target runs at a time.
 _MAX_INTERRUPTED_REQUESTS = 64
-_US_PER_S = 1_000_000
 _US_PER_MS = 1_000
-_SERVER_ERROR = 500
 
 Effects = list[Any]
 
@@ -54,6 +52,7 @@
         fleet: Membership and settings.
         rollouts: The progress of rollouts.
         quarantine: Requests that are suspected to crash targets.
+        duties: The calls to the platform that one node at a time makes.
         events: The record of decisions.
         latencies: Histograms of call durations.
         lease_s: The lease of the target's announcements, in seconds.
@@ -71,6 +70,7 @@
     fleet: Fleet
     rollouts: Rollouts
     quarantine: Quarantine
+    duties: Duties
     events: log.EventLog
     latencies: Latencies
     lease_s: float = TARGET_LEASE_S
@@ -121,6 +121,7 @@
             ),
             rollouts=Rollouts.from_config(own_member.name, rng, now, events),
             quarantine=Quarantine.from_config(own_member.name, rng, events),
+            duties=Duties(own_member, events),
             events=events,
             latencies=Latencies.from_config(),
             started_ms=own_member.incarnation // _US_PER_MS,
@@ -130,6 +131,9 @@
         core.entry.is_suspect = core.is_suspect
         core.entry.suspected_nodes = lambda: core.fleet.suspects
         core.target_side.check_call = core.check_call
+        core.duties.members = lambda: core.fleet.members
+        core.duties.suspects = lambda: core.fleet.suspects
+        core.duties.facts = lambda: core.fleet.facts
         core.entry.update_members(core.fleet.members.values(), (), now)
         return core
 
@@ -140,6 +144,7 @@
             self.target_side.next_at(),
             self.fleet.next_at(),
             self.rollouts.next_at(),
+            self.duties.next_at(),
             self.lease_ends_at,
             self.warm_at,
         )
@@ -203,7 +208,10 @@
             request = _fingerprint(event.run)
             effects += self.quarantine.record_success(request, now)
         if target is not None:
-            self.rollouts.record_call(self._sample(event, target), now)
+            # Slowness caused by other load on the host is not evidence
+            # against the version.
+            is_slow = self.target_side.pace.is_slow
+            self.rollouts.record_call(event.sample(target, is_slow), now)
         return effects
 
     def _lease_of(self, target: Target) -> float:
@@ -297,35 +305,11 @@
             if call.started_at is not None
         ]
 
-    def _sample(
-        self, event: internal_effects.TargetCallEnded, target: Target
-    ) -> CallSample:
-        return CallSample(
-            service=target.service,
-            version=target.version,
-            target=target.instance,
-            route=_route_of(event.run),
-            succeeded=bool(event.status) and event.status < _SERVER_ERROR,
-            service_us=int(event.service_s * _US_PER_S),
-            # Slowness caused by other load on the host is not evidence
-            # against the version.
-            cold=target.phase == Phase.COLD or self.target_side.pace.is_slow,
-            target_crashed=event.crashed,
-        )
-
 
 def _fingerprint(run: msg.RunCall) -> str:
     return fingerprint(run.method, run.path, run.body)
 
 
-def _route_of(run: msg.RunCall) -> str:
-    """Return the method and the first path segment of a call."""
-    path = run.path.partition(b'?')[0].decode('latin-1')
-    first = path.strip('/').partition('/')[0]
-    method = run.method.decode('latin-1')
-    return f'{method} /{first}'
-
-
 def _target_changed_event(
     target: Target | None, cold_s: float, now: float
 ) -> log.TargetChanged:
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -20,6 +20,7 @@
     target_side_handlers,
 )
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.duties import duty_handlers
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
@@ -64,7 +65,7 @@
         effects += core.mark_warm(now)
     if core.target_side.next_at() <= now:
         effects += target_side_handlers.tick(core.target_side, now)
-    for part in (core.entry, core.fleet, core.rollouts):
+    for part in (core.entry, core.fleet, core.rollouts, core.duties):
         if part.next_at() <= now:
             effects += part.tick(now)
     return _apply_all(effects, core, now)
@@ -78,7 +79,8 @@
     used = key_handover.used_keys_messages(
         core.name, core.target_side, core.entry, now
     )
-    return _apply_all([*used, *core.fleet.leave(now)], core, now)
+    counts = core.duties.leave(now)
+    return _apply_all([*used, *counts, *core.fleet.leave(now)], core, now)
 
 
 def _apply_all(effects: Effects, core: NodeCore, now: float) -> Effects:
@@ -104,6 +106,7 @@
     return [
         *entry_handlers.handle(event, core.entry, now),
         *target_side_handlers.handle(event, core.target_side, now),
+        *duty_handlers.handle(event, core.duties, now),
     ]
 
 
@@ -116,6 +119,8 @@
         ]
     if isinstance(event.message, Evidence):
         return core.rollouts.handle(event.message, now)
+    if duty_handlers.is_for_duties(event.message):
+        return duty_handlers.handle(event, core.duties, now)
     received = fleet_events.GossipMessageReceived(event.node, event.message)
     return core.fleet.handle(received, now)
 
@@ -164,12 +169,14 @@
     return [
         *core.fleet.handle(event, now),
         *core.rollouts.handle(event, now),
+        *duty_handlers.handle(event, core.duties, now),
     ]
 
 
 @functools.singledispatch
 def _apply(effect: Any, core: NodeCore, now: float) -> Effects | None:
     """Apply an effect on this node; return None if it is for the transport."""
+    return duty_handlers.apply(effect, core.duties, now)
 
 
 @_apply.register
@@ -204,6 +211,7 @@
 def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
     core.quarantine.handle(effect, now)
     effects = core.rollouts.handle(effect, now)
+    effects += duty_handlers.handle(effect, core.duties, now)
     effects += target_notices.apply_departure(effect.fact, core, now)
     if effect.fact.kind in ORDER_KINDS:
         effects += core.fleet.apply_orders(now)
@@ -221,6 +229,7 @@
     for event in member_events(names, known, live, now):
         core.events.add(event)
     core.entry.update_members(changed, effect.removed, now)
+    core.duties.change_members(now)
     if has_joined or effect.removed:
         core.rollouts.replace_members(tuple(live))
     return []
@@ -235,6 +244,7 @@
     for event in zone_events(core.entry.table.settings, settings, now):
         core.events.add(event)
     core.entry.use_settings(settings, now)
+    core.duties.use_settings(settings, now)
     plans = map(settings.rollout_of, settings.services)
     return [
         *core.target_side.use_settings(settings, now),
@@ -270,6 +280,7 @@
 def _(
     effect: internal_effects.TargetCallEnded, core: NodeCore, now: float
 ) -> Effects:
+    core.duties.record_end(effect.run.call)
     return core.record_observation(effect, now)
 
 
--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -8,6 +8,7 @@
 from daisyline.coordination.settings.reader_role import SETTINGS_KIND
 from daisyline.platform import wire
 from daisyline.platform.boot import Boot
+from daisyline.platform.duty_api import DutyCodec, duty_config
 from daisyline.platform.notices import NoticeReader, acknowledge
 from daisyline.platform.store import StoreCodec
 from daisyline.protocol.front_end import FrontEnd
@@ -34,6 +35,9 @@
         stop_notice_s=_STOP_NOTICE_S,
         logs_decisions=True,
         stop_timeout_s=boot.stop_s - _STOP_MARGIN_S,
+        duty_config=duty_config(boot),
+        duty_address=boot.duty_api,
+        duty_codec=DutyCodec(),
     )
 
 
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination.duties import duty_record
 from daisyline.coordination.membership import seeds
 from daisyline.coordination.rollouts import rollout_record
 from daisyline.coordination.settings import order_reading, reader_role
@@ -101,7 +102,21 @@
     path: str = 'node-seeds'
 
 
-Kind = Manifests | Evacuations | RolloutOrders | RolloutRecords | SeedLists
+@attrs.frozen
+class Duties:
+    """Who holds a single-holder duty, and the reports it has written."""
+
+    path: str = 'duties'
+
+
+Kind = (
+    Manifests
+    | Evacuations
+    | RolloutOrders
+    | RolloutRecords
+    | SeedLists
+    | Duties
+)
 
 
 def kinds_of(boot: Boot) -> dict[str, Kind]:
@@ -112,6 +127,7 @@
         order_reading.ROLLOUTS_KIND: RolloutOrders(boot),
         rollout_record.OBJECT_KIND: RolloutRecords(),
         seeds.SEEDS_KIND: SeedLists(),
+        duty_record.OBJECT_KIND: Duties(),
     }
 
 
--- a/daisyline/platform/wire.py
+++ b/daisyline/platform/wire.py
@@ -9,6 +9,10 @@
 READY_PATH = '/-/readiness'
 NOTICE_PATH = '/-/rpc'
 OBJECTS_PATH = '/-/objects'
+USAGE_PATH = b'/usage'
+
+HOLDER_HEADER = b'Duty-Holder'
+FENCE_HEADER = b'Fencing-Token'
 
 # An answer that breaks off within this size can still be retried. Most answers
 # are shorter and are received in one read.
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from daisyline.coordination.calls import messages
+from daisyline.coordination.duties.usage_messages import UsageCounts
 from daisyline.coordination.membership import gossip_messages as gossip
 from daisyline.coordination.rollouts import evidence_messages as evidence
 
@@ -53,6 +54,7 @@
     gossip.SettingsHolders,
     evidence.Evidence,
     messages.KeysUsed,
+    UsageCounts,
 )
 
 
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -6,6 +6,8 @@
 import attrs
 
 from daisyline.coordination.calls.registration import Announcement
+from daisyline.coordination.duties.duty_config import DutyConfig
+from daisyline.coordination.duties.duty_events import ReportUsage, UsageReply
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import TARGET_LEASE_S
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
@@ -46,6 +48,18 @@
         """Return the event for an answer; a status of 0 means no answer."""
 
 
+class DutyCodec(Protocol):
+    """Encodes the calls of single-holder duties; decodes the answers."""
+
+    def encode_request(self, effect: ReportUsage, host: str) -> Request:
+        """Return the HTTP request for a report."""
+
+    def decode_reply(
+        self, effect: ReportUsage, status: int, retry_after: bytes
+    ) -> UsageReply:
+        """Return the event for an answer; a status of 0 means no answer."""
+
+
 @attrs.frozen
 class ReloadResult:
     """The result of reading a node's own settings again.
@@ -91,6 +105,10 @@
             progress, in seconds.
         settings_path: The file that `reload` reads; empty if there is none.
         reload: Reads the node's own settings again.
+        duty_config: The settings of the usage report; None if usage is not
+            reported.
+        duty_address: The IP address and the TCP port for reports.
+        duty_codec: Encodes reports and decodes the answers.
     """
 
     dialect: Dialect = attrs.field(factory=Dialect)
@@ -105,3 +123,6 @@
     logs_decisions: bool = False
     settings_path: str = ''
     reload: Callable[[], ReloadResult] = _reload_nothing
+    duty_config: DutyConfig | None = None
+    duty_address: tuple[str, int] | None = None
+    duty_codec: DutyCodec | None = None
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -68,13 +68,17 @@
     from daisyline.protocol.metrics import metrics_text  # noqa: PLC0415
 
     load = core.target_side.load
-    counters = {'sink_failures_total': core.events.sink_failures}
+    counters = {
+        'sink_failures_total': core.events.sink_failures,
+        **core.duties.counters(),
+    }
     gauges = {
         'running': load.running,
         'waiting': load.waiting,
         'slots_usable': load.limit,
         'members': len(core.fleet.members),
         'settings_version': core.fleet.settings.version,
+        **core.duties.gauges(),
     }
     return metrics_text(core.latencies, counters, gauges)
 
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -9,6 +9,10 @@
 from daisyline.coordination import internal_effects
 from daisyline.coordination.admission.pace_events import ProbeTarget
 from daisyline.coordination.calls import call_events as ev
+from daisyline.coordination.duties.duty_events import (
+    DropUnsentReports,
+    ReportUsage,
+)
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -22,6 +26,7 @@
 )
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol.front_end import FrontEnd
+from daisyline.transport.duty_client import DutyClient
 from daisyline.transport.loop import Loop
 from daisyline.transport.platform_client import PlatformClient
 from daisyline.transport.ports import Ports
@@ -40,6 +45,7 @@
         ports: The connections that callers and the target opened.
         pool: The connections to the target.
         log: A logger with loguru's methods.
+        duties: The client for single-holder duties; None without them.
     """
 
     streams: Streams
@@ -47,6 +53,7 @@
     ports: Ports
     pool: TargetPool
     log: Any = None
+    duties: DutyClient | None = None
 
     @classmethod
     def from_config(
@@ -77,9 +84,18 @@
             ),
             ports=Ports(loop, core, start, on_event, front, config.service),
             pool=TargetPool(loop, on_event, front.dialect),
+            duties=_duty_client(front, loop, on_event),
         )
 
 
+def _duty_client(
+    front: FrontEnd, loop: Loop, on_event: Callable[[Any], None]
+) -> DutyClient | None:
+    if front.duty_address is None or front.duty_codec is None:
+        return None
+    return DutyClient(loop, front.duty_address, on_event, front.duty_codec)
+
+
 @functools.singledispatch
 def perform(effect: Any, transports: Transports) -> None:
     """Carry out one effect.
@@ -113,6 +129,18 @@
     transports.platform.call(effect)
 
 
+@perform.register
+def _(effect: ReportUsage, transports: Transports) -> None:
+    assert transports.duties is not None, 'a report without an address'
+    transports.duties.call(effect)
+
+
+@perform.register
+def _(effect: DropUnsentReports, transports: Transports) -> None:
+    if transports.duties is not None:
+        transports.duties.drop_unsent()
+
+
 @perform.register
 def _(effect: ev.AnswerCaller, transports: Transports) -> None:
     connection = transports.ports.find_caller(effect.call, effect.last)
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -130,6 +130,8 @@
             front.read_config,
         )
         core.lease_s = front.lease_s
+        core.duties.config = front.duty_config
+        core.duties.wall_clock = time.time
         relay = _EventRelay()
         transports = Transports.from_config(config, front, loop, core, relay)
         node = cls(loop, core, attrs.evolve(transports, log=log), front)
@@ -189,6 +191,9 @@
             self._transports.platform.set_endpoint(
                 reloaded.platform, reloaded.front_end.platform_codec
             )
+            duties = self._transports.duties
+            if duties is not None and self._front.duty_address is not None:
+                duties.use_address(self._front.duty_address)
         changed = ', '.join(reloaded.changed) or 'nothing'
         log.info(f'Settings of this node were reloaded; changed: {changed}.')
 
--- /dev/null
+++ b/tests/coordination/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `daisyline.coordination.duties`."""
