Report again after an outage of more than a minute of windows

Cause: the model found that after an outage longer than 60 windows no window was closed again: nodes began their messages with windows that the holder had skipped, and a message holds 16 windows at most. Change: nodes and the holder drop windows by the same number.

--- a/daisyline/coordination/duties/duty_config.py
+++ b/daisyline/coordination/duties/duty_config.py
@@ -17,6 +17,10 @@
 _MAX_SETTLE_S = 0.5
 # Beyond these candidates, each waits for a whole takeover of the one before.
 _FAST_CANDIDATES = 3
+# Older windows are neither kept nor reported, as their reports are overdue by
+# minutes. Nodes and the holder must use the same number: a message begins with
+# the oldest windows, and the holder waits for those that it reports.
+MAX_OPEN_WINDOWS = 60
 # Other duties may share the limit of calls.
 _CALL_RATE_SHARE = 0.5
 
--- a/daisyline/coordination/duties/usage_counters.py
+++ b/daisyline/coordination/duties/usage_counters.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from daisyline.coordination.duties.duty_config import DutyConfig, Moment
+from daisyline.coordination.duties.duty_config import (
+    MAX_OPEN_WINDOWS,
+    DutyConfig,
+    Moment,
+)
 from daisyline.coordination.duties.duty_record import DutyNotice
 from daisyline.coordination.duties.usage_messages import UsageCounts
 
@@ -13,8 +17,6 @@
 # Final counts are sent again after this time, as their stream may have been
 # lost.
 RESEND_INTERVAL_S = 2.5
-# Older windows are dropped: their reports are overdue by many minutes.
-MAX_KEPT_WINDOWS = 240
 # Bounds the size of a message; the other windows follow in the next ones.
 MAX_WINDOWS_PER_MESSAGE = 16
 # Nodes do not send at the same time.
@@ -106,7 +108,7 @@
             or final > self._sent_final
             or is_unconfirmed
         )
-        self._drop_oldest()
+        self._drop_oldest(final - MAX_OPEN_WINDOWS)
         self._schedule(at)
         if not is_due:
             return None
@@ -144,7 +146,8 @@
             max(at.now, final_at) + self._phase_s, at.now + SEND_INTERVAL_S
         )
 
-    def _drop_oldest(self) -> None:
-        dropped = sorted(self._totals)[:-MAX_KEPT_WINDOWS]
-        for window in dropped:
-            self.dropped += sum(self._totals.pop(window).values())
+    def _drop_oldest(self, first: int) -> None:
+        """Drop the windows before the first one that is still reported."""
+        dropped = [window for window in self._totals if window < first]
+        for number in dropped:
+            self.dropped += sum(self._totals.pop(number).values())
--- a/daisyline/coordination/duties/window_closing.py
+++ b/daisyline/coordination/duties/window_closing.py
@@ -5,15 +5,17 @@
 
 import attrs
 
-from daisyline.coordination.duties.duty_config import DutyConfig, Moment
+from daisyline.coordination.duties.duty_config import (
+    MAX_OPEN_WINDOWS,
+    DutyConfig,
+    Moment,
+)
 from daisyline.coordination.duties.duty_record import Counts
 from daisyline.coordination.duties.duty_stages import Holding
 from daisyline.coordination.duties.usage_collection import UsageCollection
 
 # Windows that one write adds at most.
 MAX_WINDOWS_PER_WRITE = 8
-# Older windows are not reported any more, as their counts are lost.
-MAX_CATCH_UP_WINDOWS = 60
 # A holder that lost sight of more than half of the fleet within this time
 # closes no window, since it is probably cut off and its counts are partial.
 FLEET_SIZE_MEMORY_S = 20.0
@@ -84,7 +86,7 @@
     def _open_windows(self, held: Holding, at: Moment) -> range:
         """Return the windows that have ended and are not written."""
         end = self._config.window_of(at.wall - self._config.settle_s)
-        first = max(held.record.newest + 1, end - MAX_CATCH_UP_WINDOWS)
+        first = max(held.record.newest + 1, end - MAX_OPEN_WINDOWS)
         return range(first, min(end, first + MAX_WINDOWS_PER_WRITE))
 
     def _can_close(
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.duties.usage_messages import UsageCounts
 from daisyline.protocol.frames import (
     MAX_FRAME_BYTES,
     BadFrame,
@@ -44,6 +45,7 @@
     msg.BodyCredit('c', 5),
     msg.QueryCall('c'),
     msg.CallRunning('c'),
+    UsageCounts(5, 12, 3, 8, ((7, (('acme', 2),)),)),
     *MESSAGES,
 )
 TAG_COUNT = 32
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -17,6 +17,7 @@
 
 from daisyline.coordination import events
 from daisyline.coordination.calls import quarantine
+from daisyline.coordination.duties import duty_record
 from daisyline.coordination.membership import gossip_records, seeds
 from daisyline.coordination.rollouts import evidence_messages, rollout_record
 from daisyline.coordination.settings import order_reading, reader_role
@@ -199,6 +200,7 @@
         order_reading.ROLLOUTS_KIND,
         rollout_record.OBJECT_KIND,
         seeds.SEEDS_KIND,
+        duty_record.OBJECT_KIND,
     )
     return sorted(kinds)
 
@@ -250,6 +252,7 @@
         f'{rollout_state.FACT_KIND}: {_types(rollout_state.RolloutState)}',
         f'{quarantine.FACT_KIND}: {_types(quarantine.CrashReport)}',
         f'{departures.DEPARTURE}: {departed}',
+        f'{duty_record.FACT_KIND}: {_types(duty_record.DutyNotice)}',
     ]
     _check(listed, 'Facts', rows)
 
