--- a/daisyline/coordination/duties/duty_record.py
+++ b/daisyline/coordination/duties/duty_record.py
@@ -128,7 +128,7 @@
             return None
         try:
             return cls(
-                holder=str(content['holder']),
+                holder=_text(content['holder']),
                 start=int(content['start']),
                 token=_bounded(content['token'], _MAX_TOKEN),
                 newest=_bounded(content['newest'], _MAX_WINDOW),
@@ -152,6 +152,17 @@
     return {str(customer): int(count) for customer, count in counts.items()}
 
 
+def _text(name: Any) -> str:
+    """Return a string of a record.
+
+    Raises:
+        TypeError: If it is none.
+    """
+    if not isinstance(name, str):
+        raise TypeError('a node is named by a string')
+    return name
+
+
 def _bounded(number: Any, maximum: int) -> int:
     """Return an integer of a record.
 
--- a/tests/coordination/duties/test_duty_machine.py
+++ b/tests/coordination/duties/test_duty_machine.py
@@ -48,7 +48,7 @@
         """Start all nodes and wait for the first holder."""
         config = HASTY if is_hasty else CONFIG
         config = attrs.evolve(config, is_fenced=is_fenced)
-        self.fleet = DutyFleet(random.Random(seed), config)
+        self.fleet = DutyFleet(rng=random.Random(seed), config=config)
         self.fleet.api.is_fenced = is_fenced
         for name in NAMES:
             self.fleet.start(name)
@@ -69,7 +69,7 @@
     @rule(seconds=_SECONDS)
     def kill_holder(self, seconds: float) -> None:
         """Kill the holders and start them again."""
-        for name in self.fleet.holders:
+        for name in self.fleet.holders():
             self.restart(name, seconds)
 
     @rule(
@@ -82,7 +82,7 @@
         self, seconds: float, is_cut: bool, is_reported: bool, ticks_first: bool
     ) -> None:
         """Suspend the holders, which may not notice it, nor get messages."""
-        suspended = self.fleet.holders
+        suspended = self.fleet.holders()
         for name in suspended:
             self.fleet.suspend(name)
             self.fleet.cut(name, is_cut=is_cut)
@@ -101,7 +101,7 @@
     @rule(seconds=_SECONDS)
     def refuse_holder(self, seconds: float) -> None:
         """Let the store reject the holder and serve the other nodes."""
-        self.fleet.refused = set(self.fleet.holders)
+        self.fleet.refused = set(self.fleet.holders())
         self._pass_time(seconds)
         self.fleet.refused = set()
 
@@ -131,7 +131,7 @@
         self.fleet.lost_answers = lost
         self._pass_time(seconds)
 
-    @precondition(lambda self: self._is_quiet())
+    @precondition(lambda machine: machine._is_quiet())
     @rule()
     def delete_object(self) -> None:
         """Delete the object while no write is in flight."""
@@ -151,8 +151,10 @@
             return
         fleet = self.fleet
         fleet.refused = set()
-        fleet.store_delay_s = fleet.api_delay_s = 0.02
-        fleet.lost_replies = fleet.lost_answers = 0
+        fleet.store_delay_s = 0.02
+        fleet.api_delay_s = 0.02
+        fleet.lost_replies = 0
+        fleet.lost_answers = 0
         for name, node in fleet.nodes.items():
             fleet.resume(name)
             fleet.cut(name, is_cut=False)
@@ -161,7 +163,7 @@
         fleet.run(RECOVERY_S)
         last = fleet.config.window_of(fleet.now - CONFIG.late_s) - 1
         assert last in fleet.api.reports, 'windows are reported again'
-        assert len(fleet.holders) == 1
+        assert len(fleet.holders()) == 1
 
     def _pass_time(self, seconds: float) -> None:
         end = self.fleet.now + seconds
