Run the usage report end to end on the stand-in platform

Cause: no test showed nodes, store and report API together. Change: the stand-in takes reports, checks tokens and counts, and answers writes of objects with the object, as it answers reads; without that each write looked lost. The check of the settings tree accepts the keys of a customer.

--- a/daisyline/state/settings_check.py
+++ b/daisyline/state/settings_check.py
@@ -118,7 +118,9 @@
     },
     required=('host', 'prefix', _SERVICES),
 )
-_TENANT = Section({'weight': IntegerRange(1, MAX_WEIGHT)})
+_TENANT = Section(
+    {'weight': IntegerRange(1, MAX_WEIGHT), 'keys': UniqueList(_TEXT)}
+)
 _TREE = Section(
     {
         'cluster': _TEXT,
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -11,10 +11,12 @@
 from standins import store
 from standins.http import Message
 from standins.http_server import Exchange
-from standins.platform import HOST, MS_PER_S, Platform
+from standins.platform import BAD_REQUEST, HOST, MS_PER_S, Platform
+from standins.usage_records import UsageRecords
 
 _PREFIX = ('', '-', 'objects')
 _CREATED = 'createdRev'
+_USAGE_PATH = '/usage'
 
 
 @attrs.define(eq=False)
@@ -24,10 +26,12 @@
     Attributes:
         exchange: The exchange that carries the answer.
         name: The object's name; empty for a list or a watch.
+        written: What a write puts into the object; None for other calls.
     """
 
     exchange: Exchange
     name: str = ''
+    written: Any = None
 
     @property
     def connection(self) -> Any:
@@ -44,6 +48,10 @@
                 for fields in shown
             ]
             body = {'items': shown, 'events': events, 'at': at, 'more': False}
+        elif status == store.OK and self.written is not None:
+            body = _object_of(
+                {**body, 'name': self.name, 'value': self.written}
+            )
         elif status == store.OK and 'value' in body:
             body = _object_of(body)
         self.exchange.answer(status, body)
@@ -80,7 +88,15 @@
 class UsersPlatform(Platform):
     """Serves the API of the users' platform over the store."""
 
+    def __init__(self, loop: Loop, object_store: store.Store) -> None:
+        """Prepare to serve a store and to take reports."""
+        super().__init__(loop, object_store)
+        self._usage = UsageRecords()
+
     def _serve_objects(self, exchange: Exchange, request: Message) -> None:
+        if request.path == _USAGE_PATH:
+            self._serve_usage(exchange, request)
+            return
         url = urls.urlsplit(request.path)
         parts = [urls.unquote(part) for part in url.path.split('/')]
         if tuple(parts[:3]) != _PREFIX:
@@ -93,6 +109,19 @@
             if isinstance(message, store.Watch):
                 self._expire_later(message)
 
+    def _serve_usage(self, exchange: Exchange, request: Message) -> None:
+        """Take a report, or show those that were taken."""
+        if request.method == 'GET':
+            exchange.answer(store.OK, attrs.asdict(self._usage))
+            return
+        holder = request.headers.get('duty-holder', '')
+        token = request.headers.get('fencing-token', '')
+        if not holder or not token.isdigit():
+            exchange.answer(BAD_REQUEST, {})
+            return
+        status = self._usage.report(holder, int(token), request.json())
+        exchange.answer(status, {})
+
     def _message(
         self,
         exchange: Exchange,
@@ -132,7 +161,7 @@
         updated = dict(self._current(kind, name).get('value') or {})
         updated.setdefault(_CREATED, self._store.revision + 1)
         updated[part or 'spec'] = fields.get(part or 'spec')
-        call = _PendingCall(exchange, name)
+        call = _PendingCall(exchange, name, updated)
         return store.Write(call, kind, name, version, updated)
 
     def _current(self, kind: str, name: str) -> dict[str, Any]:
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -50,6 +50,7 @@
         request_id: str,
         method: str = 'GET',
         deadline_ms: str = '2000',
+        customer: str = '',
     ) -> Response:
         """Send a request from a client on the same machine."""
         with contextlib.closing(
@@ -63,6 +64,8 @@
                 'Deadline-Ms': deadline_ms,
                 'Expected-Instance': 'forged',
             }
+            if customer:
+                headers['X-Tenant'] = customer
             connection.request(method, path, headers=headers)
             response = connection.getresponse()
             response_headers = {
@@ -99,6 +102,8 @@
     ports: Ports
     folder: str
     platform_port: int
+    node_program: str = 'daisyline.platform'
+    settings: dict[str, Any] = attrs.field(factory=dict)
     processes: list[Process] = attrs.field(factory=list)
     places: list[UsersPlace] = attrs.field(factory=list)
 
@@ -156,13 +161,15 @@
             'peers_port': ports['peers'],
             'operators_port': ports['operators'],
         }
+        if 'usage_window_s' in self.settings:
+            fields['duty_api'] = fields['store']
         for role in ('callers', 'notices', 'ready', 'target'):
             fields[role] = f'{HOST}:{ports[role]}'
-        fields.update(settings)
+        fields.update(self.settings | settings)
         path = pathlib.Path(self.folder, f'{name}.json')
         path.write_text(json.dumps(fields), encoding='utf-8')
         return self.start_program(
-            'daisyline.platform', DAISYLINE_SETTINGS=str(path)
+            self.node_program, DAISYLINE_SETTINGS=str(path)
         )
 
     def change_settings(self, name: str, **fields: Any) -> None:
@@ -205,10 +212,24 @@
 @fixture
 def users_fleet() -> Iterator[UsersFleet]:
     """Provide two nodes and targets in two zones, once they are ready."""
+    with running_fleet() as fleet:
+        yield fleet
+
+
+@contextlib.contextmanager
+def running_fleet(
+    node_program: str = 'daisyline.platform', **settings: Any
+) -> Iterator[UsersFleet]:
+    """Run two nodes and targets in two zones.
+
+    Args:
+        node_program: The module that runs a node.
+        settings: Settings of all nodes.
+    """
     ports = Ports.from_random()
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        fleet = UsersFleet(ports, folder, ports.take())
+        fleet = UsersFleet(ports, folder, ports.take(), node_program, settings)
         stack.callback(fleet.kill)
         fleet.start_program(
             'standins.users_platform',
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -21,8 +21,7 @@
 from daisyline.coordination.membership import gossip_records, seeds
 from daisyline.coordination.rollouts import evidence_messages, rollout_record
 from daisyline.coordination.settings import order_reading, reader_role
-from daisyline.platform.boot import Boot
-from daisyline.platform.kinds import kinds_of
+from daisyline.platform import boot, kinds
 from daisyline.programs import node_settings, operator
 from daisyline.protocol import frames
 from daisyline.state import (
@@ -194,7 +193,7 @@
 
 
 def _kinds_of_objects() -> list[str]:
-    kinds = (
+    names = (
         reader_role.SETTINGS_KIND,
         order_reading.ZONES_KIND,
         order_reading.ROLLOUTS_KIND,
@@ -202,7 +201,7 @@
         seeds.SEEDS_KIND,
         duty_record.OBJECT_KIND,
     )
-    return sorted(kinds)
+    return sorted(names)
 
 
 def _check(listed: Sections, heading: str, names: list[str]) -> None:
@@ -282,9 +281,9 @@
 
 def test_kinds_of_objects_stay(listed: Sections) -> None:
     _check(listed, 'Kinds of objects', _kinds_of_objects())
-    kinds: dict[str, Any] = kinds_of(Any)
-    assert sorted(kinds) == _kinds_of_objects()
-    paths = sorted(kind.path for kind in kinds.values())
+    by_name: dict[str, Any] = kinds.kinds_of(Any)
+    assert sorted(by_name) == _kinds_of_objects()
+    paths = sorted(kind.path for kind in by_name.values())
     _check(listed, "Kinds of objects on the users' platform", paths)
 
 
@@ -293,7 +292,7 @@
 
 
 def test_keys_of_the_settings_file_stay(listed: Sections) -> None:
-    names = [field.name for field in attrs.fields(Boot)]
+    names = [field.name for field in attrs.fields(boot.Boot)]
     _check(listed, 'Keys of deploy/node.json', names)
 
 
