--- a/tests/coordination/test_node_core.py
+++ b/tests/coordination/test_node_core.py
@@ -7,6 +7,7 @@
 from daisyline.coordination import node_handlers
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls.quarantine import fingerprint
+from daisyline.coordination.duties.duty_config import DutyConfig
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.node_core import NodeCore
 from daisyline.coordination.settings.reader_role import SETTINGS_KIND
@@ -51,6 +52,27 @@
     return node_handlers.handle(event, core, 1)
 
 
+def test_calls_are_counted_for_customers_unless_they_were_declined() -> None:
+    # Guards against reports that miss calls or include some that never ran.
+    core = _core()
+    assert core.duties.usage is None
+    core.duties.config = DutyConfig(window_s=5, late_s=10)
+    core.duties.wall_clock = lambda: 12.0
+    tenants = {'tenants': {'default': {}, 'acme': {'keys': ['h']}}}
+    core.duties.use_settings(Settings.from_tree(2, tenants), 0)
+    for call in ('ran', 'declined', 'unsent'):
+        run = run_message(call, tenant='acme')
+        _handle(core, ev.CallMessageReceived('entry', run))
+    failed = ev.TargetCallFailed
+    _handle(core, failed('declined', True, False, '', declined=True))
+    _handle(core, failed('unsent', False, False, ''))
+    _handle(core, ev.TargetAnswerHead('ran', 200, (), b'', last=True))
+    _offer(core, 'anonymous', b'/')
+    assert core.duties.usage is not None
+    assert core.duties.usage.counters._totals == {2: {'acme': 1}}
+    assert not core.duties.usage.counters._running
+
+
 def test_a_crash_counts_once_for_all_calls_that_it_interrupts() -> None:
     core = _core()
     paths = (b'/poison', b'/list', b'/stock')
