Merge the usage report, a duty of one node at a time

One node at a time reports how many calls of each customer began to run. The end-to-end test uses customers of the manifest in place of a patched translation.

--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -13,6 +13,7 @@
 from daisyline.coordination.calls.entry import Entry
 from daisyline.coordination.calls.quarantine import Quarantine
 from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.duties.duties import Duties
 from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
@@ -23,7 +24,6 @@
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.histograms import Latencies
 from daisyline.state.members import Member
-from daisyline.state.rollout_state import CallSample
 from daisyline.state.targets import Phase, Target
 
 # A target gets no calls if it has not announced itself for this long.
@@ -31,9 +31,7 @@
 # The lease of the first announcement of a target that was started before this
 # process: two of the intervals at which targets announce themselves, in seconds.
 FIRST_LEASE_S = 3.0
-_US_PER_S = 1_000_000
 _US_PER_MS = 1_000
-_SERVER_ERROR = 500
 
 Effects = list[Any]
 
@@ -50,6 +48,7 @@
         rollouts: The progress of rollouts.
         quarantine: Requests that are suspected to crash targets.
         crashes: Crashes of the target beside this node.
+        duties: The calls to the platform that one node at a time makes.
         events: The record of decisions.
         latencies: Histograms of call durations.
         lease_s: The lease of the target's announcements, in seconds.
@@ -68,6 +67,7 @@
     rollouts: Rollouts
     quarantine: Quarantine
     crashes: TargetCrashes
+    duties: Duties
     events: log.EventLog
     latencies: Latencies
     lease_s: float = TARGET_LEASE_S
@@ -113,6 +113,7 @@
             rollouts=Rollouts.from_config(own_member.name, rng, now, events),
             quarantine=quarantine,
             crashes=TargetCrashes(quarantine, own_member.name, target_side),
+            duties=Duties(own_member, events),
             events=events,
             latencies=Latencies.from_config(),
             started_ms=own_member.incarnation // _US_PER_MS,
@@ -123,6 +124,9 @@
         core.entry.retrial_node = core.retrial_node
         core.entry.suspected_nodes = lambda: core.fleet.suspects
         core.target_side.check_call = core.check_call
+        core.duties.members = lambda: core.fleet.members
+        core.duties.suspects = lambda: core.fleet.suspects
+        core.duties.facts = lambda: core.fleet.facts
         core.entry.update_members(core.fleet.members.values(), (), now)
         return core
 
@@ -133,6 +137,7 @@
             self.target_side.next_at(),
             self.fleet.next_at(),
             self.rollouts.next_at(),
+            self.duties.next_at(),
             self.lease_ends_at,
             self.warm_at,
             self.target_side.registration.start_hold.next_at(),
@@ -207,7 +212,10 @@
         effects: Effects = []
         effects += self.crashes.record_end(event, now)
         if target is not None:
-            self.rollouts.record_call(self._sample(event, target), now)
+            # Slowness caused by other load on the host is not evidence
+            # against the version.
+            is_slow = self.target_side.pace.is_slow
+            self.rollouts.record_call(event.sample(target, is_slow), now)
         return effects
 
     def _use_target(self, target: Target | None, now: float) -> Effects:
@@ -227,22 +235,6 @@
             *self.fleet.set_target(target, now),
         ]
 
-    def _sample(
-        self, event: internal_effects.TargetCallEnded, target: Target
-    ) -> CallSample:
-        return CallSample(
-            service=target.service,
-            version=target.version,
-            target=target.instance,
-            route=event.run.kind,
-            succeeded=bool(event.status) and event.status < _SERVER_ERROR,
-            service_us=int(event.service_s * _US_PER_S),
-            # Slowness caused by other load on the host is not evidence
-            # against the version.
-            cold=target.phase == Phase.COLD or self.target_side.pace.is_slow,
-            target_crashed=event.crashed,
-        )
-
 
 def _target_changed_event(
     target: Target | None, cold_s: float, now: float
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination.duties import duty_record
 from daisyline.coordination.membership import seeds
 from daisyline.coordination.rollouts import rollout_record
 from daisyline.coordination.settings import order_reading, reader_role
@@ -109,6 +110,13 @@
     path: str = 'departures'
 
 
+@attrs.frozen
+class Duties:
+    """Who holds a single-holder duty, and the reports it has written."""
+
+    path: str = 'duties'
+
+
 Kind = (
     Manifests
     | Evacuations
@@ -116,6 +124,7 @@
     | RolloutRecords
     | SeedLists
     | DepartureLists
+    | Duties
 )
 
 
@@ -128,6 +137,7 @@
         rollout_record.OBJECT_KIND: RolloutRecords(),
         seeds.SEEDS_KIND: SeedLists(),
         DEPARTURES_KIND: DepartureLists(),
+        duty_record.OBJECT_KIND: Duties(),
     }
 
 
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -73,6 +73,7 @@
     counters = {
         'sink_failures_total': core.events.sink_failures,
         **_key_refusals(core),
+        **core.duties.counters(),
     }
     gauges = {
         'running': load.running,
@@ -80,6 +81,7 @@
         'slots_usable': load.limit,
         'members': len(core.fleet.members),
         'settings_version': core.fleet.settings.version,
+        **core.duties.gauges(),
     }
     return metrics_text(core.latencies, counters, gauges)
 
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -104,6 +104,7 @@
     ports: Ports
     folder: str
     platform_port: int
+    settings: dict[str, Any] = attrs.field(factory=dict)
     processes: list[Process] = attrs.field(factory=list)
     places: list[UsersPlace] = attrs.field(factory=list)
 
@@ -157,9 +158,11 @@
             'peers_port': ports['peers'],
             'operators_port': ports['operators'],
         }
+        if 'usage_window_s' in self.settings:
+            fields['duty_api'] = fields['store']
         for role in ('callers', 'notices', 'ready', 'target'):
             fields[role] = f'{HOST}:{ports[role]}'
-        fields.update(settings)
+        fields.update(self.settings | settings)
         path = pathlib.Path(self.folder, f'{name}.json')
         path.write_text(json.dumps(fields), encoding='utf-8')
         return self.start_program(
@@ -241,10 +244,21 @@
 @fixture
 def users_fleet() -> Iterator[UsersFleet]:
     """Provide two nodes and targets in two zones, once they are ready."""
+    with running_fleet() as fleet:
+        yield fleet
+
+
+@contextlib.contextmanager
+def running_fleet(**settings: Any) -> Iterator[UsersFleet]:
+    """Run two nodes and targets in two zones.
+
+    Args:
+        settings: Settings of all nodes.
+    """
     ports = Ports.from_random()
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(kept_on_failure())
-        fleet = UsersFleet(ports, folder, ports.take())
+        fleet = UsersFleet(ports, folder, ports.take(), settings)
         stack.callback(fleet.kill)
         fleet.start_program(
             'standins.users_platform',
