--- /dev/null
+++ b/tests/coordination/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about memory."""
