Bound what clients make a node hold, decode and keep open

Cause: the bytes of unfinished and running requests were bounded by nothing but the number of clients, each body was copied four times on its way to the target (list, join, request, send buffer), one read of tiny chunks was decoded in one piece (some 11,000 events), and idle connections took all descriptors. Ruled out: pausing clients at the limit, as their bytes then wait in the kernel and clients that stall keep the room; h11 replaced by code of our own.

Change: connections of callers, the target and operators count requests and unread answers in the account; an unfinished request that loses its memory is refused with 503 as not run. A body is kept once: received without a join, and sent to the target without a copy (SendBuffer). 16 events are decoded for a connection in a turn. Chunks with too little payload are refused with 400. The kernel holds 128 KiB of an unread connection. When the descriptors run out, the connection whose request is unfinished for the longest time is closed, also at the operators' port. A listener without a descriptor waits 0.1 s in place of spinning. memory_mb of the settings sets the limit, also when reloaded; 512 is the default. Metrics and a log line of a shortage.

--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -90,6 +90,15 @@
     budget_left: float = 0
 
 
+@attrs.frozen(slots=True)
+class MemoryShortage(Event):
+    """The bytes that a node holds for others reached their limit, or ceased to."""
+
+    state: str = ''
+    held_bytes: int = 0
+    limit_bytes: int = 0
+
+
 @attrs.frozen(slots=True)
 class Cut(Event):
     """A call was given up while it ran."""
--- a/daisyline/coordination/memory/memory_account.py
+++ b/daisyline/coordination/memory/memory_account.py
@@ -47,6 +47,11 @@
     TARGET_OUT = 'target_out'
 
 
+# Holders of these kinds make progress when they receive bytes, the others when
+# they deliver them.
+_RECEIVING = frozenset((Kind.REQUESTS, Kind.PEERS_IN))
+
+
 class Cause(enum.StrEnum):
     """Why a holder lost what it held, as named in the metrics."""
 
@@ -130,6 +135,8 @@
         held_bytes: The bytes that are held.
         by_kind: The bytes that are held, by kind.
         revocations: How many holders lost what they held, by cause.
+        refusals: How many requests were refused before they were complete, by
+            the value of their `Reason`.
         is_short: Whether the limit was reached and the shortage has not ended.
     """
 
@@ -137,6 +144,7 @@
     held_bytes: int = 0
     by_kind: Counter[Kind] = attrs.field(factory=Counter)
     revocations: Counter[Cause] = attrs.field(factory=Counter)
+    refusals: Counter[str] = attrs.field(factory=Counter)
     is_short: bool = False
     _holders: set[Holder] = attrs.field(factory=set)
 
@@ -172,6 +180,8 @@
         if not added or holder.is_revoked:
             return []
         self._count(holder, added, now)
+        if not octets:
+            self._holders.discard(holder)
         if added < 0:
             return self._end_shortage()
         if self.held_bytes <= self._allowed_bytes(holder):
@@ -180,18 +190,18 @@
 
     def release(self, holder: Holder, now: float) -> MemoryEffects:
         """Record that a holder holds nothing more."""
-        effects = self.hold(holder, 0, now)
-        self._holders.discard(holder)
-        return effects
+        return self.hold(holder, 0, now)
 
     def _count(self, holder: Holder, added: int, now: float) -> None:
         if not holder.held_bytes:
             self._holders.add(holder)
             holder.started_at = now
+            holder.progress_at = now
             holder.moved_bytes = 0
         holder.held_bytes += added
-        holder.moved_bytes += abs(added)
-        holder.progress_at = now
+        if (added > 0) == (holder.kind in _RECEIVING):
+            holder.moved_bytes += abs(added)
+            holder.progress_at = now
         self.held_bytes += added
         self.by_kind[holder.kind] += added
 
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -3,7 +3,6 @@
 import math
 import random
 from collections import deque
-from typing import Any
 
 import attrs
 
@@ -15,6 +14,7 @@
 from daisyline.coordination.calls.quarantine import Quarantine, fingerprint
 from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.membership.fleet import Fleet
+from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.state.failures import Failure, Reason
@@ -40,7 +40,7 @@
 _US_PER_MS = 1_000
 _SERVER_ERROR = 500
 
-Effects = list[Any]
+Effects = list[object]
 
 
 @attrs.define
@@ -56,6 +56,7 @@
         quarantine: Requests that are suspected to crash targets.
         events: The record of decisions.
         latencies: Histograms of call durations.
+        memory: The bytes that this node holds for others.
         lease_s: The lease of the target's announcements, in seconds.
         lease_ends_at: When the lease of the target expires, in monotonic
             seconds.
@@ -73,6 +74,9 @@
     quarantine: Quarantine
     events: log.EventLog
     latencies: Latencies
+    memory: MemoryAccount = attrs.field(
+        factory=lambda: MemoryAccount.from_config(None)
+    )
     lease_s: float = TARGET_LEASE_S
     lease_ends_at: float = math.inf
     warm_at: float = math.inf
--- a/daisyline/platform/front.py
+++ b/daisyline/platform/front.py
@@ -33,6 +33,7 @@
         ready_path=wire.READY_PATH,
         stop_notice_s=_STOP_NOTICE_S,
         logs_decisions=True,
+        memory_mb=boot.memory_mb,
         stop_timeout_s=boot.stop_s - _STOP_MARGIN_S,
     )
 
--- a/daisyline/protocol/answer_reader.py
+++ b/daisyline/protocol/answer_reader.py
@@ -76,8 +76,8 @@
 
     def request(
         self, request: Request, call: str, extra_headers: Headers
-    ) -> bytes:
-        """Return the bytes of a request and expect its answer.
+    ) -> list[bytes]:
+        """Return the pieces of a request and expect its answer.
 
         Args:
             request: The request.
@@ -87,7 +87,7 @@
         self._discarded_count = 0
         self._own_id = self._id_of(request, call)
         self._check.expect(self._own_id)
-        return self._codec.request(request, extra_headers)
+        return self._codec.request_pieces(request, extra_headers)
 
     def feed(self, octets: bytes) -> None:
         """Buffer received bytes; empty bytes mark the end of the stream."""
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -89,6 +89,8 @@
         logs_decisions: Whether decisions are written to standard output.
         stop_timeout_s: How long a stopping node waits at most for calls in
             progress, in seconds.
+        memory_mb: The memory of the node's machine, in megabytes; None if it
+            is not known.
         settings_path: The file that `reload` reads; empty if there is none.
         reload: Reads the node's own settings again.
     """
@@ -103,5 +105,6 @@
     stop_notice_s: float = 0
     stop_timeout_s: float = 30.0
     logs_decisions: bool = False
+    memory_mb: float | None = None
     settings_path: str = ''
     reload: Callable[[], ReloadResult] = _reload_nothing
--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -23,6 +23,8 @@
 CALL_HEADER = b'daisyline-call'
 _FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+# A body of this length or more is not copied behind its head.
+_SEPARATE_BODY_BYTES = 65_536
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d{1,6})')
 
 
@@ -36,7 +38,13 @@
         self._informational_count = 0
 
     def request(self, request: Request, extra_headers: Headers = ()) -> bytes:
-        """Return the bytes of a whole request.
+        """Return the bytes of a whole request, as `request_pieces` does."""
+        return b''.join(self.request_pieces(request, extra_headers))
+
+    def request_pieces(
+        self, request: Request, extra_headers: Headers = ()
+    ) -> list[bytes]:
+        """Return the bytes of a whole request, a long body without a copy.
 
         Args:
             request: The request; its `Host` header is sent unchanged. If it
@@ -60,13 +68,15 @@
         )
         self._method = request.method
         self._informational_count = 0
-        chunks = [self._connection.send(event) or b'']
+        pieces = [self._connection.send(event) or b'']
         if request.body:
-            chunks.append(
-                self._connection.send(h11.Data(data=request.body)) or b''
-            )
-        chunks.append(self._connection.send(h11.EndOfMessage()) or b'')
-        return b''.join(chunks)
+            part = h11.Data(data=request.body)
+            pieces += self._connection.send_with_data_passthrough(part) or ()
+        # A body with a length has nothing behind it.
+        self._connection.send(h11.EndOfMessage())
+        if len(request.body) < _SEPARATE_BODY_BYTES:
+            return [b''.join(pieces)]
+        return pieces
 
     def feed(self, octets: bytes) -> None:
         """Buffer received bytes; empty bytes mark the end of the stream."""
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -59,6 +59,11 @@
     """The caller waits for a `100 Continue` before it sends the body."""
 
 
+@attrs.frozen
+class MoreBuffered:
+    """The bound of decoding at a time is reached; more bytes are buffered."""
+
+
 @attrs.frozen
 class MalformedRequest:
     """An invalid request; it is refused and the connection is closed.
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -1,107 +1,31 @@
 """The server's side of HTTP/1.1, for connections of callers, based on h11."""
 
 import functools
+import io
 from http import HTTPStatus
 
 import h11
 
-from daisyline.coordination.calls.messages import Headers
+from daisyline.coordination.memory.body_cost import BodyCost
+from daisyline.protocol.answer_codec import AnswerCodec
 from daisyline.protocol.http_messages import (
-    MAX_HEAD_BYTES,
     ContinueExpected,
     MalformedRequest,
+    MoreBuffered,
     Request,
     end_to_end,
 )
 from daisyline.state.failures import Failure, Reason
 
 _CALL_HEADER = b'daisyline-call'
-_BODILESS_STATUSES = frozenset((204, 304))
-_LENGTH_HEADER = b'content-length'
+# How many events of h11 are decoded for one connection before others get their
+# turn. Each chunk of a body is one and takes some 15 us.
+_EVENTS_PER_TURN = 16
+# A colon, a space and the end of the line.
+_HEADER_SEPARATORS = 4
 _EMPTY_BODY_HEADERS = ((b'Content-Length', b'0'),)
 
 
-class AnswerCodec:
-    """Encodes the answer to one request."""
-
-    def __init__(self) -> None:
-        """Create the codec of a connection without a request so far."""
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        self._request: h11.Request | None = None
-
-    @classmethod
-    def for_request(cls, request: h11.Request) -> 'AnswerCodec':
-        """Return a codec that answers a request read by another codec."""
-        codec = cls()
-        connection_headers = [
-            b'%s: %s\r\n' % pair
-            for pair in request.headers
-            if pair[0] == b'connection'
-        ]
-        codec._connection.receive_data(
-            b'%s / HTTP/%s\r\nhost: caller\r\n%s\r\n'
-            % (
-                request.method,
-                request.http_version,
-                b''.join(connection_headers),
-            )
-        )
-        codec._request = request
-        codec._connection.next_event()
-        codec._connection.next_event()
-        return codec
-
-    @property
-    def is_reusable(self) -> bool:
-        """Return whether another request may follow the answer."""
-        return (
-            self._connection.our_state is h11.DONE
-            and self._connection.their_state is h11.DONE
-        )
-
-    def head(
-        self, status: int, headers: Headers, length: int | None
-    ) -> bytes | None:
-        """Return the bytes of an answer's head; None if it is not valid HTTP.
-
-        Args:
-            status: The HTTP status.
-            headers: End-to-end headers, in order.
-            length: The length of the body in bytes; None if it is not known.
-        """
-        sent = list(headers)
-        if status == HTTPStatus.NO_CONTENT:
-            sent = [pair for pair in sent if pair[0].lower() != _LENGTH_HEADER]
-        if length is not None and self._has_body(status):
-            sent.append((b'Content-Length', str(length).encode()))
-        return self._encode(h11.Response(status_code=status, headers=sent))
-
-    def part(self, body: bytes) -> bytes | None:
-        """Return the bytes of a part of a body.
-
-        Returns None if the body is longer than its declared length.
-        """
-        return self._encode(h11.Data(data=body)) if body else b''
-
-    def end(self) -> bytes | None:
-        """Return the bytes that end an answer; None if it is incomplete."""
-        return self._encode(h11.EndOfMessage())
-
-    def _has_body(self, status: int) -> bool:
-        """Return whether an answer with this status has a body."""
-        request = self._request
-        is_head_request = request is not None and request.method == b'HEAD'
-        return not is_head_request and status not in _BODILESS_STATUSES
-
-    def _encode(self, event: h11.Event) -> bytes | None:
-        try:
-            return self._connection.send(event) or b''
-        except h11.LocalProtocolError:
-            return None
-
-
 class ServerCodec(AnswerCodec):
     """The server's side of one connection; reads one request at a time."""
 
@@ -113,8 +37,11 @@
         """
         super().__init__()
         self._limit_bytes = body_limit_bytes
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # Grows without a copy, and gives its bytes without one.
+        self._body = io.BytesIO()
+        self._cost = BodyCost()
+        self._received_bytes = 0
+        self._events_left = _EVENTS_PER_TURN
         self._continue_sent = False
         self._is_finished = False
 
@@ -123,6 +50,11 @@
         """Return whether the caller sends no further request."""
         return self._is_finished
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that the request being received takes at most."""
+        return self._received_bytes
+
     @property
     def is_idle(self) -> bool:
         """Return whether there is no current request and no unread bytes."""
@@ -133,13 +65,25 @@
         """Buffer received bytes; empty bytes mark the end of the stream."""
         if self._connection.their_state is not h11.ERROR:
             self._connection.receive_data(octets)
+            self._received_bytes += len(octets)
+            self.begin_turn()
+
+    def begin_turn(self) -> None:
+        """Allow the decoding of a bounded number of further events."""
+        self._events_left = _EVENTS_PER_TURN
+
+    def discard_body(self) -> None:
+        """Release what was received of a request that is refused."""
+        self._body = io.BytesIO()
+        self._received_bytes = 0
 
     def next_event(
         self,
-    ) -> Request | ContinueExpected | MalformedRequest | None:
+    ) -> Request | ContinueExpected | MalformedRequest | MoreBuffered | None:
         """Return the next event, or None if more bytes are needed.
 
-        Invalid HTTP is returned as `MalformedRequest`.
+        Invalid HTTP is returned as `MalformedRequest`. At most
+        `_EVENTS_PER_TURN` parts are decoded after each `begin_turn`.
         """
         try:
             return self._next_event()
@@ -151,8 +95,9 @@
         """Reset the codec for the next request on the connection."""
         self._connection.start_next_cycle()
         self._request = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = io.BytesIO()
+        self._cost = BodyCost()
+        self._received_bytes = 0
         self._continue_sent = False
 
     def detach_answer(self) -> AnswerCodec:
@@ -176,13 +121,18 @@
             self._is_finished = True
         return answers
 
-    def add_body(self, body: bytes) -> MalformedRequest | None:
-        """Buffer a part of the body; return a refusal if it is too large."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        return (
-            self._too_large() if self._body_bytes > self._limit_bytes else None
-        )
+    def add_body(self, part: h11.Data) -> MalformedRequest | None:
+        """Buffer a part of the body.
+
+        Returns a refusal if the body is too large, or if its chunks carry too
+        little payload for what they cost.
+        """
+        size = len(part.data)
+        self._cost.add(size, starts_chunk=part.chunk_start)
+        if self._cost.payload_bytes > self._limit_bytes:
+            return self._too_large()
+        self._body.write(part.data)
+        return self._too_costly() if self._cost.is_excessive() else None
 
     def begin_request(self, request: h11.Request) -> MalformedRequest | None:
         """Store the head of a request and check it.
@@ -222,16 +172,22 @@
 
     def _next_event(
         self,
-    ) -> Request | ContinueExpected | MalformedRequest | None:
-        while True:
+    ) -> Request | ContinueExpected | MalformedRequest | MoreBuffered | None:
+        while self._events_left:
+            self._events_left -= 1
             event = self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return self._whole_request()
             if not isinstance(event, (h11.Request, h11.Data)):
-                return self._continue_expected(event)
+                return self._await_bytes(event)
             refusal = _handle_part(event, self)
             if refusal is not None:
                 return refusal
+        return MoreBuffered()
+
+    def _too_costly(self) -> MalformedRequest:
+        detail = 'the chunks of the body carry too little payload'
+        return _malformed(HTTPStatus.BAD_REQUEST, Reason.BAD_REQUEST, detail)
 
     def _too_large(self) -> MalformedRequest:
         detail = f'the body is larger than {self._limit_bytes} bytes'
@@ -239,12 +195,19 @@
             HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Reason.TOO_LARGE, detail
         )
 
-    def _continue_expected(self, event: object) -> ContinueExpected | None:
-        """Return an event if the caller waits for a `100 Continue`."""
-        if event is h11.NEED_DATA and not self._continue_sent:
-            if self._connection.they_are_waiting_for_100_continue:
-                return ContinueExpected()
-        return None
+    def _await_bytes(
+        self, event: object
+    ) -> ContinueExpected | MalformedRequest | None:
+        """Return the event for a request of which all bytes are decoded."""
+        if event is not h11.NEED_DATA:
+            return None
+        if self._cost.chunks:
+            # The sizes of chunks may have long extensions.
+            body_bytes = self._received_bytes - _head_bytes(self._request)
+            if self._cost.is_excessive(body_bytes):
+                return self._too_costly()
+        waits = self._connection.they_are_waiting_for_100_continue
+        return None if self._continue_sent or not waits else ContinueExpected()
 
     def _whole_request(self) -> Request:
         request = self._request
@@ -253,7 +216,7 @@
             method=bytes(request.method),
             path=bytes(request.target),
             headers=end_to_end(request.headers.raw_items()),
-            body=b''.join(self._body),
+            body=self._body.getvalue(),
             parent_call=_call_header(request),
         )
 
@@ -271,7 +234,7 @@
 
 @_handle_part.register
 def _(event: h11.Data, codec: ServerCodec) -> MalformedRequest | None:
-    return codec.add_body(bytes(event.data))
+    return codec.add_body(event)
 
 
 def _call_header(request: h11.Request) -> str:
@@ -282,5 +245,15 @@
     return ''
 
 
+def _head_bytes(request: h11.Request | None) -> int:
+    """Return the size of a request's head, without optional spaces."""
+    if request is None:
+        return 0
+    return len(request.target) + sum(
+        len(name) + len(content) + _HEADER_SEPARATORS
+        for name, content in request.headers
+    )
+
+
 def _malformed(status: int, reason: Reason, detail: str) -> MalformedRequest:
     return MalformedRequest(status, Failure(reason, detail=detail))
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -6,6 +6,7 @@
 import attrs
 
 from daisyline.coordination.events import Event
+from daisyline.coordination.memory.memory_account import Cause, Kind
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
 from daisyline.state.targets import LoadReport
@@ -68,8 +69,19 @@
     from daisyline.protocol.metrics import metrics_text  # noqa: PLC0415
 
     load = core.target_side.load
+    memory = core.memory
     counters = {'sink_failures_total': core.events.sink_failures}
+    counters.update(
+        (f'memory_taken_{cause}_total', memory.revocations[cause])
+        for cause in Cause
+    )
+    counters.update(
+        (f'unfinished_refused_{reason}_total'.replace('-', '_'), count)
+        for reason, count in memory.refusals.items()
+    )
     gauges = {
+        'memory_limit_bytes': memory.limit_bytes,
+        **{f'memory_held_{kind}_bytes': memory.by_kind[kind] for kind in Kind},
         'running': load.running,
         'waiting': load.waiting,
         'slots_usable': load.limit,
--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -12,7 +12,7 @@
     CallerDisconnected,
 )
 from daisyline.coordination.calls.messages import Headers
-from daisyline.protocol.http_server import AnswerCodec
+from daisyline.protocol.answer_codec import AnswerCodec
 from daisyline.protocol.refusals import body_of, headers_of
 from daisyline.state.failures import Failure
 from daisyline.transport.sockets import Connection
@@ -32,6 +32,7 @@
         overlaps: Whether later requests may start before this answer is
             complete.
         unsent: Encoded bytes that wait until the earlier answers are sent.
+        request_bytes: The bytes that its request takes.
         uncredited_bytes: Bytes of the body that are not yet reported as
             delivered.
         is_complete: Whether the whole answer is in the queue.
@@ -44,6 +45,7 @@
     call: str = ''
     overlaps: bool = False
     unsent: bytearray = attrs.field(factory=bytearray)
+    request_bytes: int = 0
     uncredited_bytes: int = 0
     is_complete: bool = False
     is_aborted: bool = False
@@ -76,6 +78,15 @@
         """Return whether bytes wait for the caller or for its network."""
         return bool(self._connection.buffered_bytes)
 
+    def count_held(self) -> tuple[int, int]:
+        """Return the bytes of the requests and those of the unread answers."""
+        request_bytes = 0
+        answer_bytes = self._connection.buffered_bytes
+        for answer in self._answers:
+            request_bytes += answer.request_bytes
+            answer_bytes += len(answer.unsent)
+        return request_bytes, answer_bytes
+
     @property
     def first(self) -> QueuedAnswer | None:
         """Return the answer that is sent next, or None."""
@@ -153,10 +164,6 @@
         """Reset the connection, so that no unfinished answer looks whole."""
         self._connection.reset()
 
-    def close(self) -> None:
-        """Close the connection, which has nothing more to send."""
-        self._connection.abort()
-
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
--- /dev/null
+++ b/daisyline/transport/caller_memory.py
@@ -0,0 +1,57 @@
+"""What one connection of a caller holds in the account of memory."""
+
+from collections.abc import Callable
+
+from daisyline.coordination.memory.memory_account import Cause, Holder, Kind
+from daisyline.state.failures import Reason
+from daisyline.transport.memory_guard import MemoryGuard
+
+
+class CallerMemory:
+    """The requests and the unread answers of one connection.
+
+    Attributes:
+        refuse: Called when the bytes of an unfinished request are taken.
+        reset: Called when the bytes of unread answers are taken.
+    """
+
+    def __init__(self, guard: MemoryGuard, client: str) -> None:
+        """Start with nothing held.
+
+        Args:
+            guard: The account of the node.
+            client: The address of the client.
+        """
+        self._guard = guard
+        self._requests = Holder(Kind.REQUESTS, client, self._refuse)
+        self._answers = Holder(Kind.ANSWERS, client, self._reset)
+        self.refuse: Callable[[], None] = bool
+        self.reset: Callable[[], None] = bool
+
+    def update(self, request_bytes: int, answer_bytes: int, calls: int) -> None:
+        """Record what the connection holds now.
+
+        Args:
+            request_bytes: The bytes of requests, received or in progress.
+            answer_bytes: The bytes of answers that the client has not read.
+            calls: The number of requests in progress. While there are any,
+                the bytes of requests are needed and can't be taken.
+        """
+        self._requests.is_revocable = not calls
+        self._guard.hold(self._requests, request_bytes)
+        self._guard.hold(self._answers, answer_bytes)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a request that was refused before it was complete."""
+        self._guard.account.refusals[reason.value] += 1
+
+    def release(self) -> None:
+        """Record that the connection is closed."""
+        self._guard.release(self._requests)
+        self._guard.release(self._answers)
+
+    def _refuse(self, _cause: Cause) -> None:
+        self.refuse()
+
+    def _reset(self, _cause: Cause) -> None:
+        self.reset()
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -3,31 +3,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from daisyline.coordination.calls.call_events import (
-    AnswerCaller,
-    AnswerCallerPart,
-    RefuseCaller,
-)
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_messages import (
     ContinueExpected,
     MalformedRequest,
+    MoreBuffered,
     Request,
 )
-from daisyline.protocol.http_server import ServerCodec
-from daisyline.protocol.refusals import status_of
-from daisyline.transport.answer_queue import AnswerQueue, QueuedAnswer
+from daisyline.transport.answer_queue import QueuedAnswer
+from daisyline.transport.caller_answers import AnsweringConnection
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 
-# The time limit for a new connection to send its first request.
-_REQUEST_TIMEOUT_S = 30.0
-# The time limit for an idle connection to send its next request.
-_IDLE_TIMEOUT_S = 75.0
-# After its last answer a connection is still read for this long. Closing a
-# socket with unread bytes sends a reset, which can destroy the end of the
-# answer before the caller has read it.
-_LINGER_S = 1.0
 # When the node stops, idle connections are closed after this delay.
 _IDLE_CLOSE_DELAY_S = 0.5
 # The number of concurrent requests of one connection.
@@ -36,17 +23,17 @@
 OnRequest = Callable[['CallerConnection', Request], None]
 
 
-class CallerConnection:
+class CallerConnection(AnsweringConnection):
     """One caller's connection; its answers are sent in the order of requests.
 
     A request is started before the earlier ones are answered only if all of
     them may overlap.
 
     Attributes:
-        answers: The answers that are not completely sent.
         may_overlap: Returns whether a request may run concurrently with
             other requests of the connection.
         on_closed: Called once, when the connection is closed.
+        active_at: When bytes were last received, in monotonic seconds.
     """
 
     def __init__(
@@ -68,31 +55,14 @@
             on_event: Called with the events of the connection's calls.
             dialect: The names of headers, and the statuses of refusals.
         """
-        self._dialect = dialect or Dialect()
-        self._loop = loop
-        self._connection = connection
-        self._codec = ServerCodec(body_limit_bytes)
+        super().__init__(loop, connection, body_limit_bytes, on_event, dialect)
         self._on_request = on_request
-        self.answers = AnswerQueue(connection, on_event)
         self._postponed: Request | None = None
-        self._ending = False
+        self._awaits_turn = False
+        self.active_at = loop.now()
         self.may_overlap: Callable[[Request], bool] = _forbid_overlap
         self.on_closed: Callable[[CallerConnection], None] = bool
         connection.handler = self
-        self._timeout = loop.call_later(_REQUEST_TIMEOUT_S, connection.abort)
-
-    @property
-    def call(self) -> str:
-        """Return the id of the call that is answered next; empty if none is."""
-        first = self.answers.first
-        return '' if first is None else first.call
-
-    @call.setter
-    def call(self, call: str) -> None:
-        """Set the id of the call of the newest request."""
-        newest = self.answers.newest
-        assert newest is not None
-        newest.call = call
 
     @property
     def is_busy(self) -> bool:
@@ -115,7 +85,9 @@
         # After the last request the connection is read only to detect that
         # the caller closes it.
         if not self._ending and not self._codec.is_finished:
+            self.active_at = self._loop.now()
             self._codec.feed(octets)
+            self._update_memory()
             self._start_requests()
 
     def handle_eof(self) -> None:
@@ -127,6 +99,7 @@
         if self._ending:
             self._linger()
             return
+        self._update_memory()
         self.answers.report_delivery()
         self._start_requests()
 
@@ -136,41 +109,8 @@
         self.on_closed(self)
         self._postponed = None
         self.answers.discard()
-
-    def send_answer(self, answer: AnswerCaller) -> None:
-        """Send the head and first part of an answer."""
-        queued = self.answers.find_incomplete(answer.call)
-        if queued is None:
-            return
-        self._continue_or_close(self.answers.send_head(queued, answer))
-
-    def send_part(self, part: AnswerCallerPart) -> None:
-        """Send a further part of an answer."""
-        queued = self.answers.find_incomplete(part.call)
-        if queued is not None:
-            reusable = self.answers.send_part(queued, b'', part.body, part.last)
-            self._continue_or_close(reusable)
-
-    def send_refusal(self, refusal: RefuseCaller) -> None:
-        """Send a refusal in place of an answer."""
-        queued = self.answers.find_incomplete(refusal.call)
-        if queued is not None:
-            status = status_of(refusal.failure, self._dialect)
-            failure = refusal.failure
-            self._continue_or_close(
-                self.answers.send_refusal(queued, failure, status)
-            )
-
-    def abort_answer(self, call: str = '') -> None:
-        """Reset the connection, as an answer cannot be completed.
-
-        Args:
-            call: The id of the call; empty for the answer that is sent next.
-        """
-        first = self.answers.first
-        queued = self.answers.find_incomplete(call) if call else first
-        if queued is not None:
-            self.answers.abort(queued)
+        if self._memory is not None:
+            self._memory.release()
 
     def close_gracefully(self) -> None:
         """Close when the calls in progress end; if idle, after a delay."""
@@ -182,6 +122,12 @@
 
         self._loop.call_later(_IDLE_CLOSE_DELAY_S, close_if_idle)
 
+    def _begin_turn(self) -> None:
+        """Decode a bounded part of what was received."""
+        self._awaits_turn = False
+        self._codec.begin_turn()
+        self._start_requests()
+
     def _start_requests(self) -> None:
         """Start the complete requests that may start now."""
         has_more = self._can_start()
@@ -198,24 +144,26 @@
             self._connection.pause_reading()
 
     def _handle_event(
-        self, event: Request | ContinueExpected | MalformedRequest | None
+        self,
+        event: Request
+        | ContinueExpected
+        | MalformedRequest
+        | MoreBuffered
+        | None,
     ) -> bool:
         """Handle a decoded event; return whether to decode the next one."""
         if isinstance(event, ContinueExpected):
             self._connection.write(self._codec.continue_response())
         elif isinstance(event, MalformedRequest):
-            # The end of a malformed request is unknown, so no request after it
-            # can be read.
-            refused = QueuedAnswer(self._codec, closes_connection=True)
-            self.answers.closing = True
-            self.answers.append(refused)
-            failure, status = event.failure, event.status
-            self._continue_or_close(
-                self.answers.send_refusal(refused, failure, status)
-            )
+            self._refuse_unfinished(event.failure, event.status)
         elif isinstance(event, Request):
             self._postponed = event
             return self._start_request(event)
+        elif isinstance(event, MoreBuffered):
+            self._awaits_turn = True
+            self._connection.pause_reading()
+            self._loop.call_later(0, self._begin_turn)
+            return False
         else:
             self._connection.resume_reading()
             return False
@@ -225,6 +173,7 @@
         if (
             not self._connection.is_open
             or self._ending
+            or self._awaits_turn
             or self._codec.is_finished
         ):
             return False
@@ -243,36 +192,18 @@
             return False
         self._postponed = None
         self._timeout.cancel()
+        request_bytes = self._codec.held_bytes
         self.answers.append(
-            QueuedAnswer(self._codec.detach_answer(), overlaps=overlaps)
+            QueuedAnswer(
+                self._codec.detach_answer(),
+                overlaps=overlaps,
+                request_bytes=request_bytes,
+            )
         )
+        self._update_memory()
         self._on_request(self, request)
         return True
 
-    def _continue_or_close(self, reusable: bool) -> None:
-        """Wait for the next request, or close after the buffered bytes."""
-        if not self._connection.is_open or self._ending:
-            return
-        if not reusable:
-            # From now on further requests are ignored.
-            self._ending = True
-            self._connection.write_eof()
-            self._connection.resume_reading()
-            if not self._connection.buffered_bytes:
-                self._linger()
-            self.answers.discard()
-        elif not self.answers:
-            abort = self._connection.abort
-            self._timeout.cancel()
-            self._timeout = self._loop.call_later(_IDLE_TIMEOUT_S, abort)
-            if not self._connection.buffered_bytes:
-                self._loop.defer(self._start_requests)
-
-    def _linger(self) -> None:
-        """Read for a short time, until the caller has closed its end."""
-        self._timeout.cancel()
-        self._timeout = self._loop.call_later(_LINGER_S, self._connection.abort)
-
 
 def _forbid_overlap(_request: Request) -> bool:
     """Let no request start before the earlier one is answered."""
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -12,6 +12,7 @@
 
 from daisyline.coordination import node_handlers
 from daisyline.coordination.calls.call_events import ProcessPaused
+from daisyline.coordination.memory.memory_account import limit_of
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol.front_end import FrontEnd
 from daisyline.state.members import Member
@@ -130,6 +131,7 @@
             front.read_config,
         )
         core.lease_s = front.lease_s
+        core.memory.limit_bytes = limit_of(front.memory_mb)
         relay = _EventRelay()
         transports = Transports.from_config(config, front, loop, core, relay)
         node = cls(loop, core, attrs.evolve(transports, log=log), front)
@@ -186,6 +188,7 @@
         if reloaded.front_end is not None:
             self._front = reloaded.front_end
             self.core.lease_s = reloaded.front_end.lease_s
+            self.core.memory.limit_bytes = limit_of(self._front.memory_mb)
             self._transports.platform.set_endpoint(
                 reloaded.platform, reloaded.front_end.platform_codec
             )
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -15,8 +15,14 @@
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
 from daisyline.transport.callers import CallerConnection
+from daisyline.transport.connection_room import (
+    RECEIVE_BUFFER_BYTES,
+    close_one,
+)
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.memory_guard import MemoryGuard
+from daisyline.transport.sockets import Connection
 
 # A connection serves one request and is closed after this time in any case, so
 # that slow clients occupy no more than a few buffers.
@@ -59,6 +65,7 @@
         """
         self._loop = loop
         self._core = core
+        self._memory = MemoryGuard.from_core(core)
         self._connections: set[CallerConnection] = set()
         self._views: dict[str, Callable[[Query], _Page]] = {
             '/status': self._status,
@@ -81,15 +88,19 @@
         Raises:
             OSError: If the port can't be bound.
         """
-        Listener.open(self._loop, host, port, self._accept)
+        Listener.open(
+            self._loop, host, port, self._accept, RECEIVE_BUFFER_BYTES
+        )
 
     def _accept(self, connection: Connection) -> None:
-        if len(self._connections) >= MAX_CONNECTIONS:
+        is_full = len(self._connections) >= MAX_CONNECTIONS
+        if is_full and not close_one(self._connections):
             connection.abort()
             return
         client = CallerConnection(
             self._loop, connection, 0, self._handle_request, _ignore
         )
+        client.use_memory(self._memory)
         timeout = self._loop.call_later(CONNECTION_TIMEOUT_S, connection.abort)
         client.on_closed = functools.partial(
             self._connection_closed, timeout.cancel
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -12,14 +12,24 @@
     TargetLeaving,
 )
 from daisyline.coordination.calls.registration import Announcement
+from daisyline.coordination.memory.connection_bound import (
+    CALLERS_SHARE,
+    TARGET_SHARE,
+)
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol.front_end import FrontEnd, LeaveNotice, Notice
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Reason
 from daisyline.transport.callers import CallerConnection
+from daisyline.transport.connection_room import (
+    RECEIVE_BUFFER_BYTES,
+    make_room,
+)
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
+from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.request_reader import ParentCall, RequestReader
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.sockets import Connection
 
 # How often a closing listener accepts connections, to empty its backlog. Each
 # time it accepts a bounded number.
@@ -60,6 +70,7 @@
         self._connections: set[CallerConnection] = set()
         self._listeners: list[Listener] = []
         self._leaving = False
+        self._memory = MemoryGuard.from_core(core)
 
     @property
     def busy_connections(self) -> int:
@@ -72,7 +83,7 @@
         Raises:
             OSError: If the port can't be bound.
         """
-        self._listen(host, port, self._handle_external_request)
+        self._listen(host, port, self._handle_external_request, CALLERS_SHARE)
 
     def listen_to_target(self, host: str, port: int) -> None:
         """Accept connections of the target beside this node.
@@ -80,7 +91,7 @@
         Raises:
             OSError: If the port can't be bound.
         """
-        self._listen(host, port, self._handle_target_request)
+        self._listen(host, port, self._handle_target_request, TARGET_SHARE)
 
     def find_caller(self, call: str, last: bool) -> CallerConnection | None:
         """Return the connection that waits for a call, or None if it closed.
@@ -108,7 +119,7 @@
             if connection.is_busy:
                 connection.answers.reset()
             else:
-                connection.answers.close()
+                connection.drop()
 
     def announce_closing(self) -> None:
         """Mark the next answer on each connection as its last."""
@@ -124,16 +135,28 @@
                 listener.handle_ready(readable=True, writable=False)
             listener.close()
 
-    def _listen(self, host: str, port: int, on_request: Any) -> None:
-        listener = Listener.open(
-            self._loop,
-            host,
-            port,
-            lambda connection: self._accept(connection, on_request),
+    def _listen(
+        self, host: str, port: int, on_request: Any, share: float
+    ) -> None:
+        """Listen for clients that may take a share of the descriptors."""
+        opened: set[CallerConnection] = set()
+
+        def accept(connection: Connection) -> None:
+            if make_room(opened, share):
+                self._accept(connection, on_request, opened)
+            else:
+                connection.abort()
+
+        self._listeners.append(
+            Listener.open(self._loop, host, port, accept, RECEIVE_BUFFER_BYTES)
         )
-        self._listeners.append(listener)
 
-    def _accept(self, connection: Connection, on_request: Any) -> None:
+    def _accept(
+        self,
+        connection: Connection,
+        on_request: Any,
+        opened: set[CallerConnection],
+    ) -> None:
         service = self._request_reader.own_service()
         settings = self._core.fleet.settings
         limit = settings.limits_for(service, '').body_limit_bytes
@@ -145,10 +168,17 @@
             self._handle_event,
             self._front_end.dialect,
         )
+        caller.use_memory(self._memory)
         caller.may_overlap = self._may_overlap
         if self._leaving:
             caller.answers.closing = True
-        caller.on_closed = self._connections.discard
+
+        def forget(closed: CallerConnection) -> None:
+            opened.discard(closed)
+            self._connections.discard(closed)
+
+        caller.on_closed = forget
+        opened.add(caller)
         self._connections.add(caller)
 
     def _may_overlap(self, request: Request) -> bool:
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -1,4 +1,4 @@
-"""TCP listeners and connections on the loop."""
+"""TCP connections on the loop."""
 
 import contextlib
 import errno
@@ -8,15 +8,14 @@
 
 from daisyline.transport.loop import Loop
 from daisyline.transport.poller import READABLE, WRITABLE
+from daisyline.transport.send_buffer import SendBuffer
 
-_BACKLOG = 1024
 _READ_BYTES = 65_536
-_ACCEPTS_PER_ITERATION = 64
 # Bounds what one connection sends before others get their turn: 1 MiB.
 WRITES_PER_ITERATION = 16
 WRITE_BYTES = 65_536
 # No call waits on an idle caller connection, so it is probed less often.
-_KEEPALIVE_IDLE_ACCEPTED_S = 15
+KEEPALIVE_IDLE_ACCEPTED_S = 15
 _KEEPALIVE_IDLE_DIALLED_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
@@ -45,7 +44,14 @@
 
 
 class Connection:
-    """One TCP connection; buffers what the kernel does not accept at once."""
+    """One TCP connection; buffers what the kernel does not accept at once.
+
+    Attributes:
+        handler: Receives the events of the connection.
+        is_open: Whether it is open.
+        peer_host: The IP address of the client of an accepted connection.
+        on_progress: Called when some of the buffered bytes were sent.
+    """
 
     def __init__(
         self, loop: Loop, sock: socket.socket, is_connecting: bool
@@ -54,15 +60,15 @@
         self._loop = loop
         self._sock = sock
         self._is_connecting = is_connecting
-        self._send_buffer = bytearray()
-        # The number of bytes at the front of the buffer that are sent.
-        self._sent_bytes = 0
+        self._send_buffer = SendBuffer()
         self._close_pending = False
         self._is_reading = True
         self._shutdown_pending = False
         self._mask = WRITABLE if is_connecting else READABLE
         self.handler: ConnectionHandler | None = None
         self.is_open = True
+        self.peer_host = ''
+        self.on_progress: Callable[[], None] = bool
         loop.poller.watch(sock.fileno(), self, self._mask)
 
     @classmethod
@@ -83,7 +89,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the number of bytes that wait to be sent."""
-        return len(self._send_buffer) - self._sent_bytes
+        return len(self._send_buffer)
 
     @property
     def is_connecting(self) -> bool:
@@ -98,11 +104,11 @@
         if not self.is_open or self._close_pending:
             return
         if self._is_connecting or self._send_buffer:
-            self._send_buffer += octets
+            self._send_buffer.append(octets)
             return
         sent = self._send(octets)
         if self.is_open and sent < len(octets):
-            self._send_buffer += memoryview(octets)[sent:]
+            self._send_buffer.append(memoryview(octets)[sent:])
             self._update_mask()
 
     def write_eof(self) -> None:
@@ -135,7 +141,6 @@
         self._loop.poller.unwatch(self._sock.fileno())
         self._sock.close()
         self._send_buffer.clear()
-        self._sent_bytes = 0
         if self.handler is not None:
             self.handler.handle_closed()
 
@@ -201,13 +206,13 @@
         The bytes that are sent at a time are bounded; the poller calls again
         for the rest.
         """
-        for _ in range(WRITES_PER_ITERATION):
-            end = self._sent_bytes + WRITE_BYTES
-            sent = self._send(bytes(self._send_buffer[self._sent_bytes : end]))
-            self._remove_sent(sent)
+        for _ in range(min(WRITES_PER_ITERATION, len(self._send_buffer))):
+            sent = self._send(self._send_buffer.first(WRITE_BYTES))
+            self._send_buffer.remove(sent)
             if not (sent and self._send_buffer):
                 break
         if self._send_buffer or not self.is_open:
+            self.on_progress()
             return
         if self._close_pending:
             self.abort()
@@ -218,18 +223,7 @@
         if self.handler is not None:
             self.handler.handle_drained()
 
-    def _remove_sent(self, sent: int) -> None:
-        """Remove sent bytes from the buffer.
-
-        The rest is moved only once at least half of the buffer is sent, so
-        that the cost grows with the bytes sent, not with their square.
-        """
-        self._sent_bytes += sent
-        if self._sent_bytes * 2 >= len(self._send_buffer):
-            self._send_buffer = self._send_buffer[self._sent_bytes :]
-            self._sent_bytes = 0
-
-    def _send(self, octets: bytes) -> int:
+    def _send(self, octets: bytes | memoryview) -> int:
         """Return the number of bytes that the kernel accepted.
 
         It is 0 if the kernel's buffer is full. It is 0 as well on an error,
@@ -251,74 +245,13 @@
             self._loop.poller.change(self._sock.fileno(), mask)
 
 
-class Listener:
-    """Accepts TCP connections."""
-
-    def __init__(
-        self,
-        loop: Loop,
-        sock: socket.socket,
-        on_accept: Callable[[Connection], None],
-    ) -> None:
-        """Watch a listening socket."""
-        self._loop = loop
-        self._sock = sock
-        self._on_accept = on_accept
-        self.is_open = True
-        loop.poller.watch(sock.fileno(), self, READABLE)
-
-    @classmethod
-    def open(
-        cls,
-        loop: Loop,
-        host: str,
-        port: int,
-        on_accept: Callable[[Connection], None],
-    ) -> 'Listener':
-        """Listen on an address; with port 0 the kernel chooses the port.
-
-        Raises:
-            OSError: If the address can't be bound.
-        """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, port))
-        sock.listen(_BACKLOG)
-        return cls(loop, sock, on_accept)
-
-    @property
-    def port(self) -> int:
-        """Return the TCP port that it listens on."""
-        return int(self._sock.getsockname()[1])
-
-    def close(self) -> None:
-        """Stop accepting; accepted connections stay open."""
-        if self.is_open:
-            self.is_open = False
-            self._loop.poller.unwatch(self._sock.fileno())
-            self._sock.close()
-
-    def handle_ready(self, readable: bool, writable: bool) -> None:
-        """Accept a bounded number of waiting connections."""
-        for _ in range(_ACCEPTS_PER_ITERATION):
-            if not self.is_open:
-                return
-            try:
-                sock, _address = self._sock.accept()
-            except OSError:
-                return
-            _set_options(sock, _KEEPALIVE_IDLE_ACCEPTED_S)
-            self._on_accept(Connection(self._loop, sock, is_connecting=False))
-
-
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    _set_options(sock, _KEEPALIVE_IDLE_DIALLED_S)
+    set_options(sock, _KEEPALIVE_IDLE_DIALLED_S)
     return sock
 
 
-def _set_options(sock: socket.socket, idle_s: int) -> None:
+def set_options(sock: socket.socket, idle_s: int) -> None:
     """Disable Nagle's algorithm and enable detection of dead peers.
 
     Keep-alive probes detect a connection whose state a device between the two
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -24,9 +24,10 @@
 )
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
 from daisyline.transport.ping_rounds import PingRounds
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.sockets import Connection
 from daisyline.transport.stream import Identity, Stream
 
 Handler = Callable[[Any], None]
--- a/daisyline/transport/target_connection.py
+++ b/daisyline/transport/target_connection.py
@@ -111,9 +111,9 @@
         self._head_reported = False
         extra = _extra_headers(start, self.target, self._pool.dialect)
         self._sent = not self._connection.is_connecting
-        self._connection.write(
-            self._answers.request(_request_of(start), start.call, extra)
-        )
+        request = _request_of(start)
+        for piece in self._answers.request(request, start.call, extra):
+            self._connection.write(piece)
 
     def cancel(self) -> None:
         """Cancel the call in progress.
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -6,8 +6,9 @@
 
 import h11
 
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.sockets import Connection
 from standins.http import HttpEndpoint, Message, encode
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,8 +7,9 @@
 import attrs
 import cyclopts
 
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.sockets import Connection
 from standins.http_server import Exchange, Server
 from standins.relay_model import RelayModel
 
--- a/tests/protocol/test_http.py
+++ b/tests/protocol/test_http.py
@@ -13,6 +13,7 @@
     End,
     Head,
     MalformedRequest,
+    MoreBuffered,
     Part,
     Request,
     end_to_end,
@@ -94,13 +95,22 @@
     return events[0]
 
 
+def _next_event(codec: ServerCodec) -> Any:
+    """Return the next event, in as many turns as it takes."""
+    event = codec.next_event()
+    while isinstance(event, MoreBuffered):
+        codec.begin_turn()
+        event = codec.next_event()
+    return event
+
+
 def _read_all(pieces: list[bytes]) -> list[Any]:
     """Return the events of a caller's connection; each request is answered."""
     codec = ServerCodec(LIMIT_BYTES)
     events: list[Any] = []
     for piece in pieces:
         codec.feed(piece)
-        event = codec.next_event()
+        event = _next_event(codec)
         while event is not None:
             events.append(event)
             if isinstance(event, MalformedRequest):
@@ -114,7 +124,7 @@
                 codec.next_cycle()
             else:
                 codec.continue_response()
-            event = codec.next_event()
+            event = _next_event(codec)
     return events
 
 
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -17,13 +17,14 @@
 from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.transport.callers import CallerConnection
 from daisyline.transport.effect_handlers import perform
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.listener import Listener
+from daisyline.transport.sockets import Connection
 from tests.support import fixture, function_tests
 from tests.transport.rig import HOST, LoopDriver, Peer
 
 load_tests = function_tests(__name__)
 
-MODULE = 'daisyline.transport.callers'
+MODULE = 'daisyline.transport.caller_answers'
 BODY_LIMIT_BYTES = 4096
 PART = bytes(50_000)
 PART_COUNT = 100
--- a/tests/transport/test_idle_processor.py
+++ b/tests/transport/test_idle_processor.py
@@ -4,7 +4,8 @@
 import time
 from typing import Any
 
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.listener import Listener
+from daisyline.transport.sockets import Connection
 from tests.support import function_tests
 from tests.transport.rig import HOST, LoopDriver
 
--- a/tests/transport/test_loop.py
+++ b/tests/transport/test_loop.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterator
 
 from daisyline.transport.deadlines import Deadlines
+from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
-from daisyline.transport.sockets import Connection, Listener
+from daisyline.transport.sockets import Connection
 from tests.support import fixture, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/transport/test_ports.py
+++ b/tests/transport/test_ports.py
@@ -10,6 +10,7 @@
     AnswerCaller,
     RequestReceived,
 )
+from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.state.settings import Settings
 from daisyline.transport.ports import Ports
 from tests.support import fixture, function_tests
@@ -65,6 +66,7 @@
         name='n0',
         fleet=types.SimpleNamespace(settings=settings),
         target_side=types.SimpleNamespace(calls={}, target=None),
+        memory=MemoryAccount.from_config(None),
     )
     ports = Ports(driver.loop, core, 1, driver.events.append)
     ports.listen_to_callers(HOST, 0)
