Send long bodies between nodes in parts and count them

Cause: a body over 8 MiB broke the limit of a frame, so its stream was closed and every call on it was lost; a shorter one was copied four times and kept other messages waiting; nothing counted the bodies that a node received for its target nor what waits for other nodes. Ruled out: a larger frame, as one frame is encoded and decoded in one piece.

Change: a body over 1 MiB goes as RequestPart messages of 256 KiB, one in an iteration and only while nothing else waits, before its RunCall. The receiver counts each body until the call ends; without room the call is refused as not-run and offered elsewhere. What waits to be sent counts as well, and a stream with more than 1 MiB that makes no progress is closed when memory is short. A stream sends no more than 16 KiB before its Hello. Nodes of earlier builds close their stream at a RequestPart.

--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -65,6 +65,19 @@
     message: object
 
 
+@attrs.frozen
+class CallBodyRefused:
+    """A call from another node was not read, as memory is short.
+
+    Attributes:
+        node: The entry node of the call.
+        call: The call's id.
+    """
+
+    node: str
+    call: str
+
+
 @attrs.frozen
 class StreamLost:
     """The open stream to a node was closed or timed out.
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -99,6 +99,19 @@
     body: bytes
 
 
+@attrs.frozen
+class RequestPart:
+    """A part of a long body, sent before the `RunCall` that has its end.
+
+    Attributes:
+        call: The call's id.
+        body: The part of the body.
+    """
+
+    call: str
+    body: bytes
+
+
 @attrs.frozen
 class AnswerHead:
     """The head of a target's answer with the first part of the body.
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -23,6 +23,7 @@
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
+from daisyline.coordination.memory.body_refusal import refuse_body
 from daisyline.coordination.node_core import Effects, NodeCore
 from daisyline.coordination.rollouts.evidence_messages import Evidence
 from daisyline.coordination.settings.settings_events import (
@@ -120,6 +121,9 @@
     return core.fleet.handle(received, now)
 
 
+_dispatch.register(ev.CallBodyRefused, refuse_body)
+
+
 @_dispatch.register
 def _(event: ev.RequestUnroutable, core: NodeCore, now: float) -> Effects:
     age_ms = int(core.fleet.settings_age_s(now) * _MS_PER_S)
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -56,6 +56,10 @@
 )
 
 
+# Classes without nested classes whose tags follow those above.
+_LATER_MESSAGES: tuple[type, ...] = (messages.RequestPart,)
+
+
 @attrs.frozen
 class BadFrame:
     """Bytes that are not a valid message; their stream is closed."""
@@ -189,7 +193,12 @@
         kind: _MessageFormat(tag, attrs.astuple, ())
         for tag, kind in enumerate(_NESTED_MESSAGES, len(_CALL_MESSAGES))
     }
-    return flat | nested
+    first_tag = len(flat) + len(nested)
+    later = {
+        kind: _flat_format(tag, kind)
+        for tag, kind in enumerate(_LATER_MESSAGES, first_tag)
+    }
+    return flat | nested | later
 
 
 @functools.cache
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -23,6 +23,7 @@
 from daisyline.coordination.node_core import NodeCore
 from daisyline.protocol.front_end import FrontEnd
 from daisyline.transport.loop import Loop
+from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.platform_client import PlatformClient
 from daisyline.transport.ports import Ports
 from daisyline.transport.stream import Identity
@@ -71,7 +72,9 @@
         identity = Identity(config.cluster, own_member.name, start)
         address = config.platform_address
         return cls(
-            streams=Streams(loop, identity, on_event),
+            streams=Streams(
+                loop, identity, on_event, MemoryGuard.from_core(core)
+            ),
             platform=PlatformClient(
                 loop, address, on_event, front.platform_codec
             ),
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -12,6 +12,7 @@
     FrameDecoder,
     FrameEncoder,
 )
+from daisyline.transport.long_bodies import OutgoingBodies
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 
@@ -26,6 +27,8 @@
 _IDLE_PING_AFTER_S = 10.0
 # A check that comes so much too late means that the process was paused.
 _PAUSE_THRESHOLD_S = 0.5
+# A node that is not identified yet sends its `Hello` and nothing else.
+_MAX_HELLO_BYTES = 16_384
 # A stream with more unsent bytes is closed, so that a peer that reads too
 # slowly can't exhaust this node's memory.
 _MAX_BUFFERED_BYTES = 67_108_864
@@ -56,6 +59,7 @@
         expected_peer: The name that the peer must have; empty accepts any.
         is_reply_awaited: Returns whether this node awaits a reply from the
             peer; if so, an unresponsive peer is detected sooner.
+        count_unsent: Called when the number of unsent bytes has changed.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         self._encoder = encoder
         self._decoder = FrameDecoder()
         self._outgoing: list[bytes] = []
+        self._bodies = OutgoingBodies(loop, connection, self._write)
         self._undelivered: list[Any] = []
         self._received_at = loop.now()
         self._handshake_started_at = self._received_at
@@ -95,6 +100,7 @@
         self.key = ''
         self.expected_peer = ''
         self.is_reply_awaited: Callable[[], bool] = bool
+        self.count_unsent: Callable[[], None] = bool
         connection.handler = self
         self._write(identity.hello())
         self._check = loop.call_at(self._check_due_at(), self._check_liveness)
@@ -102,12 +108,14 @@
     @property
     def undelivered(self) -> list[Any]:
         """Return the messages that were never written to the connection."""
-        return self._undelivered
+        return [*self._undelivered, *self._bodies.unsent]
 
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether messages wait to be sent to an identified peer."""
-        is_waiting = self._outgoing or self._connection.buffered_bytes
+        is_waiting = (
+            self._outgoing or self._bodies or self._connection.buffered_bytes
+        )
         return bool(self.peer and is_waiting)
 
     def send(self, message: Any) -> None:
@@ -117,7 +125,8 @@
         node may have taken over the address.
         """
         if self.peer:
-            self._write(message)
+            if not self._bodies.take(message):
+                self._write(message)
             self._check_soon()
         else:
             self._undelivered.append(message)
@@ -140,6 +149,9 @@
         """Decode the messages and handle them."""
         self._received_at = self._loop.now()
         self._pinged_at = None
+        if not self.peer and len(octets) > _MAX_HELLO_BYTES:
+            self.close()
+            return
         for message in self._decoder.feed(octets):
             self._handle_message(message)
             if not self._connection.is_open:
@@ -150,11 +162,14 @@
         self._connection.abort()
 
     def handle_drained(self) -> None:
-        """Do nothing; messages are small and bounded in number."""
+        """Send the next part of a long body."""
+        self.count_unsent()
+        self._bodies.send_soon()
 
     def handle_closed(self) -> None:
         """Report the close of the stream."""
         self._check.cancel()
+        self.count_unsent()
         self._on_closed(self)
 
     def _handle_message(self, message: Any) -> None:
@@ -178,7 +193,8 @@
             queued = tuple(self._undelivered)
             self._undelivered.clear()
             for message in queued:
-                self._write(message)
+                if not self._bodies.take(message):
+                    self._write(message)
             self._check_soon()
             self._on_message(self, hello)
         else:
@@ -193,6 +209,8 @@
         octets = b''.join(self._outgoing)
         self._outgoing = []
         self._connection.write(octets)
+        self.count_unsent()
+        self._bodies.send_soon()
         if self._connection.buffered_bytes > _MAX_BUFFERED_BYTES:
             self.close()
 
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -20,19 +20,23 @@
     Ping,
     Pong,
     QueryCall,
+    RequestPart,
     RunCall,
 )
+from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.listener import Listener
+from daisyline.transport.long_bodies import IncomingBodies, OutgoingBytes
 from daisyline.transport.loop import Loop
+from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.ping_rounds import PingRounds
 from daisyline.transport.sockets import Connection
 from daisyline.transport.stream import Identity, Stream
 
 Handler = Callable[[Any], None]
 
-_REQUESTS = (RunCall, QueryCall)
+_REQUESTS = (RunCall, RequestPart, QueryCall)
 _CALL_REPLIES = (AnswerHead, AnswerPart, CallRefused, CallRunning)
 
 
@@ -45,9 +49,22 @@
     """
 
     def __init__(
-        self, loop: Loop, identity: Identity, on_event: Handler
+        self,
+        loop: Loop,
+        identity: Identity,
+        on_event: Handler,
+        memory: MemoryGuard | None = None,
     ) -> None:
-        """Start without streams and without a listener."""
+        """Start without streams and without a listener.
+
+        Args:
+            loop: The loop of this process.
+            identity: The identity of this node.
+            on_event: Called with the events of streams.
+            memory: The account of the node; None for one of its own.
+        """
+        self._memory = memory or MemoryGuard(MemoryAccount.from_config(None))
+        self._bodies = IncomingBodies(self._memory)
         self._loop = loop
         self._identity = identity
         self._encoder = FrameEncoder()
@@ -114,6 +131,7 @@
             stream = self._origins.get(message.call)
             if _is_final(message):
                 self._origins.pop(message.call, None)
+                self._bodies.release(message.call)
         else:
             stream = self._newest_inbound(node)
         if stream is not None:
@@ -158,6 +176,8 @@
             self._outbound_closed,
         )
         stream.key = name
+        unsent = OutgoingBytes(self._memory, name, connection)
+        stream.count_unsent = unsent.count
         stream.is_reply_awaited = lambda: self.awaits_reply(stream.key)
         self._outbound[name] = stream
         return stream
@@ -171,6 +191,8 @@
             self._handle_message,
             self._inbound_closed,
         )
+        unsent = OutgoingBytes(self._memory, connection.peer_host, connection)
+        stream.count_unsent = unsent.count
         self._unidentified.add(stream)
 
     def _handle_message(self, stream: Stream, message: Any) -> None:
@@ -178,9 +200,20 @@
             self._register(stream)
             return
         if isinstance(message, _REQUESTS):
+            # A call with a part of its body counts as one of the stream, too,
+            # so that the body is released when the stream ends.
             self._origins[message.call] = stream
-        elif isinstance(message, CancelCall):
+        if isinstance(message, RequestPart):
+            self._bodies.add(stream.peer, message)
+        elif isinstance(message, RunCall):
+            self._on_event(self._bodies.complete(stream.peer, message))
+        else:
+            self._handle_short_message(stream, message)
+
+    def _handle_short_message(self, stream: Stream, message: Any) -> None:
+        if isinstance(message, CancelCall):
             self._origins.pop(message.call, None)
+            self._bodies.release(message.call)
         elif isinstance(message, Pong):
             self._ping_rounds.record_answer(stream, message.nonce)
             if self._ping_rounds.is_incomplete(stream.peer, message.nonce):
@@ -235,6 +268,7 @@
         )
         for call in calls:
             self._origins.pop(call)
+            self._bodies.release(call)
         return calls
 
     def _newest_inbound(self, node: str) -> Stream | None:
