--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,14 @@
 
 # Modules that are run by commands of their own.
 EXCLUDED_MODULES = frozenset(
-    ('__main__', 'load', 'capacity', 'bare_relay', 'capacity_whole')
+    (
+        '__main__',
+        'load',
+        'capacity',
+        'bare_relay',
+        'capacity_whole',
+        'normal_load',
+    )
 )
 
 
