--- /dev/null
+++ b/tests/transport/test_caller_memory.py
@@ -0,0 +1,105 @@
+"""Connections of callers hold no more than the account of memory allows."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from daisyline.coordination.calls.call_events import CallerDisconnected
+from daisyline.coordination.memory.memory_account import Kind, MemoryAccount
+from daisyline.transport.memory_guard import MemoryGuard
+from tests.support import fixture, function_tests
+from tests.transport.rig import Peer
+from tests.transport.test_callers import CallersPort, _first_part, _get
+
+load_tests = function_tests(__name__)
+
+LIMIT_BYTES = 4000
+BODY = b'x' * 3000
+HEAD = b'POST / HTTP/1.1\r\nHost: docs\r\n%s\r\n\r\n'
+UNFINISHED = HEAD % b'Content-Length: 3001' + BODY
+TINY_CHUNKS = HEAD % b'Transfer-Encoding: chunked' + b'1\r\nx\r\n' * 4000
+
+
+@attrs.define
+class GuardedPort:
+    """A port for callers whose connections share one account."""
+
+    callers: CallersPort
+    account: MemoryAccount
+
+    def connect(self) -> Peer:
+        """Connect a caller whose bytes are counted."""
+        count = len(self.callers.connections)
+        peer = self.callers.driver.connect(self.callers.port)
+        self.callers.driver.run_until(
+            lambda: len(self.callers.connections) > count
+        )
+        self.callers.caller.use_memory(MemoryGuard(self.account))
+        return peer
+
+
+@fixture
+def guarded_port(callers_port: CallersPort) -> Iterator[GuardedPort]:
+    """Provide a port whose account holds one body."""
+    yield GuardedPort(callers_port, MemoryAccount(LIMIT_BYTES))
+
+
+def test_a_body_without_room_is_refused_as_not_run(
+    guarded_port: GuardedPort,
+) -> None:
+    first, second = guarded_port.connect(), guarded_port.connect()
+    for peer in (first, second):
+        peer.send(UNFINISHED)
+    refused = second.read_until(b'memory is short')
+    assert refused.startswith(b'HTTP/1.1 503')
+    assert b'Daisyline-Outcome: not-run' in refused
+    assert b'Retry-After: ' in refused
+    assert not guarded_port.callers.requests
+    assert guarded_port.account.held_bytes == len(UNFINISHED)
+    first.send(b'x')
+    guarded_port.callers.wait_for_requests(1)
+
+
+def test_the_bytes_of_a_caller_that_disconnects_are_released(
+    guarded_port: GuardedPort,
+) -> None:
+    peer = guarded_port.connect()
+    peer.send(UNFINISHED)
+    account = guarded_port.account
+    guarded_port.callers.driver.run_until(lambda: account.held_bytes)
+    peer.reset()
+    guarded_port.callers.driver.run_until(lambda: not account.held_bytes)
+
+
+def test_an_answer_that_is_not_read_gives_way_to_a_request(
+    guarded_port: GuardedPort,
+) -> None:
+    # Guards against answers to many callers that read nothing.
+    callers, account = guarded_port.callers, guarded_port.account
+    account.limit_bytes = 40_000_000
+    peer = guarded_port.connect()
+    peer.send(_get(1))
+    callers.wait_for_requests(1)
+    part = attrs.evolve(_first_part(), body=bytes(30_000_000))
+    callers.caller.send_answer(part)
+    assert account.by_kind[Kind.ANSWERS]
+    account.limit_bytes = LIMIT_BYTES
+    guarded_port.connect().send(UNFINISHED)
+    callers.driver.run_until(
+        lambda: callers.driver.events_of(CallerDisconnected)
+    )
+    assert not account.by_kind[Kind.ANSWERS]
+
+
+def test_tiny_chunks_are_decoded_in_turns_and_then_refused(
+    guarded_port: GuardedPort,
+) -> None:
+    # Guards against one connection that keeps the loop busy.
+    guarded_port.account.limit_bytes = 1_000_000
+    peer = guarded_port.connect()
+    peer.sock.send(TINY_CHUNKS)
+    driver = guarded_port.callers.driver
+    driver.run_until(lambda: guarded_port.account.held_bytes)
+    assert guarded_port.callers.caller._awaits_turn
+    assert peer.read_until(b'payload').startswith(b'HTTP/1.1 400')
+    assert not guarded_port.account.by_kind[Kind.REQUESTS]
