Leave the target more connections and callers fewer

Cause: a tenth of the descriptors is 82 connections where a process may open 1,024, fewer than the 200 calls that a target may run at once, each of which may call on through its node.

--- a/daisyline/coordination/memory/connection_bound.py
+++ b/daisyline/coordination/memory/connection_bound.py
@@ -7,8 +7,8 @@
 RESERVED_DESCRIPTORS = 200
 # The parts of the others that callers and the target may take. The rest is for
 # streams to nodes, connections to the target, operators and the platform.
-CALLERS_SHARE = 0.7
-TARGET_SHARE = 0.1
+CALLERS_SHARE = 0.6
+TARGET_SHARE = 0.25
 # Some are allowed in any case.
 _MIN_CONNECTIONS = 16
 _MAX_CONNECTIONS = 100_000
--- a/daisyline/coordination/memory/memory_account.py
+++ b/daisyline/coordination/memory/memory_account.py
@@ -44,7 +44,6 @@
     ANSWERS = 'answers'
     PEERS_IN = 'peers_in'
     PEERS_OUT = 'peers_out'
-    TARGET_OUT = 'target_out'
 
 
 # Holders of these kinds make progress when they receive bytes, the others when
