Continue long work in the next iteration without a wait

Cause: a long body went to another node in 14.5 to 15.0 s for 64 MiB, as its next part was due by a timer set after the loop had computed how long to wait. Ruled out: sending the parts in one iteration, which keeps others waiting.

Change: Loop.call_next calls a function in the next iteration, which does not wait; used for parts of long bodies and for turns of decoding.

--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -162,7 +162,7 @@
         elif isinstance(event, MoreBuffered):
             self._awaits_turn = True
             self._connection.pause_reading()
-            self._loop.call_later(0, self._begin_turn)
+            self._loop.call_next(self._begin_turn)
             return False
         else:
             self._connection.resume_reading()
--- a/daisyline/transport/long_bodies.py
+++ b/daisyline/transport/long_bodies.py
@@ -79,7 +79,7 @@
         is_waiting = self._is_scheduled or self._connection.buffered_bytes
         if self._waiting and not is_waiting:
             self._is_scheduled = True
-            self._loop.call_later(0, self._send)
+            self._loop.call_next(self._send)
 
     def _send(self) -> None:
         self._is_scheduled = False
--- a/daisyline/transport/loop.py
+++ b/daisyline/transport/loop.py
@@ -49,6 +49,10 @@
         """Schedule a function after a delay in seconds."""
         return self._deadlines.call_at(time.monotonic() + delay_s, function)
 
+    def call_next(self, function: Callable[[], None]) -> None:
+        """Schedule a function for the next loop iteration, without a wait."""
+        self.poller.call_next(function)
+
     def defer(self, function: Callable[[], None]) -> None:
         """Schedule a function for the end of this loop iteration."""
         self.poller.defer(function)
--- a/daisyline/transport/poller.py
+++ b/daisyline/transport/poller.py
@@ -35,6 +35,7 @@
         super().__init__()
         self._watchers: dict[int, Watcher] = {}
         self._deferred: deque[Callable[[], None]] = deque()
+        self._next: deque[Callable[[], None]] = deque()
         self._iteration_ended_at = time.monotonic()
         self.on_pause: Callable[[float], None] = _ignore_pause
 
@@ -56,6 +57,13 @@
         """Schedule a function for the end of this loop iteration."""
         self._deferred.append(function)
 
+    def call_next(self, function: Callable[[], None]) -> None:
+        """Schedule a function for the next iteration, which does not wait.
+
+        Sockets that are ready by then come first.
+        """
+        self._next.append(function)
+
     def flush_deferred(self) -> None:
         """Call the deferred functions, and those that they defer in turn.
 
@@ -72,7 +80,8 @@
         self._detect_pause(0)
         # Earlier handlers may have fired events or stopped the loop; neither
         # may be delayed until a socket is ready.
-        if len(self.root) or not self.root.running:
+        due = len(self._next)
+        if len(self.root) or not self.root.running or due:
             event.reduce_time_left(0)
         wait_s = event.time_left
         started = time.monotonic()
@@ -81,6 +90,11 @@
         self._detect_pause(
             min(waited_s, max(wait_s, 0)) if wait_s >= 0 else waited_s
         )
+        self._call_watchers(ready)
+        self._run_next(due)
+        self.flush_deferred()
+
+    def _call_watchers(self, ready: list[tuple[int, int]]) -> None:
         for fileno, mask in ready:
             watcher = self._watchers.get(fileno)
             if watcher is None:
@@ -90,7 +104,12 @@
                     bool(mask & (READABLE | _ERROR_EVENTS)),
                     bool(mask & (WRITABLE | _ERROR_EVENTS)),
                 )
-        self.flush_deferred()
+
+    def _run_next(self, due: int) -> None:
+        """Call a number of functions that were scheduled for this iteration."""
+        while due:
+            due -= 1
+            self._next.popleft()()
 
     def _detect_pause(self, expected_s: float) -> None:
         """Report a pause of the process that the poll wait does not explain."""
--- a/tests/transport/test_loop.py
+++ b/tests/transport/test_loop.py
@@ -4,13 +4,16 @@
 import os
 import socket
 import time
+import types
 from collections.abc import Iterator
+from typing import Any
 
 from daisyline.transport.deadlines import Deadlines
 from daisyline.transport.listener import Listener
 from daisyline.transport.loop import Loop
 from daisyline.transport.sockets import Connection
 from tests.support import fixture, function_tests
+from tests.transport.rig import LoopDriver
 
 load_tests = function_tests(__name__)
 
@@ -114,3 +117,25 @@
     for number in range(20_000):
         deadlines.call_at(loop.now() + number, loop.stop)
     assert len(scans) < 10
+
+
+def test_a_function_for_the_next_iteration_waits_for_no_timer(
+    driver: LoopDriver,
+) -> None:
+    # Guards against a long body that is sent at the pace of other timers: the
+    # loop has computed its wait already when deferred functions are called.
+    loop = driver.loop
+    waits: list[float] = []
+    called: list[float] = []
+    poll = loop.poller._poller.poll
+
+    def record_poll(wait_s: float) -> Any:
+        waits.append(wait_s)
+        return poll(0)
+
+    loop.poller._poller = types.SimpleNamespace(poll=record_poll)
+    loop.defer(lambda: loop.call_next(lambda: called.append(len(waits))))
+    driver.run_once()
+    driver.run_once()
+    assert called == [1]
+    assert waits[0] == 0
