--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from typing import Any
 
 import attrs
 
@@ -15,6 +14,7 @@
 from daisyline.coordination.calls.target_side import TargetSide
 from daisyline.coordination.duties.duties import Duties
 from daisyline.coordination.membership.fleet import Fleet
+from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.coordination.rollouts.rollout import Rollouts
 from daisyline.coordination.settings.platform_reading import PlatformReadConfig
 from daisyline.coordination.target_crashes import (
@@ -33,7 +33,7 @@
 FIRST_LEASE_S = 3.0
 _US_PER_MS = 1_000
 
-Effects = list[Any]
+Effects = list[object]
 
 
 @attrs.define
@@ -51,6 +51,7 @@
         duties: The calls to the platform that one node at a time makes.
         events: The record of decisions.
         latencies: Histograms of call durations.
+        memory: The bytes that this node holds for others.
         lease_s: The lease of the target's announcements, in seconds.
         lease_ends_at: When the lease of the target expires, in monotonic
             seconds.
@@ -70,6 +71,9 @@
     duties: Duties
     events: log.EventLog
     latencies: Latencies
+    memory: MemoryAccount = attrs.field(
+        factory=lambda: MemoryAccount.from_config(None)
+    )
     lease_s: float = TARGET_LEASE_S
     lease_ends_at: float = math.inf
     warm_at: float = math.inf
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -12,7 +12,11 @@
 import attrs
 
 from daisyline.coordination import events as log
-from daisyline.coordination import internal_effects, target_notices
+from daisyline.coordination import (
+    internal_effects,
+    target_crashes,
+    target_notices,
+)
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import (
     entry_handlers,
@@ -25,6 +29,7 @@
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
+from daisyline.coordination.memory.body_refusal import refuse_body
 from daisyline.coordination.node_core import Effects, NodeCore
 from daisyline.coordination.rollouts.evidence_messages import Evidence
 from daisyline.coordination.settings.settings_events import (
@@ -32,7 +37,6 @@
     reading_event,
     zone_events,
 )
-from daisyline.coordination.target_crashes import request_fingerprint
 from daisyline.state.orders import ORDER_KINDS
 
 _US_PER_S = 1_000_000
@@ -135,6 +139,9 @@
     return core.fleet.handle(received, now)
 
 
+_dispatch.register(ev.CallBodyRefused, refuse_body)
+
+
 @_dispatch.register
 def _(event: ev.RequestUnroutable, core: NodeCore, now: float) -> Effects:
     age_ms = int(core.fleet.settings_age_s(now) * _MS_PER_S)
@@ -305,5 +312,5 @@
     core.latencies.record(effect.service, effect.tenant, took_us)
     if effect.lost_request is None:
         return []
-    request = request_fingerprint(effect.lost_request)
+    request = target_crashes.request_fingerprint(effect.lost_request)
     return core.quarantine.record_late_answer(request, now)
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from daisyline.coordination.calls.customer_keys import Cause
+from daisyline.coordination.calls import customer_keys
 from daisyline.coordination.events import Event
+from daisyline.coordination.memory.memory_account import Cause, Kind
 from daisyline.coordination.node_core import NodeCore
 from daisyline.state.members import Member
 from daisyline.state.targets import LoadReport
@@ -70,12 +71,23 @@
     from daisyline.protocol.metrics import metrics_text  # noqa: PLC0415
 
     load = core.target_side.load
+    memory = core.memory
     counters = {
         'sink_failures_total': core.events.sink_failures,
         **_key_refusals(core),
         **core.duties.counters(),
     }
+    counters.update(
+        (f'memory_taken_{cause}_total', memory.revocations[cause])
+        for cause in Cause
+    )
+    counters.update(
+        (f'unfinished_refused_{reason}_total'.replace('-', '_'), count)
+        for reason, count in memory.refusals.items()
+    )
     gauges = {
+        'memory_limit_bytes': memory.limit_bytes,
+        **{f'memory_held_{kind}_bytes': memory.by_kind[kind] for kind in Kind},
         'running': load.running,
         'waiting': load.waiting,
         'slots_usable': load.limit,
@@ -92,9 +104,9 @@
         return {}
     count = core.entry.key_refusals.count
     return {
-        'keys_missing_total': count(Cause.MISSING),
-        'keys_malformed_total': count(Cause.MALFORMED),
-        'keys_unknown_total': count(Cause.UNKNOWN),
+        'keys_missing_total': count(customer_keys.Cause.MISSING),
+        'keys_malformed_total': count(customer_keys.Cause.MALFORMED),
+        'keys_unknown_total': count(customer_keys.Cause.UNKNOWN),
     }
 
 
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -29,10 +29,10 @@
 from daisyline.protocol.front_end import FrontEnd
 from daisyline.transport.duty_client import DutyClient
 from daisyline.transport.loop import Loop
+from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.platform_client import PlatformClient
 from daisyline.transport.ports import Ports
-from daisyline.transport.stream import Identity
-from daisyline.transport.streams import Streams
+from daisyline.transport.streams import Identity, Streams
 from daisyline.transport.target_pool import TargetPool
 
 
@@ -79,7 +79,9 @@
         identity = Identity(config.cluster, own_member.name, start)
         address = config.platform_address
         return cls(
-            streams=Streams(loop, identity, on_event),
+            streams=Streams(
+                loop, identity, on_event, MemoryGuard.from_core(core)
+            ),
             platform=PlatformClient(
                 loop, address, on_event, front.platform_codec
             ),
