Let the holder rest while a renewal can't be written

Cause: with the store and the report API away, the renewal for a report that is due soon stayed due while the store's outcome had to be read first, so the holder's timer ran 49 times a second (model, 100 s). Ruled out: the counters and the store's retries, whose times lay ahead. Change: the holder looks at its windows again only after the store's reply or its pause.

--- a/daisyline/coordination/duties/usage_duty.py
+++ b/daisyline/coordination/duties/usage_duty.py
@@ -109,12 +109,13 @@
         )
         if held is None:
             return min(next_at, self._reviewed_at + _REVIEW_INTERVAL_S)
+        next_at = min(next_at, self.reports.next_at(held, at))
+        if held.must_read or self.holder.store.is_busy:
+            # The store's reply comes before a write.
+            return next_at
         unconfirmed = self.reports.unconfirmed(held)
-        return min(
-            next_at,
-            self.reports.next_at(held, at),
-            self.closer.next_at(held, unconfirmed, at),
-        )
+        close_at = self.closer.next_at(held, unconfirmed, at)
+        return min(next_at, max(close_at, self.holder.store.next_at()))
 
     def tick(
         self,
--- a/tests/coordination/duties/rig.py
+++ b/tests/coordination/duties/rig.py
@@ -109,6 +109,7 @@
     nodes: dict[str, SimulatedNode] = attrs.field(factory=dict)
     events: list[tuple[str, Event]] = attrs.field(factory=list)
     pending_writes: int = 0
+    ticks: dict[str, int] = attrs.field(factory=dict)
 
     def start(self, name: str) -> None:
         """Start a node, or a new process of one that was killed."""
@@ -301,6 +302,8 @@
 
     def _tick(self, node: SimulatedNode) -> None:
         if node.is_running and not node.is_suspended:
+            name = node.member.name
+            self.ticks[name] = self.ticks.get(name, 0) + 1
             self._carry_out(node, node.duties.tick(self.clock(node)))
 
 
--- a/tests/coordination/duties/test_usage_report.py
+++ b/tests/coordination/duties/test_usage_report.py
@@ -159,6 +159,20 @@
         assert _last_due(duty_fleet) in duty_fleet.api.reports
 
 
+def test_a_holder_does_not_spin_while_the_store_and_the_api_are_away(
+    duty_fleet: DutyFleet,
+) -> None:
+    # Guards against a renewal that is due all the time but can't be written.
+    holder = duty_fleet.nodes[duty_fleet.holders()[0]]
+    duty_fleet.lost_answers = 1
+    duty_fleet.run(20)
+    duty_fleet.refused = set(NAMES)
+    duty_fleet.run(20)
+    ticks = duty_fleet.ticks[holder.member.name]
+    duty_fleet.run(50)
+    assert duty_fleet.ticks[holder.member.name] - ticks <= 50 * 5
+
+
 def test_a_holder_that_the_store_rejects_is_replaced(
     duty_fleet: DutyFleet,
 ) -> None:
