Refuse bodies in tiny chunks only while there are many of them

Cause: a body whose chunks carry less payload than half of what is received was refused with 400 after 16 KiB, also as the only request of a node. Such a body is within the limits that clients are given, and 400 is never retried. Ruled out: a smaller share, which some sound body would still miss.

Change: a body in tiny chunks takes turns with other connections.

--- a/daisyline/coordination/memory/memory_account.py
+++ b/daisyline/coordination/memory/memory_account.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from daisyline.coordination.memory.costly_bodies import CostlyBodies
+
 _BYTES_PER_MB = 1_000_000
 # The memory of a machine whose settings state none, in megabytes.
 DEFAULT_MEMORY_MB = 512
@@ -136,6 +138,7 @@
         revocations: How many holders lost what they held, by cause.
         refusals: How many requests were refused before they were complete, by
             the value of their `Reason`.
+        costly_bodies: The bodies whose chunks carry little payload.
         is_short: Whether the limit was reached and the shortage has not ended.
     """
 
@@ -144,6 +147,7 @@
     by_kind: Counter[Kind] = attrs.field(factory=Counter)
     revocations: Counter[Cause] = attrs.field(factory=Counter)
     refusals: Counter[str] = attrs.field(factory=Counter)
+    costly_bodies: CostlyBodies = attrs.field(factory=CostlyBodies)
     is_short: bool = False
     _holders: set[Holder] = attrs.field(factory=set)
 
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -40,6 +40,7 @@
         # Grows without a copy, and gives its bytes without one.
         self._body = io.BytesIO()
         self._cost = BodyCost()
+        self._is_costly = False
         self._received_bytes = 0
         self._events_left = _EVENTS_PER_TURN
         self._continue_sent = False
@@ -55,6 +56,14 @@
         """Return the bytes that the request being received takes at most."""
         return self._received_bytes
 
+    @property
+    def costly_chunks(self) -> int:
+        """Return the chunks of a body that costs too much for its payload.
+
+        It is 0 for other bodies.
+        """
+        return self._cost.chunks if self._is_costly else 0
+
     @property
     def is_idle(self) -> bool:
         """Return whether there is no current request and no unread bytes."""
@@ -97,6 +106,7 @@
         self._request = None
         self._body = io.BytesIO()
         self._cost = BodyCost()
+        self._is_costly = False
         self._received_bytes = 0
         self._continue_sent = False
 
@@ -124,15 +134,15 @@
     def add_body(self, part: h11.Data) -> MalformedRequest | None:
         """Buffer a part of the body.
 
-        Returns a refusal if the body is too large, or if its chunks carry too
-        little payload for what they cost.
+        Returns a refusal if the body is too large.
         """
         size = len(part.data)
         self._cost.add(size, starts_chunk=part.chunk_start)
         if self._cost.payload_bytes > self._limit_bytes:
             return self._too_large()
         self._body.write(part.data)
-        return self._too_costly() if self._cost.is_excessive() else None
+        self._is_costly = self._is_costly or self._cost.is_excessive()
+        return None
 
     def begin_request(self, request: h11.Request) -> MalformedRequest | None:
         """Store the head of a request and check it.
@@ -185,27 +195,20 @@
                 return refusal
         return MoreBuffered()
 
-    def _too_costly(self) -> MalformedRequest:
-        detail = 'the chunks of the body carry too little payload'
-        return _malformed(HTTPStatus.BAD_REQUEST, Reason.BAD_REQUEST, detail)
-
     def _too_large(self) -> MalformedRequest:
         detail = f'the body is larger than {self._limit_bytes} bytes'
         return _malformed(
             HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Reason.TOO_LARGE, detail
         )
 
-    def _await_bytes(
-        self, event: object
-    ) -> ContinueExpected | MalformedRequest | None:
+    def _await_bytes(self, event: object) -> ContinueExpected | None:
         """Return the event for a request of which all bytes are decoded."""
         if event is not h11.NEED_DATA:
             return None
         if self._cost.chunks:
             # The sizes of chunks may have long extensions.
             body_bytes = self._received_bytes - _head_bytes(self._request)
-            if self._cost.is_excessive(body_bytes):
-                return self._too_costly()
+            self._is_costly = self._cost.is_excessive(body_bytes)
         waits = self._connection.they_are_waiting_for_100_continue
         return None if self._continue_sent or not waits else ContinueExpected()
 
--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -83,6 +83,7 @@
         """Count what the connection holds in the account of the node."""
         self._memory = CallerMemory(guard, self._connection.peer_host)
         self._memory.refuse = self._refuse_for_memory
+        self._memory.refuse_cost = self._refuse_for_cost
         self._memory.reset = self._connection.reset
         self._connection.on_progress = self._update_memory
 
@@ -130,12 +131,20 @@
         failure = Failure(Reason.OVERLOADED, detail='memory is short')
         self._refuse_unfinished(failure, status_of(failure, self._dialect))
 
+    def _refuse_for_cost(self) -> None:
+        """Refuse a request in tiny chunks while there are too many of them."""
+        failure = Failure(
+            Reason.OVERLOADED, detail='too many bodies in tiny chunks'
+        )
+        self._refuse_unfinished(failure, status_of(failure, self._dialect))
+
     def _refuse_unfinished(self, failure: Failure, status: int) -> None:
         """Refuse a request before its end and release what was received.
 
         Its end is unknown, so no request after it can be read.
         """
         if self._memory is not None:
+            self._memory.record_cost(0)
             self._memory.count_refusal(failure.reason)
         self._codec.discard_body()
         refused = QueuedAnswer(self._codec, closes_connection=True)
--- a/daisyline/transport/caller_memory.py
+++ b/daisyline/transport/caller_memory.py
@@ -13,6 +13,7 @@
     Attributes:
         refuse: Called when the bytes of an unfinished request are taken.
         reset: Called when the bytes of unread answers are taken.
+        refuse_cost: Called when too many bodies in tiny chunks arrive.
     """
 
     def __init__(self, guard: MemoryGuard, client: str) -> None:
@@ -27,6 +28,7 @@
         self._answers = Holder(Kind.ANSWERS, client, self._reset)
         self.refuse: Callable[[], None] = bool
         self.reset: Callable[[], None] = bool
+        self.refuse_cost: Callable[[], None] = bool
 
     def update(self, request_bytes: int, answer_bytes: int, calls: int) -> None:
         """Record what the connection holds now.
@@ -41,12 +43,23 @@
         self._guard.hold(self._requests, request_bytes)
         self._guard.hold(self._answers, answer_bytes)
 
+    def record_cost(self, chunks: int) -> None:
+        """Record how many chunks a costly body has taken; 0 without one."""
+        costly_bodies = self._guard.account.costly_bodies
+        if not chunks:
+            costly_bodies.forget(self)
+            return
+        refused = costly_bodies.record(self, chunks)
+        if isinstance(refused, CallerMemory):
+            refused.refuse_cost()
+
     def count_refusal(self, reason: Reason) -> None:
         """Count a request that was refused before it was complete."""
         self._guard.account.refusals[reason.value] += 1
 
     def release(self) -> None:
         """Record that the connection is closed."""
+        self.record_cost(0)
         self._guard.release(self._requests)
         self._guard.release(self._answers)
 
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -159,16 +159,22 @@
         elif isinstance(event, Request):
             self._postponed = event
             return self._start_request(event)
-        elif isinstance(event, MoreBuffered):
-            self._awaits_turn = True
-            self._connection.pause_reading()
-            self._loop.call_next(self._begin_turn)
-            return False
         else:
-            self._connection.resume_reading()
+            self._bound_cost()
+            if isinstance(event, MoreBuffered) and not self._ending:
+                self._awaits_turn = True
+                self._connection.pause_reading()
+                self._loop.call_next(self._begin_turn)
+            else:
+                self._connection.resume_reading()
             return False
         return True
 
+    def _bound_cost(self) -> None:
+        """Count a body in tiny chunks; it is refused if there are too many."""
+        if self._memory is not None and not self._ending:
+            self._memory.record_cost(self._codec.costly_chunks)
+
     def _can_start(self) -> bool:
         if (
             not self._connection.is_open
--- a/tests/transport/rig.py
+++ b/tests/transport/rig.py
@@ -60,6 +60,11 @@
         self.driver.run_until(lambda: self._read() and wanted in self.received)
         return bytes(self.received)
 
+    def read_now(self) -> bytes:
+        """Return all bytes that have arrived so far."""
+        self._read()
+        return bytes(self.received)
+
     def read_until_end(self) -> bytes:
         """Read until the connection is closed or reset; return all bytes."""
         self.driver.run_until(lambda: self._read() and self.ended)
