Use a young target as soon as the store has answered

Cause: after a loss of power a target and its node start within a second, the target mostly first. Ruled out: not holding young targets at all, as a target may leave soon after its start. Change: the store's answer releases a target that started less than 2 s before the process.

--- a/daisyline/coordination/departures/start_hold.py
+++ b/daisyline/coordination/departures/start_hold.py
@@ -22,6 +22,10 @@
 # The facts of another node arrive in several messages, and the store has to have
 # time to answer first, in seconds.
 SETTLE_S = 0.25
+# A target that started less than this before the process, in milliseconds, is
+# used when the store has answered. After a loss of power both start within a
+# second, and no other node knows more; waiting would only delay the recovery.
+_YOUNG_MS = 2_000
 # A node that runs for longer than this, in milliseconds, was in touch with the
 # earlier process: a platform restarts a process sooner, so that nodes that were
 # killed together start within this time.
@@ -93,7 +97,9 @@
     def record_answer(self, now: float) -> None:
         """Record that the store has answered what it lists of departures."""
         if self.is_holding:
-            release_at = max(now, self._held_at + JOIN_S)
+            is_young = self._target_ms > self._process_ms - _YOUNG_MS
+            wait_s = 0 if is_young else JOIN_S
+            release_at = max(now, self._held_at + wait_s)
             self._release_at = min(self._release_at, release_at)
 
     def end(self) -> None:
