Don't take a reset for the end of an answer

What callers saw: a target answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. The client got the part as a whole answer (MIXED).

Cause: the kernel reports the error of a reset once, to the first system call, and an end of the data to each read after it. A connection with bytes to send is written before it is read. The write took ECONNRESET and postponed the close to the end of the iteration; the read in between got an end, which ends an answer without a length. The platform's client has the same path. Ruled out: the codec, which reports nothing by itself; uploads that fit into the buffers, where the read gets the error.

Change: a connection remembers that a write took an error, and the end read after it closes the connection in place of being reported. EPIPE as the first error comes only after the peer has ended its data in order, so an answer that was ended before the reset stays whole, as HTTP says.

Tests, on sockets and over processes, with a target whose receive buffer is small; they check that bytes wait to be sent and that the part was read.

FAIL: test_an_answer_without_a_length_is_not_whole_after_a_reset FAIL: test_a_reply_of_the_platform_is_none_after_a_reset FAIL: test_an_upload_whose_answer_is_reset_gets_no_part_of_it_as_whole AssertionError: {'u0-0': 502, 'u0-0.005': 200, 'u0-0.02': 200, 'u0-0.05': 200, 'u1-0': 502, ...} (9 of 12 whole)

All pass now; test_an_early_answer_without_a_length_ends_with_an_orderly_close held before.

--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -64,6 +64,7 @@
         self._send_buffer = SendBuffer()
         self._close_pending = False
         self._is_reading = True
+        self._is_broken = False
         self._shutdown_pending = False
         self._mask = WRITABLE if is_connecting else READABLE
         self.handler: ConnectionHandler | None = None
@@ -208,6 +209,11 @@
         if octets:
             self.handler.handle_bytes(octets)
             return
+        if self._is_broken:
+            # The kernel reports an error once and an end of the data after it.
+            # A write took the error, so this is no orderly end.
+            self.abort()
+            return
         self._is_reading = False
         self._update_mask()
         self.handler.handle_eof()
@@ -245,6 +251,9 @@
             return self._sock.send(octets)
         except OSError as error:
             if error.errno not in _RETRY_CODES:
+                # EPIPE comes first only if the peer had ended its data before.
+                is_after_end = error.errno == errno.EPIPE
+                self._is_broken = self._is_broken or not is_after_end
                 self._loop.defer(self.abort)
             return 0
 
