Refuse an answer whose head has a name after a blank

What callers saw: a target in trouble sends an answer in whose head a field's name begins with a blank or a tab. The client got it as an answer, with the line passed on as a part of the field before it; where the line was the length or the transfer coding, the body was all that came until the close, chunk sizes and later bytes included.

Cause: h11 takes such a line for obsolete line folding and joins it to the line before. Ruled out: a blank or a control byte elsewhere in a name, which h11 refuses.

Change: the client's codec keeps the bytes of a head until it is decoded, and an answer with a folded line is broken, as RFC 9112 (5.2) lets a gateway do. All clients of the codec have it: calls, probes, the platform, reports. A body may have such lines, and requests of clients are read as before.

--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -25,6 +25,9 @@
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # A body of this length or more is not copied behind its head.
 _SEPARATE_BODY_BYTES = 65_536
+# h11 joins a line that begins with a blank to the one before it, as obsolete
+# line folding. From a target it may as well be a garbled name.
+_FOLDED_LINE = re.compile(rb'\n[ \t]')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d{1,6})')
 
 
@@ -36,6 +39,8 @@
         self._connection = _client_connection()
         self._method = b''
         self._informational_count = 0
+        # What was received since the last head; empty while a body is read.
+        self._head = bytearray()
 
     def request(self, request: Request, extra_headers: Headers = ()) -> bytes:
         """Return the bytes of a whole request, as `request_pieces` does."""
@@ -68,6 +73,7 @@
         )
         self._method = request.method
         self._informational_count = 0
+        self._head.clear()
         pieces = [self._connection.send(event) or b'']
         if request.body:
             part = h11.Data(data=request.body)
@@ -82,6 +88,8 @@
         """Buffer received bytes; empty bytes mark the end of the stream."""
         if self._connection.their_state is not h11.ERROR:
             self._connection.receive_data(octets)
+        if self._connection.their_state is h11.SEND_RESPONSE:
+            self._head += octets
 
     def next_event(self) -> Head | Part | End | BrokenAnswer | None:
         """Return the next event, or None if more bytes are needed.
@@ -89,12 +97,12 @@
         A malformed or truncated answer gives `BrokenAnswer`, as do more than
         `MAX_INFORMATIONAL` informational responses.
         """
-        event = self._next_h11_event()
+        event = self._next_checked_event()
         while isinstance(event, h11.InformationalResponse):
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL:
                 return BrokenAnswer('too many informational responses')
-            event = self._next_h11_event()
+            event = self._next_checked_event()
         if isinstance(event, h11.RemoteProtocolError):
             return BrokenAnswer(str(event))
         return _answer_event(event, self)
@@ -122,7 +130,7 @@
             self._connection.send(h11.EndOfMessage())
             self._informational_count = 0
             if rest:
-                self._connection.receive_data(rest)
+                self.feed(rest)
         return is_open
 
     @property
@@ -146,6 +154,18 @@
             )
         )
 
+    def _next_checked_event(self) -> object:
+        """Return the next event of h11; a head with folded lines is an error."""
+        event = self._next_h11_event()
+        if isinstance(event, (h11.InformationalResponse, h11.Response)):
+            rest, _closed = self._connection.trailing_data
+            head = self._head[: len(self._head) - len(rest)]
+            is_last = isinstance(event, h11.Response)
+            self._head = bytearray(b'' if is_last else rest)
+            if _FOLDED_LINE.search(head):
+                return h11.RemoteProtocolError('a folded header line')
+        return event
+
     def _next_h11_event(self) -> object:
         """Return the next event of h11; a protocol error is returned as well."""
         try:
--- a/tests/journeys/test_broken_answers.py
+++ b/tests/journeys/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import functools
 import time
+from collections.abc import Iterable
 
 from tests.fixtures import wait_until
 from tests.journeys.raw_target import RawPlace, Received
@@ -10,6 +11,7 @@
 load_tests = function_tests(__name__)
 
 OK = 200
+BAD_GATEWAY = 502
 PART = b'a part of the body'
 # Longer than what the kernels on the way to the target buffer.
 UPLOAD = bytes(8_000_000)
@@ -37,3 +39,55 @@
             assert raw_place.target.count_sent(call) > len(PART)
             got[call] = answer and answer[0]
     assert OK not in got.values(), got
+
+
+def _answer_with(
+    status: bytes, line: bytes, body: bytes, received: Received
+) -> None:
+    head = received.head(status, b'X-First: 1', line, b'X-Last: 1')
+    received.send(head + body)
+
+
+def _collect_answers(
+    place: RawPlace, heads: Iterable[tuple[bytes, bytes, bytes]]
+) -> dict[tuple[bytes, ...], int | None]:
+    """Return the status that a client got for each answer of the target.
+
+    Args:
+        place: The node and the target.
+        heads: The status, a line and the body of each answer.
+    """
+    got: dict[tuple[bytes, ...], int | None] = {}
+    for number, head in enumerate(heads):
+        call = f'c{number}'
+        wait_until(place.is_answering)
+        place.target.answer = functools.partial(_answer_with, *head)
+        answer = place.send(call)
+        assert place.target.count_sent(call), head
+        got[head] = answer and answer[0]
+    return got
+
+
+def test_an_answer_with_a_garbled_field_name_reaches_no_client(
+    raw_place: RawPlace,
+) -> None:
+    # Guards against a line that is passed on, and against a body that a
+    # client finds in another way than the target meant.
+    names = (
+        b'X Filler',
+        b'X-Filler ',
+        b' X-Filler',
+        b'\tX-Filler',
+        b'X\x01Filler',
+        b'X\x7fFiller',
+        b'X-Filler\r',
+    )
+    lines = [b'%s: 1' % name for name in names]
+    heads = [(b'200 OK', line, b'ok') for line in lines]
+    heads += [
+        (b'200 OK', b' Content-Length: 2', b'ok and more'),
+        (b'200 OK', b'Content Length: 2', b'ok and more'),
+        (b'200 OK', b' Transfer-Encoding: chunked', b'2\r\nok\r\n0\r\n\r\n'),
+    ]
+    got = _collect_answers(raw_place, heads)
+    assert set(got.values()) == {BAD_GATEWAY}, got
