Test that an answer with status 000 reaches no client

Report: a target in trouble sent an answer whose status was 000, and a client of another system got it as an answer.

It doesn't happen here, so only a test is added: h11 refuses a status below 100, of another number of digits or with a blank, with a length and without, and the client gets a 502 of unknown outcome.

--- a/tests/journeys/test_broken_answers.py
+++ b/tests/journeys/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Clients get no broken answer of a target, over processes."""
 
 import functools
+import itertools
 import time
 from collections.abc import Iterable
 
@@ -68,6 +69,18 @@
     return got
 
 
+def test_an_answer_whose_status_is_no_status_reaches_no_client(
+    raw_place: RawPlace,
+) -> None:
+    heads = itertools.product(
+        (b'000 Trouble', b'000', b'099 Trouble', b'00 Trouble', b'2 0 OK'),
+        (b'Content-Length: 2', b'X-Filler: 1'),
+        (b'ok',),
+    )
+    got = _collect_answers(raw_place, heads)
+    assert set(got.values()) == {BAD_GATEWAY}, got
+
+
 def test_an_answer_with_a_garbled_field_name_reaches_no_client(
     raw_place: RawPlace,
 ) -> None:
