Find copies of an answer whose header names are garbled

What callers saw: a target answers without a length and writes the answer once more before it closes, with a blank or a control byte in a field's name.

Cause: the filter that finds the head of a copy in a body without a length took a line as a header only if its name was a token.

Change: any name is taken, but for one that starts a status line. As before, only a head that names a call of the connection ends a body.

On the new test fails:

FAIL: test_a_copy_with_a_garbled_header_is_no_part_of_the_body AssertionError: b'X Filler'

Measured: five garbled names, each with an equal and another body behind it; the copy is cut off, or the answer is broken. Not played over processes.

--- a/daisyline/protocol/answer_copies.py
+++ b/daisyline/protocol/answer_copies.py
@@ -22,8 +22,11 @@
 _LINE_END = b'\r\n'
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}(?: [^\r\n]*)?')
 _STATUS_START = re.compile(rb'HTTP/1\.[01] \d{3}')
-# An empty line ends the head.
-_HEADER_LINE = re.compile(rb'(?:([!#-9;-~]+):[ \t]*([^\r\n]*?)[ \t]*)?')
+# An empty line ends the head. A target that writes answers again may garble
+# the names of headers, so nearly any name is taken.
+_HEADER_LINE = re.compile(
+    rb'(?:((?!HTTP/1\.)[^:\n]*):[ \t]*([^\r\n]*?)[ \t]*)?'
+)
 _LINES = (_STATUS_LINE, *(_HEADER_LINE for _ in range(_MAX_HEADERS)))
 
 
--- a/tests/protocol/test_answer_copies.py
+++ b/tests/protocol/test_answer_copies.py
@@ -76,6 +76,13 @@
     assert passed in expected
 
 
+def test_a_copy_with_a_garbled_header_is_no_part_of_the_body() -> None:
+    for name in (b'X Filler', b' X-Filler', b'X\x01Filler', b'X-Filler\r', b''):
+        head = HEAD.replace(b'Server-Load', name)
+        assert _pass_through(b'body%sbody' % head, []) == b'body', name
+        assert _pass_through(b'body%sbode' % head, []) is None, name
+
+
 def test_what_is_no_copy_of_the_answer_makes_it_incomplete() -> None:
     earlier = HEAD.replace(OWN, EARLIER)
     for following in (
