Keep no garbled heads in the log of events

What callers saw: a target in trouble sends heads that are no answer, of up to 64 KiB. The node beside it grew with each until its machine had no memory left, and the requests of other clients ended with it.

Cause: the errors of h11 quote the whole line. The text, up to four characters a byte, became the detail of the failed call, and the log keeps the last 20,000 events of calls for `explain`. Also, an error refers to its own traceback, and that to the received bytes, so both stayed until the next collection of cycles. Requests of clients had the second part of this, and got their own line back in the body of the 400. Ruled out: the codec's buffer, which is bounded.

Change: a detail has 200 characters at most, and the traceback is released.

--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -15,6 +15,7 @@
     Part,
     Request,
     answer_headers,
+    detail_of,
 )
 
 # The number of informational responses (1xx) before an answer. More of them
@@ -104,7 +105,7 @@
                 return BrokenAnswer('too many informational responses')
             event = self._next_checked_event()
         if isinstance(event, h11.RemoteProtocolError):
-            return BrokenAnswer(str(event))
+            return BrokenAnswer(detail_of(event))
         return _answer_event(event, self)
 
     def expect_another_answer(self) -> bool:
--- a/daisyline/protocol/http_messages.py
+++ b/daisyline/protocol/http_messages.py
@@ -8,6 +8,7 @@
 from daisyline.state.failures import Failure
 
 MAX_HEAD_BYTES = 65_536
+MAX_DETAIL_CHARS = 200
 _HOP_BY_HOP = frozenset(
     (
         b'connection',
@@ -138,6 +139,18 @@
     is_whole: bool = False
 
 
+def detail_of(error: Exception) -> str:
+    """Return the text of an error of h11, shortened, and release the rest.
+
+    The error quotes what was received, which may be a whole head, and its text
+    is kept with the events of calls. Its traceback refers to the error itself
+    and to the received bytes, so that they would stay until the next
+    collection of reference cycles.
+    """
+    error.__traceback__ = None
+    return str(error)[:MAX_DETAIL_CHARS]
+
+
 def answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return an answer's end-to-end headers and its `Content-Length`.
 
--- a/daisyline/protocol/http_server.py
+++ b/daisyline/protocol/http_server.py
@@ -13,6 +13,7 @@
     MalformedRequest,
     MoreBuffered,
     Request,
+    detail_of,
     end_to_end,
 )
 from daisyline.state.failures import Failure, Reason
@@ -98,7 +99,7 @@
             return self._next_event()
         except h11.RemoteProtocolError as error:
             hint = error.error_status_hint
-            return _malformed(hint, Reason.BAD_REQUEST, str(error))
+            return _malformed(hint, Reason.BAD_REQUEST, detail_of(error))
 
     def next_cycle(self) -> None:
         """Reset the codec for the next request on the connection."""
--- a/tests/journeys/memory_rig.py
+++ b/tests/journeys/memory_rig.py
@@ -89,7 +89,7 @@
         assert descriptors < bound, f'the node has {descriptors} descriptors'
         wait_until(self.is_answering)
         # The answer shows that the node has read what came before.
-        peak_mb = self._peak_bytes() / _BYTES_PER_MB
+        peak_mb = peak_bytes(self.node) / _BYTES_PER_MB
         assert peak_mb < self.memory_mb, f'the node took {peak_mb:.0f} MB'
         assert self.node.popen.poll() is None, 'the node process has ended'
 
@@ -110,19 +110,9 @@
             self.sockets.append(sock)
             sock.sendall(octets)
 
-    def _peak_bytes(self) -> int:
-        """Return the largest resident memory of the node so far."""
-        path = self._process_files() / 'status'
-        found = re.search(r'VmHWM:\s+(\d+) kB', path.read_text('utf-8'))
-        assert found is not None
-        return int(found.group(1)) * _BYTES_PER_KIB
-
     def _descriptors(self) -> int:
         """Return the number of open descriptors of the node."""
-        return len(list((self._process_files() / 'fd').iterdir()))
-
-    def _process_files(self) -> pathlib.Path:
-        return pathlib.Path('/proc', str(self.node.popen.pid))
+        return len(list((_files_of(self.node) / 'fd').iterdir()))
 
 
 @fixture
@@ -163,6 +153,14 @@
         yield machine
 
 
+def peak_bytes(process: Process) -> int:
+    """Return the largest resident memory of a process so far."""
+    path = _files_of(process) / 'status'
+    found = re.search(r'VmHWM:\s+(\d+) kB', path.read_text('utf-8'))
+    assert found is not None
+    return int(found.group(1)) * _BYTES_PER_KIB
+
+
 def head_of(framing: str) -> bytes:
     """Return the head of an order whose body has the given framing."""
     lines = ('POST /orders/1 HTTP/1.1', 'Host: shop.example', framing)
@@ -173,3 +171,7 @@
     """Return a chunked order of the given size, without its last chunk."""
     chunk = b'%x\r\n%s\r\n' % (chunk_bytes, bytes(chunk_bytes))
     return head_of('Transfer-Encoding: chunked') + chunk * (size // chunk_bytes)
+
+
+def _files_of(process: Process) -> pathlib.Path:
+    return pathlib.Path('/proc', str(process.popen.pid))
--- a/tests/journeys/test_broken_answers.py
+++ b/tests/journeys/test_broken_answers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from tests.fixtures import wait_until
+from tests.journeys.memory_rig import MACHINE_MB, peak_bytes
 from tests.journeys.raw_target import RawPlace, Received
 from tests.support import function_tests
 
@@ -18,6 +19,11 @@
 UPLOAD = bytes(8_000_000)
 # The reset comes with the part, or after it was read.
 WAITS_S = (0, 0.005, 0.02, 0.05)
+GARBLED = b'\x01' * 60_000
+GARBLED_ANSWERS = 400
+# Fewer failures in a row than those that stop the calls to a target.
+CALLS_BETWEEN_CHECKS = 4
+BYTES_PER_MB = 1_000_000
 
 
 def _reset_after(wait_s: float, received: Received) -> None:
@@ -104,3 +110,16 @@
     ]
     got = _collect_answers(raw_place, heads)
     assert set(got.values()) == {BAD_GATEWAY}, got
+
+
+def test_garbled_answers_take_no_memory_of_a_node(raw_place: RawPlace) -> None:
+    # Guards against errors that quote what was received and are kept.
+    answer_garbled = functools.partial(_answer_with, b'200 OK', GARBLED, b'')
+    for number in range(GARBLED_ANSWERS):
+        if number % CALLS_BETWEEN_CHECKS == 0:
+            wait_until(raw_place.is_answering)
+        call = f'g{number}'
+        raw_place.target.answer = answer_garbled
+        assert raw_place.send(call) is not None
+        assert raw_place.target.count_sent(call) > len(GARBLED)
+    assert peak_bytes(raw_place.node) < MACHINE_MB * BYTES_PER_MB
--- a/tests/protocol/test_http.py
+++ b/tests/protocol/test_http.py
@@ -9,6 +9,8 @@
 
 from daisyline.protocol.http_client import MAX_INFORMATIONAL, ClientCodec
 from daisyline.protocol.http_messages import (
+    MAX_DETAIL_CHARS,
+    MAX_HEAD_BYTES,
     BrokenAnswer,
     End,
     Head,
@@ -318,3 +320,11 @@
         assert codec.next_event() is None, head
         codec.feed(b'')
         assert isinstance(codec.next_event(), BrokenAnswer), head
+
+
+def test_what_is_kept_of_malformed_bytes_is_short() -> None:
+    line = b'\x01' * MAX_HEAD_BYTES
+    answer = _parse_answer(b'HTTP/1.1 200 OK\r\n%s\r\n\r\n' % line)
+    request = _read_all([b'GET / HTTP/1.1\r\n%s\r\n\r\n' % line])
+    assert len(_single(answer).detail) <= MAX_DETAIL_CHARS
+    assert len(_single(request).failure.detail) <= MAX_DETAIL_CHARS
