Read header lines and chunk headers in linear time

What callers saw: a target in trouble sends a header line of many blanks that ends in a byte which no header may have, or such a chunk header or trailer. The loop of the node stood still, and with it every client on that machine; a client's request with such a line did the same.

Cause: the patterns of h11 for both lines, and that of the filter for copies, can divide a run of blanks between two or three quantifiers, and a malformed line has them try each way: quadratic in its length, cubic in the filter. Ruled out: a newer release of h11; this is the newest.

Change: one module makes the connections of h11 and gives its reader patterns that match the same lines with possessive quantifiers. The filter strips blanks outside its pattern.

--- a/daisyline/protocol/answer_codec.py
+++ b/daisyline/protocol/answer_codec.py
@@ -5,7 +5,7 @@
 import h11
 
 from daisyline.coordination.calls.messages import Headers
-from daisyline.protocol.http_messages import MAX_HEAD_BYTES
+from daisyline.protocol.h11_connection import new_connection
 
 _BODILESS_STATUSES = frozenset((204, 304))
 _LENGTH_HEADER = b'content-length'
@@ -16,9 +16,7 @@
 
     def __init__(self) -> None:
         """Create the codec of a connection without a request so far."""
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._connection = new_connection(h11.SERVER)
         self._request: h11.Request | None = None
 
     @classmethod
--- a/daisyline/protocol/answer_copies.py
+++ b/daisyline/protocol/answer_copies.py
@@ -20,13 +20,12 @@
 _DIGEST_BYTES = 16
 _PREFIX = b'HTTP/1.'
 _LINE_END = b'\r\n'
+_BLANKS = b' \t'
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}(?: [^\r\n]*)?')
 _STATUS_START = re.compile(rb'HTTP/1\.[01] \d{3}')
 # An empty line ends the head. A target that writes answers again may garble
 # the names of headers, so nearly any name is taken.
-_HEADER_LINE = re.compile(
-    rb'(?:((?!HTTP/1\.)[^:\n]*):[ \t]*([^\r\n]*?)[ \t]*)?'
-)
+_HEADER_LINE = re.compile(rb'(?:((?!HTTP/1\.)[^:\n]*):([^\r\n]*))?')
 _LINES = (_STATUS_LINE, *(_HEADER_LINE for _ in range(_MAX_HEADERS)))
 
 
@@ -163,7 +162,7 @@
         if not found.group():
             return at, named
         if _header_name(found) == id_header:
-            named = found.group(2)
+            named = found.group(2).strip(_BLANKS)
     return start, b''
 
 
--- a/daisyline/protocol/http_client.py
+++ b/daisyline/protocol/http_client.py
@@ -7,8 +7,8 @@
 import h11
 
 from daisyline.coordination.calls.messages import Headers
+from daisyline.protocol.h11_connection import new_connection
 from daisyline.protocol.http_messages import (
-    MAX_HEAD_BYTES,
     BrokenAnswer,
     End,
     Head,
@@ -37,7 +37,7 @@
 
     def __init__(self) -> None:
         """Create the codec of a new connection."""
-        self._connection = _client_connection()
+        self._connection = new_connection(h11.CLIENT)
         self._method = b''
         self._informational_count = 0
         # What was received since the last head; empty while a body is read.
@@ -122,7 +122,7 @@
         if is_open:
             # h11 accepts one answer for each request, so a new connection of
             # h11 gets the request again. Its bytes are not sent.
-            self._connection = _client_connection()
+            self._connection = new_connection(h11.CLIENT)
             self._connection.send(
                 h11.Request(
                     method=self._method, target=b'/', headers=[(b'Host', b'-')]
@@ -222,7 +222,3 @@
         if name == wanted:
             return bytes(content)
     return None
-
-
-def _client_connection() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
