Take a success without a body for no answer of the platform

What was seen: the platform answers 200 without a length and the connection ends behind the head. The node took that for a whole answer: a list was read as empty, so that stored objects, such as an order to take a zone out, counted as deleted.

Cause: the decoder takes an empty body for an empty object. Ruled out: the store of the users' platform, whose decoder asks for the fields of a success.

Change: a success without a body is no answer. Other statuses may have none.

FAIL: test_an_incomplete_answer_counts_as_none assert _reply_to(driver, cut_behind_head, closes=True) == NO_REPLY

Measured: the test passes. Not played over processes.

--- a/daisyline/protocol/platform.py
+++ b/daisyline/protocol/platform.py
@@ -59,11 +59,11 @@
     """Return the event for an answer.
 
     A status of 0 means that no answer was received; an answer that can't be
-    parsed is treated the same.
+    parsed is treated the same, as is a success without a body.
     """
     no_answer = PlatformReply(effect.token, NO_ANSWER_STATUS)
     try:
-        answer = json.loads(body) if body else {}
+        answer = json.loads(body) if body or status == HTTPStatus.OK else {}
     except (ValueError, RecursionError):
         return no_answer
     if not isinstance(answer, dict):
--- a/tests/transport/test_platform_client.py
+++ b/tests/transport/test_platform_client.py
@@ -50,6 +50,9 @@
     assert _reply_to(driver, truncated, closes=True) == NO_REPLY
     assert _reply_to(driver, b'', closes=True) == NO_REPLY
     assert _reply_to(driver, b'nonsense\r\n\r\n', closes=False) == NO_REPLY
+    # Otherwise a list that is cut behind its head would be an empty one.
+    cut_behind_head = b'HTTP/1.1 200 OK\r\n\r\n'
+    assert _reply_to(driver, cut_behind_head, closes=True) == NO_REPLY
 
 
 def test_an_endless_answer_is_aborted(driver: LoopDriver) -> None:
