Let the operators' client refuse broken answers

What was seen: the `daisyline` command took an answer for whole that a node or the platform cut in its head or its body, and one with a status of `+200` or a blank or a control byte in a field's name. An answer cut in its head counted as a 200 without content.

Cause: the standard library's client ends a head at the end of the connection, reads fewer bytes than the stated length without an error if a bound is given, and reads statuses and names leniently. Ruled out: an answer that ends in a reset, which is an error there too.

Change: the command reads answers by the codec of the node's own clients, on a blocking socket with the same time limit and the same bound on the body.

--- a/daisyline/transport/operator_client.py
+++ b/daisyline/transport/operator_client.py
@@ -1,13 +1,13 @@
 """A blocking HTTP client for the `daisyline` command.
 
 The command sends a few requests, prints the answers and exits, so it needs no
-event loop. The standard library's client blocks in the kernel, with a timeout.
+event loop. Its socket blocks in the kernel, with a timeout.
 """
 
-import contextlib
+import functools
 import json
+import socket
 from collections.abc import Mapping
-from http import client as http_client
 from typing import Any
 from urllib import parse as urls
 
@@ -18,12 +18,22 @@
     PlatformReply,
     PlatformWrite,
 )
+from daisyline.protocol.http_client import ClientCodec
+from daisyline.protocol.http_messages import (
+    BrokenAnswer,
+    End,
+    Head,
+    Part,
+    Request,
+)
 
 TIMEOUT_S = 3.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 _GET = 'GET'
 _OK = 200
+_HTTP_PORT = 80
+_READ_BYTES = 65_536
 _BAD_GATEWAY = 502
 
 
@@ -43,6 +53,15 @@
     problem: str = ''
 
 
+@attrs.define
+class _ReceivedAnswer:
+    """What was received of an answer."""
+
+    status: int = 0
+    body: bytearray = attrs.field(factory=bytearray)
+    is_whole: bool = False
+
+
 def send_request(
     base: str,
     method: str,
@@ -62,17 +81,19 @@
         headers: Further headers.
     """
     parts = urls.urlsplit(base)
-    connection = http_client.HTTPConnection(
-        parts.hostname or '', parts.port, timeout=TIMEOUT_S
+    address = (parts.hostname or '', parts.port or _HTTP_PORT)
+    fields = {'Host': parts.netloc, **(headers or {})}
+    request = Request(
+        method.encode(),
+        path.encode(),
+        tuple((name.encode(), text.encode()) for name, text in fields.items()),
+        b'' if content is None else json.dumps(content).encode(),
     )
-    body = None if content is None else json.dumps(content).encode()
-    with contextlib.closing(connection):
-        try:
-            status, text = _exchange(
-                connection, method, path, body, headers or {}
-            )
-        except (OSError, http_client.HTTPException) as error:
-            return HttpAnswer(0, problem=f'{base}: {error}')
+    try:
+        with socket.create_connection(address, TIMEOUT_S) as sock:
+            status, text = _exchange(sock, request)
+    except OSError as error:
+        return HttpAnswer(0, problem=f'{base}: {error}')
     return _decode_answer(base, status, text)
 
 
@@ -110,12 +131,55 @@
     return f'/v1/objects/{kind}/{quoted}'
 
 
-def _exchange(
-    connection: http_client.HTTPConnection, *request: Any
-) -> tuple[int, bytes]:
-    connection.request(*request)
-    answer = connection.getresponse()
-    return answer.status, answer.read(MAX_ANSWER_BYTES)
+def _exchange(sock: socket.socket, request: Request) -> tuple[int, bytes]:
+    """Send a request; return the status and the body of its whole answer.
+
+    Raises:
+        OSError: If the connection fails, or the answer is not whole.
+    """
+    codec = ClientCodec()
+    sock.sendall(codec.request(request))
+    answer = _ReceivedAnswer()
+    while not answer.is_whole:
+        event = codec.next_event()
+        if event is None:
+            codec.feed(sock.recv(_READ_BYTES))
+        else:
+            _take_event(event, answer)
+    return answer.status, bytes(answer.body)
+
+
+@functools.singledispatch
+def _take_event(event: Any, answer: _ReceivedAnswer) -> None:
+    """Record an event of an answer.
+
+    Raises:
+        TypeError: If it is no event of an answer.
+        OSError: If the answer is broken or too long.
+    """
+    raise TypeError(f'{event!r} is not a part of an answer')
+
+
+@_take_event.register
+def _(event: Head, answer: _ReceivedAnswer) -> None:
+    answer.status = event.status
+
+
+@_take_event.register
+def _(event: Part, answer: _ReceivedAnswer) -> None:
+    answer.body += event.body
+    if len(answer.body) > MAX_ANSWER_BYTES:
+        raise OSError('the answer is too long')
+
+
+@_take_event.register
+def _(event: End, answer: _ReceivedAnswer) -> None:
+    answer.is_whole = True
+
+
+@_take_event.register
+def _(event: BrokenAnswer, answer: _ReceivedAnswer) -> None:
+    raise OSError(event.detail)
 
 
 def _decode_answer(base: str, status: int, text: bytes) -> HttpAnswer:
