Test that bytes without end take no memory of a node

Report: a faulty upstream sent bytes that were no answer, without end, and the machine that had called it kept them all.

So only a test over processes is added: a raw target writes 256 MB, or until the node closes, behind each of nine starts, the node must stay under the 128 MB of its machine, and an ordinary request is answered afterwards.

--- a/tests/journeys/raw_target.py
+++ b/tests/journeys/raw_target.py
@@ -24,6 +24,7 @@
 RECEIVE_BYTES = 4096
 _HEARTBEAT_INTERVAL_S = 0.3
 _CLIENT_TIMEOUT_S = 10.0
+_TARGET_TIMEOUT_S = 20.0
 _ROLES = ('callers', 'notices', 'ready', 'target', 'peers', 'operators')
 _REQUEST_ID = re.compile(rb'\r\nattempt-id: *([^\r]*)', re.IGNORECASE)
 
@@ -51,8 +52,11 @@
 
     def send(self, octets: bytes) -> None:
         """Send bytes of an answer, or of what is none."""
-        self.sock.sendall(octets)
-        self.sent_bytes += len(octets)
+        left = memoryview(octets)
+        while left:
+            sent_bytes = self.sock.send(left)
+            self.sent_bytes += sent_bytes
+            left = left[sent_bytes:]
 
     def reset(self) -> None:
         """Reset the connection."""
@@ -103,7 +107,7 @@
     def count_sent(self, call: str) -> int:
         """Return how many bytes were sent for a request, once no more are."""
         request = self.requests[call]
-        assert request.is_over.wait(_CLIENT_TIMEOUT_S)
+        assert request.is_over.wait(_TARGET_TIMEOUT_S)
         return request.sent_bytes
 
     def stop(self) -> None:
@@ -129,6 +133,7 @@
                 received += chunk
             found = _REQUEST_ID.search(received)
             assert found is not None
+            sock.settimeout(_TARGET_TIMEOUT_S)
             request = Received(sock, found.group(1))
             self.requests[request.call.decode()] = request
             with contextlib.ExitStack() as stack:
@@ -188,6 +193,25 @@
             except (ConnectionError, HTTPException):
                 return None
 
+    def send_and_discard(self, call: str) -> None:
+        """Send a request, and discard its answer to the end."""
+        lines = (
+            'GET /orders/x HTTP/1.1',
+            'Host: shop.example',
+            'Connection: close',
+            f'Attempt-Id: {call}',
+        )
+        request = '\r\n'.join((*lines, '', ''))
+        address = (HOST, self.callers)
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection(address, _CLIENT_TIMEOUT_S) as sock,
+        ):
+            sock.sendall(request.encode())
+            octets = sock.recv(READ_BYTES)
+            while octets:
+                octets = sock.recv(READ_BYTES)
+
     def is_answering(self) -> bool:
         """Return whether an ordinary request is answered."""
         self.target.answer = answer_whole
--- a/tests/journeys/test_broken_answers.py
+++ b/tests/journeys/test_broken_answers.py
@@ -24,6 +24,9 @@
 # Fewer failures in a row than those that stop the calls to a target.
 CALLS_BETWEEN_CHECKS = 4
 BYTES_PER_MB = 1_000_000
+CHUNKED = b'Transfer-Encoding: chunked'
+ENDLESS_BYTES = 2 * MACHINE_MB * BYTES_PER_MB
+BLOCK_BYTES = 65_536
 
 
 def _reset_after(wait_s: float, received: Received) -> None:
@@ -123,3 +126,50 @@
         assert raw_place.send(call) is not None
         assert raw_place.target.count_sent(call) > len(GARBLED)
     assert peak_bytes(raw_place.node) < MACHINE_MB * BYTES_PER_MB
+
+
+def _write_without_end(
+    lines: tuple[bytes, ...] | None,
+    start: bytes,
+    rest: bytes,
+    received: Received,
+) -> None:
+    """Write more than the machine's memory, until the node closes.
+
+    Args:
+        lines: Further lines of the answer's head; None for no head.
+        start: The bytes after the head.
+        rest: The bytes that follow again and again.
+        received: The request.
+    """
+    head = b'' if lines is None else received.head(b'200 OK', *lines)
+    received.send(head + start)
+    block = rest * (BLOCK_BYTES // len(rest))
+    while received.sent_bytes < ENDLESS_BYTES:
+        received.send(block)
+
+
+def test_bytes_without_end_take_no_memory_of_a_node(
+    raw_place: RawPlace,
+) -> None:
+    endless = (
+        (None, b'HTTP/1.1 200 ', b'x'),
+        (None, b'HTTP/1.1 200 OK\r\n', b'X-Filler: x\r\n'),
+        (None, b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+        (None, b'', bytes(range(256))),
+        ((), b'', b'x'),
+        ((CHUNKED,), b'', b'0'),
+        ((CHUNKED,), b'', b'1\r\nx\r\n'),
+        ((CHUNKED,), b'1;', b'x'),
+        ((CHUNKED,), b'0\r\n', b'X-Filler: x\r\n'),
+    )
+    target = raw_place.target
+    for number, written in enumerate(endless):
+        call = f'e{number}'
+        wait_until(raw_place.is_answering)
+        target.answer = functools.partial(_write_without_end, *written)
+        raw_place.send_and_discard(call)
+        assert target.count_sent(call), written
+        peak_mb = peak_bytes(raw_place.node) / BYTES_PER_MB
+        assert peak_mb < MACHINE_MB, written
+    wait_until(raw_place.is_answering)
