Start the users' platform of tests in one place

Cause: three fixtures over processes had the same lines, the newest with this change. Ruled out: one fixture for all, as their nodes and targets differ.

Change: `UsersFleet.start_platform`. No test changes what it checks.

Measured: the tests of the three fixtures pass as before.

--- a/tests/journeys/memory_rig.py
+++ b/tests/journeys/memory_rig.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import json
 import pathlib
 import re
 import resource
@@ -139,13 +138,7 @@
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = UsersFleet(ports, folder, ports.take())
         stack.callback(fleet.kill)
-        fleet.start_program(
-            'standins.users_platform',
-            '--port',
-            str(fleet.platform_port),
-            '--manifest',
-            json.dumps(manifest),
-        )
+        fleet.start_platform(manifest)
         place = fleet.add('ghent-a', memory_mb=memory_mb)
         machine = SmallMachine(place, memory_mb)
         stack.callback(machine.close)
--- a/tests/journeys/raw_target.py
+++ b/tests/journeys/raw_target.py
@@ -233,13 +233,7 @@
         folder = stack.enter_context(kept_on_failure())
         fleet = UsersFleet(ports, folder, ports.take())
         stack.callback(fleet.kill)
-        fleet.start_program(
-            'standins.users_platform',
-            '--port',
-            str(fleet.platform_port),
-            '--manifest',
-            json.dumps({**MANIFEST, 'routes': [route]}),
-        )
+        fleet.start_platform({**MANIFEST, 'routes': [route]})
         own_ports = {role: ports.take() for role in _ROLES}
         node = fleet.start_node('n0', 'ghent-a', own_ports)
         target = RawTarget.listen(own_ports['target'], own_ports['notices'])
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -122,6 +122,16 @@
         self.processes.append(process)
         return process
 
+    def start_platform(self, manifest: dict[str, Any]) -> None:
+        """Start the stand-in for the platform with a manifest."""
+        self.start_program(
+            'standins.users_platform',
+            '--port',
+            str(self.platform_port),
+            '--manifest',
+            json.dumps(manifest),
+        )
+
     def add(self, zone: str, **settings: Any) -> UsersPlace:
         """Start another node, with some settings changed, and its target."""
         name = f'n{len(self.places)}'
@@ -260,13 +270,7 @@
         folder = stack.enter_context(kept_on_failure())
         fleet = UsersFleet(ports, folder, ports.take(), settings)
         stack.callback(fleet.kill)
-        fleet.start_program(
-            'standins.users_platform',
-            '--port',
-            str(fleet.platform_port),
-            '--manifest',
-            json.dumps(_manifest()),
-        )
+        fleet.start_platform(_manifest())
         for zone in ('ghent-a', 'ghent-b'):
             fleet.add(zone)
         wait_until(lambda: all(map(_has_joined, fleet.places)))
