--- a/daisyline/protocol/h11_connection.py
+++ b/daisyline/protocol/h11_connection.py
@@ -1,8 +1,8 @@
 """Connections of h11 that read lines in a time linear in their length.
 
-The patterns of h11 0.16 for header lines and chunk headers can divide a run of
-blanks between two quantifiers in each way, so that a malformed line takes a
-time quadratic in its length: 20 s for 60 kB.
+The patterns of h11 0.16 for header lines and chunk headers try each way to
+divide a run of blanks between two quantifiers, so that one malformed line of
+the longest head stops the loop for many seconds.
 """
 
 import re
