Test parts of answers beyond the bytes held for a retry

Cause: the test over processes sent parts that a node holds in full; a longer part has its head passed on, and the client's connection is reset instead.

Change: parts of 18 B and 200 kB.

Measured: on 12 of 16 uploads of the test got the part as a whole 200, now none. An own play of 144 uploads by HTTP/1.1 and 1.0 with parts of up to 1 MB: 128 and none.

--- a/tests/journeys/test_broken_answers.py
+++ b/tests/journeys/test_broken_answers.py
@@ -14,7 +14,8 @@
 
 OK = 200
 BAD_GATEWAY = 502
-PART = b'a part of the body'
+# Parts of a body within and beyond what a node holds for a retry.
+PARTS = (b'a part of the body', bytes(200_000))
 # Longer than what the kernels on the way to the target buffer.
 UPLOAD = bytes(8_000_000)
 # The reset comes with the part, or after it was read.
@@ -29,8 +30,8 @@
 BLOCK_BYTES = 65_536
 
 
-def _reset_after(wait_s: float, received: Received) -> None:
-    received.send(received.head(b'200 OK') + PART)
+def _reset_after(part: bytes, wait_s: float, received: Received) -> None:
+    received.send(received.head(b'200 OK') + part)
     time.sleep(wait_s)
     received.reset()
 
@@ -39,15 +40,15 @@
     raw_place: RawPlace,
 ) -> None:
     got = {}
-    for number in range(3):
-        for wait_s in WAITS_S:
-            call = f'u{number}-{wait_s}'
-            # A target that fails several calls in a row gets none for a while.
-            wait_until(raw_place.is_answering)
-            raw_place.target.answer = functools.partial(_reset_after, wait_s)
-            answer = raw_place.send(call, body=UPLOAD)
-            assert raw_place.target.count_sent(call) > len(PART)
-            got[call] = answer and answer[0]
+    for number, case in enumerate(itertools.product(PARTS, WAITS_S, range(2))):
+        part, wait_s, _ = case
+        call = f'u{number}'
+        # A target that fails several calls in a row gets none for a while.
+        wait_until(raw_place.is_answering)
+        raw_place.target.answer = functools.partial(_reset_after, part, wait_s)
+        answer = raw_place.send(call, body=UPLOAD)
+        assert raw_place.target.count_sent(call) > len(part)
+        got[len(part), wait_s, call] = answer and answer[0]
     assert OK not in got.values(), got
 
 
