--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+from collections.abc import Mapping
 from typing import Annotated, Any
 from urllib import parse as urls
 
@@ -86,25 +87,65 @@
     return int(text) if text.isdigit() else None
 
 
+@attrs.frozen
+class StoreReturn:
+    """The store is away for a moment and comes back from an older copy.
+
+    Attributes:
+        age_s: The age of the copy when the store comes back, in seconds.
+        away_s: How long the store is away, in seconds.
+        rewrite_s: When the operators' last writes that the copy lacks are
+            written again, in seconds after the return; never if it is None.
+    """
+
+    age_s: float
+    away_s: float = 0.5
+    rewrite_s: float | None = None
+
+
 class Platform:
-    """Serves the object API, and takes faults at run time."""
+    """Serves the object API, and takes faults at run time.
+
+    Attributes:
+        server: The HTTP server.
+        era_header: The header that states the store's era.
+        operators_kinds: The kinds of objects that operators write.
+    """
+
+    era_header = 'Platform-Era'
+    operators_kinds: tuple[str, ...] = ('settings',)
 
     def __init__(self, loop: Loop, object_store: store.Store) -> None:
         """Prepare to serve a store; nothing listens yet."""
         self._loop = loop
         self._store = object_store
         self._faults = PlatformFaults()
-        self.server = Server(self._serve, on_close=self._forget)
+        self._is_away = False
+        self._exchanges: set[Exchange] = set()
+        self.server = Server(self._serve, self._exchanges.add, self._forget)
+
+    def rewritten(
+        self, kind: str, name: str, version: int, content: Any
+    ) -> store.Write | store.Delete:
+        """Return the message that writes or deletes an object again."""
+        if content is None:
+            return store.Delete(None, kind, name, version)
+        return store.Write(None, kind, name, version, content)
 
     def _serve(self, exchange: Exchange) -> None:
         request = exchange.request
         assert request is not None
-        if request.path == '/faults':
-            self._set_faults(exchange, request)
-        elif request.path == '/calls':
-            exchange.answer(store.OK, self._calls())
+        control = {
+            '/faults': self._set_faults,
+            '/calls': self._show_calls,
+            '/return': self._plan_return,
+        }.get(request.path)
+        if control is not None:
+            control(exchange, request)
+        elif self._is_away:
+            exchange.connection.abort()
         elif self._faults.down:
-            exchange.answer(UNAVAILABLE, {})
+            self._answer(exchange, UNAVAILABLE, {})
         elif not self._faults.silent:
             self._serve_objects(exchange, request)
 
@@ -113,17 +154,59 @@
         self._store.read_lag_s = self._faults.stale_reads_ms / MS_PER_S
         exchange.answer(store.OK, attrs.asdict(self._faults))
 
-    def _calls(self) -> dict[str, Any]:
+    def _plan_return(self, exchange: Exchange, request: Message) -> None:
+        """Go away if asked to; answer with the era."""
+        exchange.answer(store.OK, {'era': self._store.era})
+        if request.method == 'POST':
+            self._go_away(StoreReturn(**request.json()))
+
+    def _go_away(self, planned: StoreReturn) -> None:
+        self._is_away = True
+        for exchange in tuple(self._exchanges):
+            if exchange.request is not None:
+                exchange.connection.abort()
+        come_back = functools.partial(self._come_back, planned)
+        self._loop.call_later(planned.away_s, come_back)
+
+    def _come_back(self, planned: StoreReturn) -> None:
+        self._is_away = False
+        lost = self._store.restore(self._loop.now() - planned.age_s)
+        if planned.rewrite_s is not None:
+            rewrite = functools.partial(self._rewrite, lost)
+            self._loop.call_later(planned.rewrite_s, rewrite)
+
+    def _rewrite(self, lost: Mapping[tuple[str, str], Any]) -> None:
+        """Write again what operators had written and the copy lacks."""
+        for (kind, name), content in lost.items():
+            if kind in self.operators_kinds:
+                version = self._current(kind, name)['version']
+                self._apply(self.rewritten(kind, name, version, content))
+
+    def _current(self, kind: str, name: str) -> dict[str, Any]:
+        """Return the stored object; its version is 0 if there is none."""
+        return self._store.current(kind, name)
+
+    def _answer(
+        self, exchange: Exchange, status: int, body: dict[str, Any]
+    ) -> None:
+        """Answer with the era of the store."""
+        exchange.answer(status, body, self._headers())
+
+    def _headers(self) -> dict[str, str]:
+        return {self.era_header: str(self._store.era)}
+
+    def _show_calls(self, exchange: Exchange, request: Message) -> None:
         counts = {
             f'{kind} {verb}': count
             for (kind, verb), count in sorted(self._store.calls.items())
         }
-        return {'calls': counts, 'revision': self._store.revision}
+        shown = {'calls': counts, 'revision': self._store.revision}
+        exchange.answer(store.OK, shown)
 
     def _serve_objects(self, exchange: Exchange, request: Message) -> None:
         message = message_from(exchange, request)
         if message is None:
-            exchange.answer(BAD_REQUEST, {})
+            self._answer(exchange, BAD_REQUEST, {})
             return
         self._apply(message)
         _schedule_expiry(message, self._expire_later)
@@ -131,13 +214,18 @@
     def _apply(self, message: Any) -> None:
         loses = self._faults.lose_answers and _is_update(message)
         for reply in self._store.handle(message, self._loop.now()):
+            if reply.token is None:
+                continue
             if loses and reply.token is message.token:
                 reply.token.connection.reset()
             else:
                 self._send(reply)
 
     def _send(self, reply: store.Reply) -> None:
-        answer = functools.partial(reply.token.answer, reply.status, reply.body)
+        # A delayed answer states the era in which the call was carried out.
+        answer = functools.partial(
+            reply.token.answer, reply.status, reply.body, self._headers()
+        )
         if self._faults.slow_ms:
             self._loop.call_later(self._faults.slow_ms / MS_PER_S, answer)
         else:
@@ -150,6 +238,7 @@
         )
 
     def _forget(self, exchange: Exchange) -> None:
+        self._exchanges.discard(exchange)
         self._apply(store.DropWatch(exchange))
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -11,6 +11,7 @@
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
+GONE = 410
 TOO_LARGE = 413
 
 
@@ -134,11 +135,13 @@
 
     Attributes:
         read_lag_s: How far reads and lists lag behind writes, in seconds.
+        era: Grows by one each time that the store comes back from a copy.
         revision: The number of successful writes and deletes so far.
         calls: The number of calls, by kind and verb.
     """
 
     read_lag_s: float = 0
+    era: int = 1
     revision: int = 0
     calls: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _histories: dict[tuple[str, str], list[StoredObject]] = attrs.field(
@@ -151,6 +154,42 @@
         """Return the number of watches that are waiting."""
         return len(self._watches)
 
+    def restore(self, moment: float) -> dict[tuple[str, str], Any]:
+        """Come back as the store was at a moment, and drop all watches.
+
+        Args:
+            moment: The time of the copy, in monotonic seconds.
+
+        Returns:
+            The newest content of each object that the copy lacks, by kind and
+            name; None for one that was deleted.
+        """
+        lost = {
+            key: history[-1].content
+            for key, history in self._histories.items()
+            if history[-1].written_at > moment
+        }
+        self._histories = {
+            key: [stored for stored in history if stored.written_at <= moment]
+            for key, history in self._histories.items()
+        }
+        self._histories = {
+            key: history for key, history in self._histories.items() if history
+        }
+        self.revision = max(
+            (history[-1].version for history in self._histories.values()),
+            default=0,
+        )
+        self._watches.clear()
+        self.era += 1
+        return lost
+
+    def current(self, kind: str, name: str) -> dict[str, Any]:
+        """Return an object as it is; its version is 0 if there is none."""
+        if not self._version(kind, name):
+            return {'name': name, 'version': 0, 'value': None}
+        return self._histories[kind, name][-1].fields
+
     @functools.singledispatchmethod
     def handle(self, message: Any, now: float) -> list[Reply]:
         """Handle one message and return the replies to send.
@@ -212,6 +251,8 @@
     @handle.register
     def _watch(self, message: Watch, now: float) -> list[Reply]:
         self._count(message.kind, 'watch')
+        if message.since > self.revision:
+            return [Reply(message.token, GONE, {})]
         changed = self._changes(message)
         if changed:
             return [self._watch_reply(message, changed)]
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -1,6 +1,7 @@
 """A stand-in for the users' platform, with its own API over the store."""
 
 import json
+from collections.abc import Mapping
 from typing import Annotated, Any
 from urllib import parse as urls
 
@@ -38,7 +39,9 @@
         """Return the connection of the caller."""
         return self.exchange.connection
 
-    def answer(self, status: int, body: dict[str, Any]) -> None:
+    def answer(
+        self, status: int, body: dict[str, Any], headers: Mapping[str, str]
+    ) -> None:
         """Answer in the JSON form of the users' platform."""
         if status == store.OK and 'items' in body:
             shown = [_object_of(item) for item in body['items']]
@@ -54,7 +57,7 @@
             )
         elif status == store.OK and 'value' in body:
             body = _object_of(body)
-        self.exchange.answer(status, body)
+        self.exchange.answer(status, body, headers)
 
 
 def _object_of(item: dict[str, Any]) -> dict[str, Any]:
@@ -86,13 +89,35 @@
 
 
 class UsersPlatform(Platform):
-    """Serves the API of the users' platform over the store."""
+    """Serves the API of the users' platform over the store.
+
+    Attributes:
+        era_header: The header that states the store's era.
+        operators_kinds: The kinds of objects that operators write.
+    """
+
+    era_header = 'Store-Era'
+    operators_kinds = ('config', 'evacuations', 'rollouts')
 
     def __init__(self, loop: Loop, object_store: store.Store) -> None:
         """Prepare to serve a store and to take reports."""
         super().__init__(loop, object_store)
         self._usage = UsageRecords()
 
+    def rewritten(
+        self, kind: str, name: str, version: int, content: Any
+    ) -> store.Write | store.Delete:
+        """Return the message that writes or deletes an object again.
+
+        What operators write has no status.
+        """
+        if content is None:
+            return store.Delete(None, kind, name, version)
+        current = self._current(kind, name)['value'] or {}
+        created = current.get(_CREATED, self._store.revision + 1)
+        updated = {**current, 'spec': content['spec'], _CREATED: created}
+        return store.Write(None, kind, name, version, updated)
+
     def _serve_objects(self, exchange: Exchange, request: Message) -> None:
         if request.path == _USAGE_PATH:
             self._serve_usage(exchange, request)
@@ -100,7 +125,7 @@
         url = urls.urlsplit(request.path)
         parts = [urls.unquote(part) for part in url.path.split('/')]
         if tuple(parts[:3]) != _PREFIX:
-            exchange.answer(store.NOT_FOUND, {})
+            self._answer(exchange, store.NOT_FOUND, {})
             return
         query = dict(urls.parse_qsl(url.query))
         message = self._message(exchange, request, parts[3:], query)
@@ -149,14 +174,16 @@
         part: str,
         version: int,
     ) -> Any:
-        """Return the write of one part; None if a conflict was answered."""
+        """Return the write of one part; None if a refusal was answered."""
         fields = request.json() or {}
         meta = fields.get('metadata', {})
         name = meta.get('name', '')
+        if part and not version:
+            self._answer(exchange, store.NOT_FOUND, {})
+            return None
         if part and meta.get('rev', version) != version:
-            exchange.answer(
-                store.CONFLICT, _object_of(self._current(kind, name))
-            )
+            conflict = _object_of(self._current(kind, name))
+            self._answer(exchange, store.CONFLICT, conflict)
             return None
         updated = dict(self._current(kind, name).get('value') or {})
         updated.setdefault(_CREATED, self._store.revision + 1)
@@ -164,14 +191,6 @@
         call = _PendingCall(exchange, name, updated)
         return store.Write(call, kind, name, version, updated)
 
-    def _current(self, kind: str, name: str) -> dict[str, Any]:
-        """Return the stored object; its version is 0 if there is none."""
-        read = store.Read(None, kind, name)
-        reply = self._store.handle(read, self._loop.now())[0]
-        if reply.status == store.OK:
-            return reply.body
-        return {'name': name, 'version': 0, 'value': None}
-
 
 def main(
     *,
--- a/standins/users_target.py
+++ b/standins/users_target.py
@@ -16,6 +16,7 @@
 HEARTBEAT_INTERVAL_S = 0.3
 OK = 200
 NOT_RUN = 421
+FAILED = 500
 _MS_PER_S = 1000
 _NS_PER_MS = 1_000_000
 
@@ -29,6 +30,7 @@
         work_ms: The service time of a request, in milliseconds.
         pace: The pace in the load header, in percent.
         status: The HTTP status of answers.
+        fail_every: Each so many answers one is a failure; none if it is 0.
         break_off: Whether the connection is closed in the middle of an answer.
         wrong_id: Whether answers carry the id of another request.
         limit: The limit that answers name; empty if they name none.
@@ -39,6 +41,7 @@
     work_ms: int = 5
     pace: int = 100
     status: int = OK
+    fail_every: int = 0
     break_off: bool = False
     wrong_id: bool = False
     limit: str = ''
@@ -49,12 +52,18 @@
     """Runs and records requests, and sends heartbeats to its node."""
 
     def __init__(
-        self, loop: Loop, address: str, service: str, notices: int
+        self,
+        loop: Loop,
+        address: str,
+        service: str,
+        notices: int,
+        version: str,
     ) -> None:
         """Prepare the target; nothing listens yet."""
         self._loop = loop
         self._address = address
         self._service = service
+        self._version = version
         self._notices = ClientPool(loop, HOST, notices)
         self._instance = f'i-{time.time_ns():x}'
         self._born = time.time_ns() // _NS_PER_MS
@@ -71,7 +80,7 @@
             'service': self._service,
             'address': self._address,
             'zone': 'ghent-a',
-            'version': 'v1',
+            'version': self._version,
             'slots': 2,
             'state': state,
             'coldRemainingS': 0,
@@ -104,8 +113,13 @@
             exchange.answer(NOT_RUN, {})
 
     def _run(self, exchange: Exchange, request: Message) -> None:
+        number = len(self._ran) + 1
+        fails = self._state.fail_every and not number % self._state.fail_every
+        status = FAILED if fails else self._state.status
         self._ran.append(
             {
+                'at': time.monotonic(),
+                'status': status,
                 'id': request.headers.get('attempt-id'),
                 'left_ms': request.headers.get('deadline-ms'),
                 'caller': request.headers.get('caller-service'),
@@ -115,9 +129,13 @@
             }
         )
         work_s = self._state.work_ms / _MS_PER_S
-        self._loop.call_later(work_s, lambda: self._answer(exchange, request))
+        self._loop.call_later(
+            work_s, lambda: self._answer(exchange, request, status)
+        )
 
-    def _answer(self, exchange: Exchange, request: Message) -> None:
+    def _answer(
+        self, exchange: Exchange, request: Message, status: int
+    ) -> None:
         said_id = 'other' if self._state.wrong_id else None
         headers = {
             'Attempt-Id': said_id or request.headers.get('attempt-id', ''),
@@ -136,7 +154,7 @@
             exchange.connection.write(head.encode())
             exchange.connection.abort()
             return
-        exchange.answer(self._state.status, {'by': self._address}, headers)
+        exchange.answer(status, {'by': self._address}, headers)
 
     def _condition(self) -> dict[str, str]:
         headers = self._load()
@@ -156,6 +174,7 @@
     port: Annotated[int, cyclopts.Parameter(help='TCP port.')],
     notices: Annotated[int, cyclopts.Parameter(help="Its node's port.")],
     service: str,
+    version: str = 'v1',
 ) -> None:
     """Run a target until a signal stops it.
 
@@ -163,9 +182,11 @@
         port: The TCP port.
         notices: The TCP port of the node that receives heartbeats.
         service: The service that the target is an upstream of.
+        version: The version of its software.
     """
     loop = Loop.create()
-    target = UsersTarget(loop, f'{HOST}:{port}', service, notices)
+    address = f'{HOST}:{port}'
+    target = UsersTarget(loop, address, service, notices, version)
     target.server.listen(loop, HOST, port)
     target.send_heartbeat()
     loop.run()
--- a/tests/journeys/users_rig.py
+++ b/tests/journeys/users_rig.py
@@ -132,7 +132,9 @@
             json.dumps(manifest),
         )
 
-    def add(self, zone: str, **settings: Any) -> UsersPlace:
+    def add(
+        self, zone: str, version: str = 'v1', **settings: Any
+    ) -> UsersPlace:
         """Start another node, with some settings changed, and its target."""
         name = f'n{len(self.places)}'
         roles = ('callers', 'notices', 'ready', 'target', 'peers', 'operators')
@@ -150,6 +152,8 @@
                 str(ports['notices']),
                 '--service',
                 'shop',
+                '--version',
+                version,
             ),
         )
         self.places.append(place)
@@ -200,6 +204,15 @@
         """Call the platform's object API as an operator."""
         return fetch(self.platform_port, f'/-/objects/{path}', method, body)
 
+    def return_store(self, **fields: float) -> None:
+        """Let the store come back from an older copy, and wait until it has.
+
+        Args:
+            fields: The fields of `standins.platform.StoreReturn`.
+        """
+        era = fetch(self.platform_port, '/return', 'POST', fields)['era']
+        wait_until(lambda: fetch(self.platform_port, '/return')['era'] > era)
+
     def change_manifest(self, **fields: Any) -> float:
         """Write a changed manifest; return the time of its acknowledgement."""
         spec = {**self.call_platform('GET', 'config/main')['spec'], **fields}
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -8,6 +8,7 @@
 
 from standins.store import (
     CONFLICT,
+    GONE,
     NOT_FOUND,
     OK,
     TOO_LARGE,
@@ -155,3 +156,24 @@
 
 def test_versions_grow_and_are_never_used_twice() -> None:
     _check_versions()
+
+
+def test_a_return_from_a_copy_loses_later_writes_and_starts_an_era(
+    object_store: Store,
+) -> None:
+    object_store.handle(_write(0, 'a'), 1)
+    object_store.handle(_write(1, 'b'), 3)
+    object_store.handle(Write('w', 'zones', 'late', 0, {}), 3)
+    object_store.handle(Watch('one', 'settings', 3, 1), 3)
+    assert object_store.restore(2) == {
+        ('settings', 'tree'): 'b',
+        ('zones', 'late'): {},
+    }
+    assert (object_store.era, object_store.revision) == (2, 1)
+    assert object_store.open_watches == 0
+    assert object_store.current('settings', 'tree')['value'] == 'a'
+    assert not object_store.current('zones', 'late')['version']
+    # Revisions are given out again; a watch from a lost one is refused.
+    gone = object_store.handle(Watch('two', 'settings', 3, 1), 4)[0]
+    assert gone.status == GONE
+    assert object_store.handle(_write(1, 'c'), 4)[0].body == {'version': 2}
