Learn the era of the platform's store from any answer

Cause: nothing in a node told a store that had come back from a copy from one that had not: neither logs nor metrics could separate the hypotheses of the incident, and an answer from before the return was used like any other.

Change: `StoreTime` is the time of the store, era before revision. A codec reads the era from the headers of each answer, 404, 409, 410 and 503 included; a node keeps the newest one, tells the others by a fact, and takes an answer of an older era for none. When the era rises, calls without an answer are dropped, so that none that waits for its connection reaches the copy, readers list again, and one line `StoreReturned` is logged; `store_era` and `store_late_answers_total` are metrics. The order of settings and orders is not changed yet. A rank is one integer, which is the plain revision in era 0, so frames and facts keep their form for nodes of the build before.

Ruled out: a higher version of the peers' protocol, as nodes of the build before close a stream of another version.

--- a/daisyline/coordination/effects.py
+++ b/daisyline/coordination/effects.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from daisyline.state.store_time import StoreTime
+
 
 @attrs.frozen
 class Send:
@@ -97,9 +99,25 @@
         version: The version of the object, or the revision of the
             platform for a list.
         content: The JSON value, or a list of `(name, version, value)`.
+        era: The era of the platform's store; None if the answer states none.
     """
 
     token: str
     status: int
     version: int = 0
     content: Any = None
+    era: int | None = None
+
+    @property
+    def time(self) -> StoreTime:
+        """Return the time of the store that the answer states."""
+        return StoreTime(self.era or 0, self.version)
+
+
+@attrs.frozen
+class DropPlatformCalls:
+    """Give up all calls on the platform that have no answer yet.
+
+    Each is answered as lost. Those that are not sent yet must not reach a store
+    that has come back from a copy, as their conditions may hold there again.
+    """
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -196,6 +196,15 @@
     members: int = 0
 
 
+@attrs.frozen(slots=True)
+class StoreReturned(Event):
+    """The platform's store came back from an older copy and is read again."""
+
+    era: int = 0
+    before: int = 0
+    settings_version: int = 0
+
+
 @attrs.frozen(slots=True)
 class SettingsChanged(Event):
     """New settings came into force here."""
--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -13,6 +13,7 @@
     GossipMessageReceived,
     MembersChanged,
     NodeUnreachable,
+    StoreReturned,
     StreamLost,
 )
 from daisyline.coordination.membership.gossip import Gossip
@@ -166,7 +167,7 @@
             self._gossip.join_request(*address) for address in addresses
         )
         effects.extend(self.departures.tick(now))
-        effects.extend(self._collect_changes(now))
+        effects.extend(_collect_changes(self._gossip, now))
         assert self.next_at() > now, 'tick left overdue work'
         return effects
 
@@ -176,7 +177,7 @@
             return []
         record = self._gossip.members.update_own_member(target=target)
         self._gossip.broadcast(record, '', now)
-        return self._collect_changes(now)
+        return _collect_changes(self._gossip, now)
 
     def put_fact(
         self, fact: Fact, now: float, *, is_urgent: bool = False
@@ -221,7 +222,7 @@
         sender, root = self.members.get(event.node), self._gossip.digest.root
         exchange = Exchange(event.message, sender, root, effects)
         effects += self._join_progress.record(exchange)
-        return effects + self._collect_changes(now)
+        return effects + _collect_changes(self._gossip, now)
 
     @handle.register
     def _on_platform_reply(self, event: PlatformReply, now: float) -> list[Any]:
@@ -235,7 +236,12 @@
         live = self.members.values()
         for address in self._seed_discovery.handle_reply(event, live, now):
             effects.append(gossip.join_request(*address))
-        return effects + self._collect_changes(now)
+        return effects + _collect_changes(self._gossip, now)
+
+    @handle.register
+    def _on_store_returned(self, event: StoreReturned, now: float) -> list[Any]:
+        self._gossip.reader_role.restart(now)
+        return []
 
     @handle.register(StreamLost)
     @handle.register(NodeUnreachable)
@@ -255,31 +261,31 @@
         if late_s > PAUSE_THRESHOLD_S:
             self._gossip.handle_pause(late_s, now)
 
-    def _collect_changes(self, now: float) -> list[Any]:
-        """Return the effects of changes of members and of platform reads.
 
-        A change of whether the platform is readable for this node is broadcast
-        in its own member entry.
-        """
-        gossip = self._gossip
-        if (
-            gossip.reader_role.is_platform_unreadable
-            != self.own_member.platform_unreadable
-        ):
-            unreadable = gossip.reader_role.is_platform_unreadable
-            gossip.broadcast(
-                gossip.members.update_own_member(
-                    platform_unreadable=unreadable
-                ),
-                '',
-                now,
-            )
-        changed, removed = gossip.members.take_changes()
-        effects: list[Any] = list(gossip.reader_role.take_changes())
-        for name in removed:
-            effects.extend(gossip.forget_member(name, now))
-        if changed or removed:
-            gossip.reader_role.update_role(self.members, changed, removed, now)
-            effects.append(MembersChanged(changed, removed))
-        gossip.holders.restart_if_changed(now)
-        return effects
+def _collect_changes(gossip: Gossip, now: float) -> list[Any]:
+    """Return the effects of changes of members and of platform reads.
+
+    A change of whether the platform is readable for this node is broadcast
+    in its own member entry.
+    """
+    if (
+        gossip.reader_role.is_platform_unreadable
+        != gossip.members.own_member.platform_unreadable
+    ):
+        unreadable = gossip.reader_role.is_platform_unreadable
+        gossip.broadcast(
+            gossip.members.update_own_member(platform_unreadable=unreadable),
+            '',
+            now,
+        )
+    changed, removed = gossip.members.take_changes()
+    effects: list[Any] = list(gossip.reader_role.take_changes())
+    for name in removed:
+        effects.extend(gossip.forget_member(name, now))
+    if changed or removed:
+        gossip.reader_role.update_role(
+            gossip.members.live, changed, removed, now
+        )
+        effects.append(MembersChanged(changed, removed))
+    gossip.holders.restart_if_changed(now)
+    return effects
--- a/daisyline/coordination/membership/fleet_events.py
+++ b/daisyline/coordination/membership/fleet_events.py
@@ -81,6 +81,19 @@
     findings: tuple[Finding, ...]
 
 
+@attrs.frozen
+class StoreReturned:
+    """The platform's store has come back from an older copy.
+
+    Attributes:
+        era: The era that it has begun.
+        before: The era that was known before.
+    """
+
+    era: int
+    before: int
+
+
 @attrs.frozen
 class PlatformReadabilityChanged:
     """A kind of platform objects became readable or unreadable for this node.
--- a/daisyline/coordination/node_core.py
+++ b/daisyline/coordination/node_core.py
@@ -16,7 +16,10 @@
 from daisyline.coordination.membership.fleet import Fleet
 from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.coordination.rollouts.rollout import Rollouts
-from daisyline.coordination.settings.platform_reading import PlatformReadConfig
+from daisyline.coordination.settings.platform_reading import (
+    PlatformReadConfig,
+    StoreClock,
+)
 from daisyline.coordination.target_crashes import (
     TargetCrashes,
     request_fingerprint,
@@ -52,6 +55,7 @@
         events: The record of decisions.
         latencies: Histograms of call durations.
         memory: The bytes that this node holds for others.
+        store_clock: What this node knows of the era of the platform's store.
         lease_s: The lease of the target's announcements, in seconds.
         lease_ends_at: When the lease of the target expires, in monotonic
             seconds.
@@ -74,6 +78,7 @@
     memory: MemoryAccount = attrs.field(
         factory=lambda: MemoryAccount.from_config(None)
     )
+    store_clock: StoreClock = attrs.field(factory=StoreClock)
     lease_s: float = TARGET_LEASE_S
     lease_ends_at: float = math.inf
     warm_at: float = math.inf
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -14,6 +14,7 @@
 from daisyline.coordination import events as log
 from daisyline.coordination import (
     internal_effects,
+    store_returns,
     target_crashes,
     target_notices,
 )
@@ -183,10 +184,13 @@
 
 @_dispatch.register
 def _(event: PlatformReply, core: NodeCore, now: float) -> Effects:
+    learned = core.store_clock.learn(event.era, now)
+    reply = core.store_clock.date(event)
     return [
-        *core.fleet.handle(event, now),
-        *core.rollouts.handle(event, now),
-        *duty_handlers.handle(event, core.duties, now),
+        *learned,
+        *core.fleet.handle(reply, now),
+        *core.rollouts.handle(reply, now),
+        *duty_handlers.handle(reply, core.duties, now),
     ]
 
 
@@ -229,7 +233,10 @@
     effects += target_notices.apply_departure(effect.fact, core, now)
     if effect.fact.kind in ORDER_KINDS:
         effects += core.fleet.apply_orders(now)
-    return effects
+    return effects + store_returns.learn_from_fact(effect.fact, core, now)
+
+
+_apply.register(fleet_events.StoreReturned, store_returns.apply_return)
 
 
 @_apply.register(fleet_events.FactsReceived)
--- a/daisyline/coordination/settings/kind_reader.py
+++ b/daisyline/coordination/settings/kind_reader.py
@@ -1,5 +1,6 @@
 """Lists one kind of the platform's objects, then watches it for changes."""
 
+import math
 from random import Random
 from typing import Any
 
@@ -11,6 +12,7 @@
     PlatformWatch,
 )
 from daisyline.coordination.jitter import jittered, new_nonce
+from daisyline.state.store_time import StoreTime
 
 # A watch that has silently failed is detected only when it should have ended,
 # so its length is limited by how soon a change must be in force: a zone has to
@@ -27,6 +29,7 @@
 RETRY_MAX_S = 4.0
 RETRY_SHARE = 0.15
 _FIRST_WATCH_JITTER_S = 0.1
+_RESTART_JITTER_S = 0.05
 _MAX_DOUBLINGS = 8
 _MS_PER_S = 1000
 _OK = 200
@@ -83,7 +86,7 @@
     next_read_at: float
     watch_ms: int = WATCH_MS
     retry_max_s: float = RETRY_MAX_S
-    _revision: int = 0
+    _time: StoreTime = attrs.field(factory=StoreTime)
     _listed: bool = False
     _watching: bool = False
     _probing: bool = False
@@ -139,6 +142,17 @@
         self._listed = False
         self.next_read_at = now
 
+    def restart(self, now: float) -> None:
+        """List again, as the store has come back from an older copy.
+
+        What the awaited answer shows may be from before. A reader that has
+        nothing to read now lists when it reads next.
+        """
+        self._listed = False
+        if self._token or not math.isinf(self.next_read_at):
+            self._token = ''
+            self.next_read_at = now + jittered(self._rng, _RESTART_JITTER_S)
+
     def expire(self, now: float) -> bool:
         """Time out a read without an answer; return whether there was one."""
         if not self._token or now < self._timeout_at:
@@ -169,7 +183,9 @@
             return [PlatformList(self._token, self.kind, self._probing)]
         self._timeout_at += self.watch_ms / _MS_PER_S
         return [
-            PlatformWatch(self._token, self.kind, self._revision, self.watch_ms)
+            PlatformWatch(
+                self._token, self.kind, self._time.revision, self.watch_ms
+            )
         ]
 
     def handle_reply(
@@ -199,7 +215,7 @@
             return None
         self._failures = 0
         self._listed = True
-        self._revision = max(self._revision, reply.version)
+        self._time = max(self._time, reply.time)
         self.next_read_at = now
         read_objects = tuple(
             ReadObject(*entry) for entry in reply.content or ()
--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -1,9 +1,12 @@
-"""Applies the results of the platform's reads to a node."""
+"""Dates the platform's answers and applies what its reads return."""
 
 from typing import Any
 
 import attrs
 
+from daisyline.coordination.effects import DropPlatformCalls, PlatformReply
+from daisyline.coordination.membership.fact_events import PutFact
+from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.coordination.membership.gossip import Gossip
 from daisyline.coordination.membership.gossip_records import FactRecord
 from daisyline.coordination.settings.kind_reader import ReadResult
@@ -12,6 +15,7 @@
     SETTINGS_KIND,
     SETTINGS_NAME,
 )
+from daisyline.state.store_time import era_fact
 
 
 @attrs.frozen
@@ -31,6 +35,56 @@
     keeps_departures: bool = False
 
 
+@attrs.define
+class StoreClock:
+    """The newest era that this node has learned of.
+
+    Attributes:
+        late_answers: The number of answers that were ignored, as they were of
+            an older era.
+    """
+
+    late_answers: int = 0
+    _era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Return the newest known era; 0 if none is known."""
+        return self._era or 0
+
+    def learn(self, era: int | None, now: float) -> list[Any]:
+        """Learn an era of the store; one that is not newer changes nothing.
+
+        Args:
+            era: The era; None if an answer states none.
+            now: Monotonic seconds.
+
+        Returns:
+            Effects; `StoreReturned` if an older era was known before.
+        """
+        before = self._era
+        if era is None or (before is not None and era <= before):
+            return []
+        self._era = era
+        told = [PutFact(era_fact(era))] if era else []
+        if before is None:
+            return told
+        return [DropPlatformCalls(), StoreReturned(era, before), *told]
+
+    def date(self, reply: PlatformReply) -> PlatformReply:
+        """Return an answer with its era.
+
+        An answer of an older era is replaced by none: what it says holds no
+        longer, and a write that it confirms may be lost.
+        """
+        if reply.era is None:
+            return attrs.evolve(reply, era=self.era)
+        if reply.era >= self.era:
+            return reply
+        self.late_answers += 1
+        return PlatformReply(reply.token, 0, era=self.era)
+
+
 def apply_read_result(
     result: ReadResult,
     gossip: Gossip,
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -50,6 +50,10 @@
     return (member.region, member.zone, member.platform_unreadable)
 
 
+def _watch_ms(*, is_short: bool) -> int:
+    return SETTINGS_WATCH_MS if is_short else WATCH_MS
+
+
 @attrs.define
 class ReaderRole:
     """Schedules one node's reads of the platform on behalf of the fleet.
@@ -206,9 +210,8 @@
             )
         if self._name in chosen:
             self._reading_until = math.inf
-            self._set_watch_length(
-                short=self._name in chosen[:SHORT_WATCH_READERS]
-            )
+            is_short = self._name in chosen[:SHORT_WATCH_READERS]
+            self._settings_reader.watch_ms = _watch_ms(is_short=is_short)
         elif was_chosen:
             # A node that has just started is the only member it knows, so it
             # is chosen until it meets the others. Neither it nor a node that
@@ -247,6 +250,11 @@
                 return result
         return None
 
+    def restart(self, now: float) -> None:
+        """List what this node reads again, as the store is an older copy."""
+        for reader in self._kind_readers:
+            reader.restart(now)
+
     def take_changes(self) -> list[Any]:
         """Return the changes of role and readability since the last call."""
         changes: list[Any] = list(self._role_changes)
@@ -271,14 +279,9 @@
                 )
             )
         self._reading_until = max(self._reading_until, now + STAND_IN_S)
-        self._set_watch_length(short=True)
+        self._settings_reader.watch_ms = _watch_ms(is_short=True)
         self._update_reading(now)
 
-    def _set_watch_length(self, *, short: bool) -> None:
-        self._settings_reader.watch_ms = (
-            SETTINGS_WATCH_MS if short else WATCH_MS
-        )
-
     @property
     def _settings_reader(self) -> KindReader:
         return next(
--- a/daisyline/platform/store.py
+++ b/daisyline/platform/store.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -28,7 +29,11 @@
     value_of,
 )
 from daisyline.protocol.http_messages import Request
-from daisyline.protocol.platform import NO_ANSWER_STATUS, PlatformCall
+from daisyline.protocol.platform import (
+    NO_ANSWER_STATUS,
+    PlatformCall,
+    era_in_headers,
+)
 
 _SUCCESS_STATUSES = frozenset((HTTPStatus.OK, HTTPStatus.CREATED))
 
@@ -56,22 +61,28 @@
         return Request(method, path.encode(), tuple(headers), octets)
 
     def decode_reply(
-        self, effect: PlatformCall, status: int, body: bytes
+        self,
+        effect: PlatformCall,
+        status: int,
+        body: bytes,
+        headers: Headers = (),
     ) -> PlatformReply:
         """Return the event for an answer; a status of 0 stands for no answer.
 
         An answer that can't be parsed is treated as no answer.
         """
+        era = era_in_headers(headers, wire.ERA_HEADER)
+        no_answer = PlatformReply(effect.token, NO_ANSWER_STATUS, era=era)
         try:
             answer = json.loads(body) if body else {}
         except (ValueError, RecursionError):
-            return PlatformReply(effect.token, NO_ANSWER_STATUS)
+            return no_answer
         if not isinstance(answer, dict):
-            return PlatformReply(effect.token, NO_ANSWER_STATUS)
+            return no_answer
         if status not in _SUCCESS_STATUSES:
-            return PlatformReply(effect.token, status)
+            return attrs.evolve(no_answer, status=status)
         reply = _decode_answer(effect, self._kinds[effect.kind], answer)
-        return reply or PlatformReply(effect.token, NO_ANSWER_STATUS)
+        return no_answer if reply is None else attrs.evolve(reply, era=era)
 
 
 @functools.singledispatch
--- a/daisyline/platform/wire.py
+++ b/daisyline/platform/wire.py
@@ -11,6 +11,7 @@
 OBJECTS_PATH = '/-/objects'
 USAGE_PATH = b'/usage'
 
+ERA_HEADER = b'store-era'
 HOLDER_HEADER = b'Duty-Holder'
 FENCE_HEADER = b'Fencing-Token'
 
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.duties.duty_config import DutyConfig
 from daisyline.coordination.duties.duty_events import ReportUsage, UsageReply
@@ -43,7 +44,11 @@
         """Return the HTTP request for an effect."""
 
     def decode_reply(
-        self, effect: PlatformCall, status: int, body: bytes
+        self,
+        effect: PlatformCall,
+        status: int,
+        body: bytes,
+        headers: Headers = (),
     ) -> PlatformReply:
         """Return the event for an answer; a status of 0 means no answer."""
 
--- a/daisyline/protocol/operator_views.py
+++ b/daisyline/protocol/operator_views.py
@@ -74,6 +74,7 @@
     memory = core.memory
     counters = {
         'sink_failures_total': core.events.sink_failures,
+        'store_late_answers_total': core.store_clock.late_answers,
         **_key_refusals(core),
         **core.duties.counters(),
     }
@@ -93,6 +94,7 @@
         'slots_usable': load.limit,
         'members': len(core.fleet.members),
         'settings_version': core.fleet.settings.version,
+        'store_era': core.store_clock.era,
         **core.duties.gauges(),
     }
     return metrics_text(core.latencies, counters, gauges)
--- a/daisyline/protocol/platform.py
+++ b/daisyline/protocol/platform.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.effects import (
     PlatformList,
     PlatformRead,
@@ -14,10 +15,13 @@
     PlatformWrite,
 )
 from daisyline.protocol.http_messages import Request
+from daisyline.state.store_time import MAX_ERA
 
 PlatformCall = PlatformRead | PlatformList | PlatformWatch | PlatformWrite
 NO_ANSWER_STATUS = 0
+_ERA_HEADER = b'platform-era'
 _MALFORMED = object()
+_MAX_ERA_DIGITS = 5
 
 
 @functools.singledispatch
@@ -54,14 +58,15 @@
 
 
 def decode_reply(
-    effect: PlatformCall, status: int, body: bytes
+    effect: PlatformCall, status: int, body: bytes, headers: Headers = ()
 ) -> PlatformReply:
     """Return the event for an answer.
 
     A status of 0 means that no answer was received; an answer that can't be
     parsed is treated the same, as is a success without a body.
     """
-    no_answer = PlatformReply(effect.token, NO_ANSWER_STATUS)
+    era = era_in_headers(headers, _ERA_HEADER)
+    no_answer = PlatformReply(effect.token, NO_ANSWER_STATUS, era=era)
     try:
         answer = json.loads(body) if body or status == HTTPStatus.OK else {}
     except (ValueError, RecursionError):
@@ -72,7 +77,29 @@
     content = _content(answer) if status == HTTPStatus.OK else None
     if not _is_version(version) or content is _MALFORMED:
         return no_answer
-    return PlatformReply(effect.token, status, version, content)
+    return PlatformReply(effect.token, status, version, content, era)
+
+
+def era_in_headers(headers: Headers, name: bytes) -> int | None:
+    """Return the era of the store that an answer's headers state.
+
+    Args:
+        headers: The headers of the answer.
+        name: The lower-case name of the header that states the era.
+
+    Returns:
+        The era; None if there is no such header or it is malformed.
+    """
+    for key, text in headers:
+        if key.lower() == name and len(text) <= _MAX_ERA_DIGITS:
+            return _era_from(text)
+    return None
+
+
+def _era_from(text: bytes) -> int | None:
+    # `isdigit` of bytes is true for ASCII digits only.
+    era = int(text) if text.isdigit() else -1
+    return era if 0 <= era <= MAX_ERA else None
 
 
 def _content(answer: dict[str, Any]) -> Any:
--- a/daisyline/state/facts.py
+++ b/daisyline/state/facts.py
@@ -5,6 +5,8 @@
 import attrs
 
 DEFAULT_TTL_MS = 600_000
+# For facts that hold until another one replaces them: ten years.
+LASTING_TTL_MS = 315_360_000_000
 
 
 def _to_payload(fields: Any) -> tuple[Any, ...]:
--- a/daisyline/state/orders.py
+++ b/daisyline/state/orders.py
@@ -5,15 +5,12 @@
 
 import attrs
 
-from daisyline.state.facts import Fact
+from daisyline.state.facts import LASTING_TTL_MS, Fact
 from daisyline.state.rollout_plan import RolloutPlan
 
 ZONE_ORDER = 'zone-order'
 ROLLOUT_ORDER = 'rollout-order'
 ORDER_KINDS = (ZONE_ORDER, ROLLOUT_ORDER)
-# An order stays in force until it is withdrawn, so its fact must not expire
-# before: ten years, in milliseconds.
-_ORDER_TTL_MS = 315_360_000_000
 
 _OUT = 'out'
 
@@ -38,7 +35,7 @@
     def to_fact(self) -> Fact:
         """Return the fact that spreads the order."""
         return Fact(
-            self.kind, self.name, self.revision, self.payload, _ORDER_TTL_MS
+            self.kind, self.name, self.revision, self.payload, LASTING_TTL_MS
         )
 
 
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -15,6 +15,7 @@
     ReportUsage,
 )
 from daisyline.coordination.effects import (
+    DropPlatformCalls,
     PlatformList,
     PlatformRead,
     PlatformWatch,
@@ -132,6 +133,11 @@
     transports.platform.call(effect)
 
 
+@perform.register
+def _(effect: DropPlatformCalls, transports: Transports) -> None:
+    transports.platform.drop_calls()
+
+
 @perform.register
 def _(effect: DeparturesStored, transports: Transports) -> None:
     transports.ports.acknowledgements.send_all()
--- a/daisyline/transport/platform_client.py
+++ b/daisyline/transport/platform_client.py
@@ -1,8 +1,10 @@
 """A client for the platform's object API; each call has a timeout."""
 
+import functools
 from collections.abc import Callable
 from typing import Any
 
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.effects import PlatformWatch
 from daisyline.protocol import platform as object_api
 from daisyline.protocol.front_end import PlatformCodec
@@ -34,6 +36,7 @@
         self._effect = effect
         self._codec = ClientCodec()
         self._status = NO_ANSWER_STATUS
+        self._headers: Headers = ()
         self._body = bytearray()
         self.on_reply: Callable[[Any], None] = bool
         connection.handler = self
@@ -57,6 +60,7 @@
         while isinstance(event, (Head, Part)):
             if isinstance(event, Head):
                 self._status = event.status
+                self._headers = event.headers
             else:
                 self._body += event.body
             event = self._codec.next_event()
@@ -76,6 +80,10 @@
     def handle_drained(self) -> None:
         """Do nothing; requests are small."""
 
+    def drop(self) -> None:
+        """Give the call up; it is reported as one without an answer."""
+        self._connection.abort()
+
     def handle_closed(self) -> None:
         """Report that no answer came; the call may still have taken effect."""
         self._timeout.cancel()
@@ -84,10 +92,14 @@
     def _reply(self, status: int) -> None:
         on_reply = self.on_reply
         self.on_reply = bool
-        # An incomplete answer is discarded.
+        # An incomplete answer is discarded, but what its head says is true.
         body = b'' if status == NO_ANSWER_STATUS else bytes(self._body)
         self._connection.abort()
-        on_reply(self._platform_codec.decode_reply(self._effect, status, body))
+        on_reply(
+            self._platform_codec.decode_reply(
+                self._effect, status, body, self._headers
+            )
+        )
 
 
 class PlatformClient:
@@ -105,6 +117,7 @@
         self._loop = loop
         self._address = address
         self._on_event = on_event
+        self._exchanges: set[_PlatformExchange] = set()
         self.call_count = 0
 
     def set_endpoint(
@@ -130,5 +143,18 @@
         exchange = _PlatformExchange(
             self._loop, connection, effect, self._platform_codec
         )
-        exchange.on_reply = self._on_event
+        exchange.on_reply = functools.partial(self._end_call, exchange)
+        self._exchanges.add(exchange)
         exchange.send(f'{host}:{port}')
+
+    def drop_calls(self) -> None:
+        """Give up all calls that have no answer yet.
+
+        Their replies follow after the event that is being handled.
+        """
+        for exchange in self._exchanges:
+            self._loop.defer(exchange.drop)
+
+    def _end_call(self, exchange: _PlatformExchange, reply: Any) -> None:
+        self._exchanges.discard(exchange)
+        self._on_event(reply)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -136,3 +136,20 @@
         PlatformRead('t', 'rollouts', 'shop'),
     ):
         assert store.decode_reply(effect, 200, body).status in {0, 200}
+
+
+def test_any_answer_tells_the_era_of_the_store(boot: Boot) -> None:
+    store = StoreCodec.from_boot(boot)
+    effect = PlatformRead('t', 'rollouts', 'shop')
+    stored = json.dumps(_object('shop', 9)).encode()
+    for status, body in ((200, stored), (404, b'{}'), (410, b'x'), (0, b'')):
+        for text, era in (
+            (b'3', 3),
+            (b'', None),
+            (b'-1', None),
+            (b'9' * 9, None),
+        ):
+            headers = ((b'Store-Era', text),)
+            reply = store.decode_reply(effect, status, body, headers)
+            assert reply.era == era
+        assert store.decode_reply(effect, status, body).era is None
