Take settings of a later era for newer at a lower revision

What callers saw: after the store came back from an older copy, a route that operators added was refused with 404 on all nodes, until the store's counter had passed its old height.

Cause: the age of settings was their revision. A node kept the largest it had read, `KindReader` and `SettingsSpread` alike, also those of peers and those rejected as invalid, and the store gives revisions out again.

Change: the version of settings is the rank of a `StoreTime`, era first. Only that would let the copy itself in: so operators' own numbers of their states (the manifest's version) go along as `edition`, and an earlier edition of a later era does not come into force. Settings without an edition that a later era lists at a revision not beyond the held one wait for 2 s, until operators have written theirs again, and are then listed once more. The operators' command waits for the time of its change, not for its revision.

Ruled out: to order by the operators' number alone, as a wrong large number could then not be taken back within an era; a patch that lets any lower revision in, as late answers of the copy and of before would come in, too.

--- a/daisyline/coordination/membership/fleet.py
+++ b/daisyline/coordination/membership/fleet.py
@@ -130,7 +130,7 @@
 
     def settings_age_s(self, now: float) -> float:
         """Return the time since a read of the platform confirmed them."""
-        return self._gossip.reader_role.confirmation_age_s(now)
+        return self._gossip.reader_role.lease.age_s(now)
 
     @property
     def settings_versions(self) -> Mapping[str, int]:
--- a/daisyline/coordination/settings/kind_reader.py
+++ b/daisyline/coordination/settings/kind_reader.py
@@ -61,12 +61,23 @@
         is_complete: Whether the result holds all objects of the kind, as a list
             does; a watch returns only those that changed.
         read_objects: The objects.
+        era: The era of the platform's store.
     """
 
     kind: str
     revision: int
     is_complete: bool
     read_objects: tuple[ReadObject, ...] = ()
+    era: int = 0
+
+    @property
+    def time(self) -> StoreTime:
+        """Return the time at which the result is valid."""
+        return StoreTime(self.era, self.revision)
+
+    def time_of(self, read_object: ReadObject) -> StoreTime:
+        """Return the time of an object's last write."""
+        return StoreTime(self.era, read_object.version)
 
 
 @attrs.define
@@ -97,6 +108,7 @@
     _timeout_at: float = float('inf')
     _failures: int = 0
     _last_status: int = 0
+    _list_at: float = math.inf
 
     @property
     def failures(self) -> int:
@@ -153,6 +165,10 @@
             self._token = ''
             self.next_read_at = now + jittered(self._rng, _RESTART_JITTER_S)
 
+    def list_again(self, at: float) -> None:
+        """List again at a time, also if nothing changes until then."""
+        self._list_at = min(self._list_at, at)
+
     def expire(self, now: float) -> bool:
         """Time out a read without an answer; return whether there was one."""
         if not self._token or now < self._timeout_at:
@@ -173,6 +189,9 @@
         nonce = new_nonce(self._rng)
         self._token = f'fleet-{self.kind}-{nonce}'
         self._started_at = now
+        if now >= self._list_at:
+            self._list_at = math.inf
+            self._listed = False
         self._watching = watch and self._listed
         # A stale read costs the platform less, and shows as well whether it
         # answers again.
@@ -181,11 +200,10 @@
         self._timeout_at = now + min(MAX_REPLY_GRACE_S, grace_s)
         if not self._watching:
             return [PlatformList(self._token, self.kind, self._probing)]
-        self._timeout_at += self.watch_ms / _MS_PER_S
+        wait_ms = int(min(self.watch_ms, (self._list_at - now) * _MS_PER_S))
+        self._timeout_at += wait_ms / _MS_PER_S
         return [
-            PlatformWatch(
-                self._token, self.kind, self._time.revision, self.watch_ms
-            )
+            PlatformWatch(self._token, self.kind, self._time.revision, wait_ms)
         ]
 
     def handle_reply(
@@ -221,7 +239,11 @@
             ReadObject(*entry) for entry in reply.content or ()
         )
         return ReadResult(
-            self.kind, reply.version, not self._watching, read_objects
+            self.kind,
+            reply.version,
+            not self._watching,
+            read_objects,
+            reply.time.era,
         )
 
     def _schedule_retry(self, now: float) -> None:
--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -9,13 +9,17 @@
 from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.coordination.membership.gossip import Gossip
 from daisyline.coordination.membership.gossip_records import FactRecord
-from daisyline.coordination.settings.kind_reader import ReadResult
+from daisyline.coordination.settings.kind_reader import ReadObject, ReadResult
 from daisyline.coordination.settings.order_reading import orders_in
 from daisyline.coordination.settings.reader_role import (
     SETTINGS_KIND,
     SETTINGS_NAME,
 )
-from daisyline.state.store_time import era_fact
+from daisyline.state.settings_history import EDITION
+from daisyline.state.store_time import StoreTime, era_fact
+
+# How long operators take to write again what a copy of the store lacks.
+REWRITE_WAIT_S = 2.0
 
 
 @attrs.frozen
@@ -100,26 +104,58 @@
         read_config: What the node reads of the platform.
         now: Monotonic seconds.
     """
-    neighbours = gossip.members.overlay.recipients()
     effects: list[Any] = []
-    is_settings_kind = result.kind == SETTINGS_KIND
-    for read_object in result.read_objects:
-        is_settings = (
-            read_object.content is not None
-            and read_object.name == SETTINGS_NAME
-        )
-        if is_settings_kind and is_settings:
-            effects.extend(
-                gossip.settings.adopt(
-                    read_object.version, read_object.content, neighbours, now
-                )
-            )
-    if is_settings_kind and read_config.lists_are_current:
-        effects.extend(gossip.settings.end_start_wait(now))
-    if is_settings_kind and gossip.reader_role.confirm(now):
-        effects.extend(gossip.pass_on_confirmation())
+    if result.kind == SETTINGS_KIND:
+        effects += _apply_settings(result, gossip, read_config, now)
     for order in orders_in(result, gossip.fact_store.facts):
         fact = order.to_fact()
         record = FactRecord(fact, fact.ttl_ms)
         effects.extend(gossip.put_fact(record, now))
     return effects
+
+
+def _apply_settings(
+    result: ReadResult,
+    gossip: Gossip,
+    read_config: PlatformReadConfig,
+    now: float,
+) -> list[Any]:
+    neighbours = gossip.members.overlay.recipients()
+    settings = gossip.settings
+    effects: list[Any] = []
+    for read_object in result.read_objects:
+        content = read_object.content
+        if content is None or read_object.name != SETTINGS_NAME:
+            continue
+        if _may_be_of_copy(result, read_object, gossip, now):
+            settled_at = gossip.reader_role.copy_since + REWRITE_WAIT_S
+            gossip.reader_role.list_again(result.kind, settled_at)
+            continue
+        version = result.time_of(read_object).rank
+        effects += settings.adopt(version, content, neighbours, now)
+    if read_config.lists_are_current:
+        effects += settings.end_start_wait(now)
+    if gossip.reader_role.confirm(now):
+        effects += gossip.pass_on_confirmation()
+    return effects
+
+
+def _may_be_of_copy(
+    result: ReadResult, read_object: ReadObject, gossip: Gossip, now: float
+) -> bool:
+    """Return whether settings may be older than those held.
+
+    Where operators number their editions, these tell. Otherwise what is held
+    stays until operators had time to write theirs again.
+    """
+    held = StoreTime.from_rank(gossip.settings.version)
+    return (
+        result.is_complete
+        and now < gossip.reader_role.copy_since + REWRITE_WAIT_S
+        and result.time_of(read_object).may_be_before(held)
+        and not _has_edition(read_object.content)
+    )
+
+
+def _has_edition(content: Any) -> bool:
+    return isinstance(content, dict) and bool(content.get(EDITION))
--- a/daisyline/coordination/settings/reader_role.py
+++ b/daisyline/coordination/settings/reader_role.py
@@ -61,14 +61,20 @@
     A node that isn't a reader reads once at its start, and again when its
     lease on the settings lapses. If that succeeds, it stands in for the
     readers, whoever they are, until another node confirms the settings.
+
+    Attributes:
+        lease: The lease on the settings.
+        copy_since: When this node learned that the store came back from a copy,
+            or started, in monotonic seconds.
     """
 
     _region: str
     _name: str
     _rng: random.Random
     _kind_readers: tuple[KindReader, ...]
-    _lease: ConfirmationLease
+    lease: ConfirmationLease
     _first_watch_at: float
+    copy_since: float
     _member_count: int = 1
     _reading: bool = False
     _read_at: float = -math.inf
@@ -104,6 +110,7 @@
             kind_readers,
             ConfirmationLease.from_start(rng, now),
             first_watch_at,
+            now,
         )
 
     @property
@@ -112,7 +119,7 @@
 
         A reader raises the count each time it has read the settings.
         """
-        return self._lease.count
+        return self.lease.count
 
     @property
     def is_platform_unreadable(self) -> bool:
@@ -123,14 +130,10 @@
             if self._reading or reader.kind == SETTINGS_KIND
         )
 
-    def confirmation_age_s(self, now: float) -> float:
-        """Return the time since the settings were last confirmed."""
-        return self._lease.age_s(now)
-
     def next_at(self) -> float:
         """Return when `tick` must be called next, in monotonic seconds."""
         next_read_at = min(
-            self._lease.read_at,
+            self.lease.read_at,
             *(reader.next_at() for reader in self._kind_readers),
         )
         if self._reading or not math.isinf(self._reading_until):
@@ -140,7 +143,7 @@
     def record_confirmation(self, confirmations: int) -> None:
         """Record a count of confirmations that another node holds."""
         self._has_peers = True
-        self._lease.observe(confirmations)
+        self.lease.observe(confirmations)
 
     def renew(self, confirmations: int, now: float) -> bool:
         """Apply a confirmation that another node has just passed on.
@@ -149,7 +152,7 @@
             Whether it is new and has to be passed on.
         """
         self._has_peers = True
-        return self._lease.renew(confirmations, self._member_count, now)
+        return self.lease.renew(confirmations, self._member_count, now)
 
     def confirm(self, now: float) -> bool:
         """Confirm the settings by a read of this node.
@@ -162,9 +165,9 @@
         self._has_read = True
         self._resume_reading(now)
         is_chosen = math.isinf(self._reading_until)
-        if not is_chosen and not self._lease.relies_on_others(now):
+        if not is_chosen and not self.lease.relies_on_others(now):
             self._stand_in(now)
-        self._lease.confirm(self._member_count, now)
+        self.lease.confirm(self._member_count, now)
         return self._reading
 
     def update_role(
@@ -199,7 +202,7 @@
             self._role_changes.append(
                 ReaderRoleChanged(
                     state='replaced' if was_chosen else 'chosen',
-                    age_s=self._lease.age_s(now),
+                    age_s=self.lease.age_s(now),
                     members=len(members),
                     readers=tuple(chosen),
                     unreadable=sum(
@@ -227,8 +230,8 @@
         effects: list[Any] = []
         self._member_count = member_count
         self._update_reading(now)
-        if now >= self._lease.read_at:
-            self._lease.record_read_start()
+        if now >= self.lease.read_at:
+            self.lease.record_read_start()
             self._settings_reader.list_now(now)
         for reader in self._kind_readers:
             reader.expire(now)
@@ -252,9 +255,16 @@
 
     def restart(self, now: float) -> None:
         """List what this node reads again, as the store is an older copy."""
+        self.copy_since = now
         for reader in self._kind_readers:
             reader.restart(now)
 
+    def list_again(self, kind: str, at: float) -> None:
+        """List a kind again at a time, while this node is a reader."""
+        for reader in self._kind_readers:
+            if reader.kind == kind:
+                reader.list_again(at)
+
     def take_changes(self) -> list[Any]:
         """Return the changes of role and readability since the last call."""
         changes: list[Any] = list(self._role_changes)
@@ -274,7 +284,7 @@
             self._role_changes.append(
                 ReaderRoleChanged(
                     state='stand-in',
-                    age_s=self._lease.age_s(now),
+                    age_s=self.lease.age_s(now),
                     members=self._member_count,
                 )
             )
--- a/daisyline/coordination/settings/settings_propagation.py
+++ b/daisyline/coordination/settings/settings_propagation.py
@@ -18,7 +18,7 @@
     settings.
 
     Attributes:
-        version: The version to wait for.
+        version: The version to wait for, as the rank of its `StoreTime`.
         has_answer: Whether any node has answered.
         node_count: How many nodes were seen.
         outdated_nodes: The names of the nodes with older settings, sorted.
--- a/daisyline/coordination/settings/settings_spread.py
+++ b/daisyline/coordination/settings/settings_spread.py
@@ -23,6 +23,8 @@
 )
 from daisyline.state.orders import Orders
 from daisyline.state.settings import Settings
+from daisyline.state.settings_history import EDITION
+from daisyline.state.store_time import StoreTime
 
 MAX_CONTENT_BYTES = 2 * 1024 * 1024
 REQUEST_TIMEOUT_S = 1.0
@@ -63,6 +65,12 @@
         raise ValueError('settings are nested too deeply') from error
 
 
+def _value_for_peers(settings: Settings) -> dict[str, Any]:
+    """Return the value that other nodes need, without its history."""
+    edition = {EDITION: settings.edition} if settings.edition else {}
+    return {'tree': settings.tree, **edition}
+
+
 @attrs.define
 class SettingsSpread:
     """The settings that a node holds, and those in force on it.
@@ -177,10 +185,13 @@
         if isinstance(settings, list):
             self._rejected_versions.append(version)
             return [SettingsRefused(version, tuple(settings))]
+        if self._has_later_edition(settings):
+            self._rejected_versions.append(version)
+            return []
         self._held = attrs.evolve(settings, orders=self._held.orders)
         # Nodes need only the tree; operators read the history of changes from
         # the platform.
-        self._content = pack_value({'tree': settings.tree})
+        self._content = pack_value(_value_for_peers(settings))
         self._requested_from = ''
         notice = SettingsVersionNotice(version)
         effects: list[Any] = [
@@ -237,6 +248,16 @@
             self._start_wait_until = max(self._start_wait_until, wait_until)
         return self._put_in_force(now)
 
+    def _has_later_edition(self, settings: Settings) -> bool:
+        """Return whether the settings held are a later edition of others.
+
+        An older copy of the store has earlier editions, at a later time than
+        those held, until operators have written theirs again.
+        """
+        held = StoreTime.from_rank(self.version)
+        is_later_era = StoreTime.from_rank(settings.version).era > held.era
+        return is_later_era and 0 < settings.edition < self._held.edition
+
     def _is_wanted(self, version: int) -> bool:
         """Return whether a version is newer than the one held, and not rejected.
 
--- a/daisyline/platform/kinds.py
+++ b/daisyline/platform/kinds.py
@@ -12,11 +12,12 @@
 from daisyline.coordination.rollouts import rollout_record
 from daisyline.coordination.settings import order_reading, reader_role
 from daisyline.platform.boot import Boot
-from daisyline.platform.manifest import settings_tree
+from daisyline.platform.manifest import manifest_number, settings_tree
 from daisyline.state.departures import DEPARTURES_KIND
 from daisyline.state.limits import PERCENT
 from daisyline.state.rollout_plan import FULL_PERCENT
 from daisyline.state.rollout_state import Stage
+from daisyline.state.settings_history import EDITION
 
 _STATE_OF_STAGE = types.MappingProxyType(
     {
@@ -156,7 +157,10 @@
 
 @value_of.register
 def _(kind: Manifests, stored: StoredObject) -> Any:
-    return {'tree': settings_tree(stored.spec, kind.boot)}
+    return {
+        'tree': settings_tree(stored.spec, kind.boot),
+        EDITION: manifest_number(stored.spec),
+    }
 
 
 @value_of.register
--- a/daisyline/platform/manifest.py
+++ b/daisyline/platform/manifest.py
@@ -1,5 +1,6 @@
 """Translates the platform's manifest to a settings tree."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -8,6 +9,7 @@
 from daisyline.state.limits import PERCENT
 
 _MS_PER_S = 1000
+_VERSION = re.compile('r[0-9]{1,15}')
 # Larger numbers and NaN are not converted: scaling them overflows, and every
 # limit in a settings tree is far smaller.
 _MAX_NUMBER = 1e15
@@ -59,6 +61,18 @@
     }
 
 
+def manifest_number(manifest: Any) -> int:
+    """Return the number in the version of a manifest; 0 if there is none.
+
+    Args:
+        manifest: The decoded JSON of the stored manifest; any JSON value.
+    """
+    version = manifest.get('version') if isinstance(manifest, dict) else None
+    if not isinstance(version, str) or not _VERSION.fullmatch(version):
+        return 0
+    return int(version[1:])
+
+
 def _defaults(boot: Boot) -> dict[str, int]:
     return {
         'retry_percent': int(boot.retry_share * _RETRY_FRACTION * PERCENT),
--- a/daisyline/programs/operator_fleet.py
+++ b/daisyline/programs/operator_fleet.py
@@ -40,6 +40,7 @@
     RecordedEvent,
 )
 from daisyline.state.histograms import PERCENTILES, Latencies
+from daisyline.state.store_time import StoreTime
 
 Kind = Literal['call', 'target', 'zone', 'rollout']
 
@@ -174,7 +175,7 @@
         (
             member.name,
             member.zone,
-            str(member.settings_version),
+            str(StoreTime.from_rank(member.settings_version)),
             member.service or '-',
             member.version or '-',
             f'{running}+{waiting} of {limit}',
--- a/daisyline/programs/operator_settings.py
+++ b/daisyline/programs/operator_settings.py
@@ -34,6 +34,7 @@
     print_line,
     print_progress,
 )
+from daisyline.state.store_time import StoreTime
 from daisyline.transport import operator_client
 
 PLATFORM_TIMEOUT_S = 20.0
@@ -49,13 +50,13 @@
     # Flags are checked before anything is written.
     max_wait_s = common.max_wait_s
     urls = common.node_urls if common.nodes else []
-    result = _run_change(common, intent)
+    result, era = _run_change(common, intent)
     error = error_from_result(result)
     if error is not None:
         raise error
     _print_result(common, result)
     if urls and max_wait_s > 0:
-        _wait_until_in_force(common, result.version)
+        _wait_until_in_force(common, StoreTime(era, result.version))
     elif not urls:
         print_progress(
             'Not waiting until it is in force, as --nodes is not given.'
@@ -68,7 +69,8 @@
     return datetime.datetime.now(datetime.UTC).isoformat(timespec='seconds')
 
 
-def _run_change(common: CommonFlags, intent: Any) -> Any:
+def _run_change(common: CommonFlags, intent: Any) -> tuple[Any, int]:
+    """Make a change; return its result and the era of the platform's store."""
     author = Author(str(uuid.uuid4()), common.author, now_in_utc())
     deadline = time.monotonic() + PLATFORM_TIMEOUT_S
     change = SettingsChange.from_config(
@@ -76,10 +78,13 @@
     )
     url = common.platform_url
     effects = change.start()
+    era = 0
     while effects:
         event = _perform(effects[0], url)
+        if isinstance(event, PlatformReply):
+            era = event.era or era
         effects = change.handle(event, time.monotonic())
-    return change.result
+    return change.result, era
 
 
 @functools.singledispatch
@@ -126,14 +131,14 @@
         print_line(f'Accepted as version {result.version}.')
 
 
-def _wait_until_in_force(common: CommonFlags, version: int) -> None:
+def _wait_until_in_force(common: CommonFlags, version: StoreTime) -> None:
     """Wait until a version is in force on all nodes.
 
     Raises:
         UserError: If it is not within the time to wait.
     """
     propagation = SettingsPropagation.from_config(
-        version, common.max_wait_s, time.monotonic()
+        version.rank, common.max_wait_s, time.monotonic()
     )
     last_update = ''
     while not propagation.is_complete:
@@ -169,9 +174,10 @@
     problem = 'No node answers, so it is not known where it is in force.'
     if propagation.has_answer:
         problem = _describe_outdated_nodes(propagation)
+    version = StoreTime.from_rank(propagation.version).revision
     return UserError(
         (
-            f'Version {propagation.version} is accepted and still propagates.',
+            f'Version {version} is accepted and still propagates.',
             problem,
         ),
         ExitCode.NOT_IN_FORCE,
--- a/daisyline/protocol/platform.py
+++ b/daisyline/protocol/platform.py
@@ -65,7 +65,7 @@
     A status of 0 means that no answer was received; an answer that can't be
     parsed is treated the same, as is a success without a body.
     """
-    era = era_in_headers(headers, _ERA_HEADER)
+    era = era_of(headers)
     no_answer = PlatformReply(effect.token, NO_ANSWER_STATUS, era=era)
     try:
         answer = json.loads(body) if body or status == HTTPStatus.OK else {}
@@ -80,6 +80,11 @@
     return PlatformReply(effect.token, status, version, content, era)
 
 
+def era_of(headers: Headers) -> int | None:
+    """Return the era of the store that an answer of this API states."""
+    return era_in_headers(headers, _ERA_HEADER)
+
+
 def era_in_headers(headers: Headers, name: bytes) -> int | None:
     """Return the era of the store that an answer's headers state.
 
--- a/daisyline/state/settings.py
+++ b/daisyline/state/settings.py
@@ -48,16 +48,19 @@
     """The immutable settings in force at one version.
 
     Attributes:
-        version: The platform's version of the tree; larger is newer.
+        version: The rank of the time at which the platform's store got the
+            tree, see `StoreTime`; larger is newer.
         tree: The tree as the operators wrote it.
         orders: Orders that the platform stores outside the tree. They add to
             the zones that are out, and are used for services for which the
             tree has no rollout.
+        edition: The number that operators give to the tree; 0 for none.
     """
 
     version: int = 0
     tree: dict[str, Any] = attrs.field(factory=dict)
     orders: Orders = attrs.field(factory=Orders)
+    edition: int = 0
     _cache: dict[tuple[str, str], Limits] = attrs.field(
         factory=dict, init=False, eq=False, repr=False
     )
@@ -82,7 +85,7 @@
         """
         stored = StoredSettings.from_value(version, content)
         if isinstance(stored, StoredSettings):
-            return cls(version=version, tree=stored.tree)
+            return cls(version, stored.tree, edition=stored.edition)
         return stored
 
     @functools.cached_property
--- a/daisyline/state/settings_history.py
+++ b/daisyline/state/settings_history.py
@@ -20,6 +20,7 @@
 # A change with more edits is stored without them, to bound the object's size.
 MAX_STORED_EDITS = 40
 
+EDITION = 'edition'
 _TREE = 'tree'
 _CHANGES = 'changes'
 
@@ -86,11 +87,14 @@
         version: The platform's version of the object; 0 if it doesn't exist.
         tree: The canonical settings tree.
         changes: The last changes, oldest first.
+        edition: The number that operators give to this state, which grows with
+            each change; 0 if they give none.
     """
 
     version: int = 0
     tree: dict[str, Any] = attrs.field(factory=lambda: canonical({}))
     changes: tuple[Change, ...] = ()
+    edition: int = 0
 
     @classmethod
     def from_value(
@@ -110,6 +114,7 @@
             version=version,
             tree=canonical(content[_TREE]),
             changes=tuple(Change.from_fields(entry) for entry in changes),
+            edition=_edition_from(content.get(EDITION)),
         )
 
     def to_value(self) -> dict[str, Any]:
@@ -161,6 +166,12 @@
         return None
 
 
+def _edition_from(content: Any) -> int:
+    """Return an edition; 0 if it is missing or malformed."""
+    is_integer = isinstance(content, int) and not isinstance(content, bool)
+    return max(0, content) if is_integer else 0
+
+
 def _edits_from(content: Any) -> tuple[Edit, ...] | None:
     """Return the edits of a change; None if they are missing or malformed."""
     if not isinstance(content, list):
--- a/daisyline/state/store_time.py
+++ b/daisyline/state/store_time.py
@@ -39,6 +39,15 @@
         """
         return (self.era << _REVISION_BITS) + min(self.revision, _MAX_REVISION)
 
+    def may_be_before(self, held: 'StoreTime') -> bool:
+        """Return whether an object of this time may be older than one held.
+
+        An object that is listed in a later era may have been in the copy, or
+        have been written since. Beyond the revision of what is held, it has
+        been written later in any case.
+        """
+        return self.era > held.era and self.revision <= held.revision
+
     def __str__(self) -> str:
         """Return the revision, after the era if there is one."""
         return f'{self.era}.{self.revision}' if self.era else f'{self.revision}'
--- a/daisyline/transport/operator_client.py
+++ b/daisyline/transport/operator_client.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.messages import Headers
 from daisyline.coordination.effects import (
     PlatformRead,
     PlatformReply,
@@ -26,6 +27,7 @@
     Part,
     Request,
 )
+from daisyline.protocol.platform import era_of
 
 TIMEOUT_S = 3.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -46,11 +48,13 @@
             with status 200 is not JSON.
         content: The JSON value.
         problem: The error, if there is no valid answer.
+        era: The era of the platform's store; None if the answer states none.
     """
 
     status: int
     content: Any = None
     problem: str = ''
+    era: int | None = None
 
 
 @attrs.define
@@ -58,6 +62,7 @@
     """What was received of an answer."""
 
     status: int = 0
+    headers: Headers = ()
     body: bytearray = attrs.field(factory=bytearray)
     is_whole: bool = False
 
@@ -91,10 +96,10 @@
     )
     try:
         with socket.create_connection(address, TIMEOUT_S) as sock:
-            status, text = _exchange(sock, request)
+            received = _exchange(sock, request)
     except OSError as error:
         return HttpAnswer(0, problem=f'{base}: {error}')
-    return _decode_answer(base, status, text)
+    return _decode_answer(base, received)
 
 
 def read_object(platform: str, effect: PlatformRead) -> PlatformReply:
@@ -108,6 +113,7 @@
         answer.status,
         fields.get('version', 0),
         fields.get('value'),
+        answer.era,
     )
 
 
@@ -123,7 +129,9 @@
     fields = answer.content if isinstance(answer.content, dict) else {}
     if answer.status == _OK and not isinstance(fields.get('version'), int):
         return PlatformReply(effect.token, _BAD_GATEWAY)
-    return PlatformReply(effect.token, answer.status, fields.get('version', 0))
+    return PlatformReply(
+        effect.token, answer.status, fields.get('version', 0), era=answer.era
+    )
 
 
 def _path_of(kind: str, name: str) -> str:
@@ -131,8 +139,8 @@
     return f'/v1/objects/{kind}/{quoted}'
 
 
-def _exchange(sock: socket.socket, request: Request) -> tuple[int, bytes]:
-    """Send a request; return the status and the body of its whole answer.
+def _exchange(sock: socket.socket, request: Request) -> _ReceivedAnswer:
+    """Send a request; return its whole answer.
 
     Raises:
         OSError: If the connection fails, or the answer is not whole.
@@ -146,7 +154,7 @@
             codec.feed(sock.recv(_READ_BYTES))
         else:
             _take_event(event, answer)
-    return answer.status, bytes(answer.body)
+    return answer
 
 
 @functools.singledispatch
@@ -163,6 +171,7 @@
 @_take_event.register
 def _(event: Head, answer: _ReceivedAnswer) -> None:
     answer.status = event.status
+    answer.headers = event.headers
 
 
 @_take_event.register
@@ -182,9 +191,11 @@
     raise OSError(event.detail)
 
 
-def _decode_answer(base: str, status: int, text: bytes) -> HttpAnswer:
+def _decode_answer(base: str, received: _ReceivedAnswer) -> HttpAnswer:
+    status, text = received.status, bytes(received.body)
+    era = era_of(received.headers)
     try:
-        return HttpAnswer(status, json.loads(text) if text else None)
+        return HttpAnswer(status, json.loads(text) if text else None, era=era)
     except (ValueError, RecursionError):
         problem = f'{base}: the answer is not JSON'
         return HttpAnswer(
--- a/standins/store.py
+++ b/standins/store.py
@@ -141,7 +141,7 @@
     """
 
     read_lag_s: float = 0
-    era: int = 1
+    era: int = 0
     revision: int = 0
     calls: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _histories: dict[tuple[str, str], list[StoredObject]] = attrs.field(
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -204,7 +204,7 @@
         manifest: The initial manifest, as JSON.
     """
     loop = Loop.create()
-    object_store = store.Store()
+    object_store = store.Store(era=1)
     value = {'spec': json.loads(manifest), 'status': None, _CREATED: 1}
     object_store.handle(
         store.Write(None, 'config', 'main', 0, value), loop.now()
--- a/tests/coordination/settings/test_kind_reader.py
+++ b/tests/coordination/settings/test_kind_reader.py
@@ -58,6 +58,28 @@
         token = reader.tick(now, watch=True)[0].token
 
 
+def test_a_reader_lists_again_after_the_store_came_back() -> None:
+    reader, watch = _watching()
+    reader.restart(1)
+    late = PlatformReply(watch.token, 200, 99, [], 1)
+    assert reader.handle_reply(late, 1) is None
+    listing = reader.tick(reader.next_at(), watch=True)[0]
+    assert isinstance(listing, PlatformList)
+    reader.handle_reply(PlatformReply(listing.token, 200, 3, [], 2), 2)
+    assert reader.tick(2, watch=True)[0].since == 3
+
+
+def test_a_watch_ends_in_time_for_a_list_that_is_due() -> None:
+    reader = KindReader('zones', random.Random(1), 0)
+    listing = reader.tick(0, watch=True)[0]
+    reader.list_again(2)
+    reader.handle_reply(PlatformReply(listing.token, 200, 7, []), 0)
+    watch = reader.tick(0, watch=True)[0]
+    assert watch.wait_ms == 2000
+    reader.handle_reply(PlatformReply(watch.token, 200, 7, []), 2)
+    assert isinstance(reader.tick(2, watch=True)[0], PlatformList)
+
+
 def test_an_answer_to_another_read_is_ignored() -> None:
     reader, watch = _watching()
     assert reader.handle_reply(PlatformReply('old', 200, 99, []), 1) is None
--- a/tests/coordination/settings/test_settings_spread.py
+++ b/tests/coordination/settings/test_settings_spread.py
@@ -1,6 +1,7 @@
 """The version of the settings in force never decreases."""
 
 import zlib
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -22,12 +23,17 @@
     pack_value,
     unpack_value,
 )
-from tests.coordination.pump import settings_value
+from daisyline.state.store_time import StoreTime
+from tests.coordination import pump
 from tests.support import function_tests
 
 load_tests = function_tests(__name__)
 
 
+def settings_value(edition: int = 0) -> dict[str, Any]:
+    return pump.settings_value() | {'edition': edition}
+
+
 def started_spread() -> SettingsSpread:
     spread = SettingsSpread(start_wait_until=0)
     spread.tick((), 0)
@@ -128,6 +134,47 @@
     assert spread.in_force.version == 6
 
 
+def test_settings_of_a_later_era_win_at_a_lower_revision() -> None:
+    # Guards against nodes that ignore each change after the store came back.
+    spread = started_spread()
+    spread.adopt(StoreTime(1, 57).rank, settings_value(edition=47), (), 1)
+    later = StoreTime(2, 20).rank
+    spread.adopt(later, settings_value(edition=48), (), 1)
+    assert spread.in_force.version == later
+    # What was read before the return comes late.
+    assert not spread.adopt(
+        StoreTime(1, 58).rank, settings_value(edition=47), (), 1
+    )
+    assert spread.in_force.version == later
+
+
+def test_an_earlier_edition_in_a_later_era_does_not_come_into_force() -> None:
+    spread = started_spread()
+    held = StoreTime(1, 57).rank
+    spread.adopt(held, settings_value(edition=47), (), 1)
+    for revision, edition in ((17, 7), (18, 46)):
+        copied = StoreTime(2, revision).rank
+        content = pack_value(settings_value(edition=edition))
+        assert spread.handle_peer_version('peer', copied, revision)
+        spread.handle_content(SettingsContent(copied, content), (), revision)
+        assert spread.in_force.version == held
+        # It is not requested again.
+        assert not spread.handle_peer_version('peer', copied, revision)
+    written_again = StoreTime(2, 19).rank
+    spread.adopt(written_again, settings_value(edition=47), (), 1)
+    assert spread.in_force.version == written_again
+    assert spread.in_force.edition == 47
+
+
+def test_a_version_given_out_again_is_not_refused() -> None:
+    # Guards against valid settings at a revision at which invalid ones were.
+    spread = started_spread()
+    spread.adopt(StoreTime(1, 20).rank, {'tree': 1}, (), 1)
+    again = StoreTime(2, 20).rank
+    spread.adopt(again, settings_value(), (), 1)
+    assert spread.in_force.version == again
+
+
 def test_damaged_or_oversized_content_is_ignored() -> None:
     spread = started_spread()
     packed = pack_value(settings_value())
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from daisyline.platform.boot import Boot
-from daisyline.platform.manifest import settings_tree
+from daisyline.platform.manifest import manifest_number, settings_tree
 from daisyline.state.customers import Customer, hash_key
 from daisyline.state.settings import Settings
 from daisyline.state.settings_rules import child_path
@@ -37,6 +37,13 @@
     return Settings.from_object(7, {'tree': settings_tree(manifest, boot)})
 
 
+def test_the_number_of_a_version_is_read_and_garbled_ones_are_none() -> None:
+    assert manifest_number({'version': 'r47'}) == 47
+    for version in ('47', 'r', 'r-1', 'r1.5', 'x47', 'r47 ', 47, None, ['r47']):
+        assert manifest_number({'version': version}) == 0
+    assert manifest_number([]) == 0
+
+
 def test_routes_and_limits_are_translated_with_their_units(boot: Boot) -> None:
     parsed = _settings(dict(MANIFEST), boot)
     assert isinstance(parsed, Settings)
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -169,7 +169,7 @@
         ('settings', 'tree'): 'b',
         ('zones', 'late'): {},
     }
-    assert (object_store.era, object_store.revision) == (2, 1)
+    assert (object_store.era, object_store.revision) == (1, 1)
     assert object_store.open_watches == 0
     assert object_store.current('settings', 'tree')['value'] == 'a'
     assert not object_store.current('zones', 'late')['version']
--- a/tests/state/test_store_time.py
+++ b/tests/state/test_store_time.py
@@ -39,6 +39,14 @@
     assert time < StoreTime(1, 0)
 
 
+def test_only_a_revision_beyond_the_held_one_is_later_for_certain() -> None:
+    held = StoreTime(1, 57)
+    assert StoreTime(2, 17).may_be_before(held)
+    assert StoreTime(2, 57).may_be_before(held)
+    assert not StoreTime(2, 58).may_be_before(held)
+    assert not StoreTime(1, 17).may_be_before(held)
+
+
 def test_an_era_of_another_fact_or_out_of_range_is_none() -> None:
     assert era_in(era_fact(3)) == 3
     assert era_in(Fact('quarantine', '', 3)) is None
--- a/tests/transport/test_operator_client.py
+++ b/tests/transport/test_operator_client.py
@@ -63,6 +63,11 @@
         assert _request(OK + rest) == HttpAnswer(200, {'a': 1}), rest
 
 
+def test_the_era_of_the_platforms_store_is_read() -> None:
+    head = b'%sPlatform-Era: 3\r\n%s\r\n%s' % (OK, LENGTH, VALUE)
+    assert _request(head) == HttpAnswer(200, {'a': 1}, era=3)
+
+
 def test_an_endless_answer_is_given_up() -> None:
     for start in (OK, b'%s\r\n' % OK):
         assert _request(start + bytes(2 * MAX_ANSWER_BYTES)).problem, start
