Take orders of a later era for newer at a lower revision

What callers saw: after the store came back from an older copy, the targets of a new version got calls without a limit, also long after its 50th failure: 249 of 742. A zone that was taken out again kept its calls, and one that was taken back got none.

Cause: facts of orders ranked by the revision of the store, and withdrawals compared it. The order after the return had a lower revision than the one before, so no node took it, and a version without an order gets calls like any other.

Change: an order ranks by its `StoreTime`. A list of a later era decides only what it can: what is the same holds at once, what lies beyond the held revision is new, and so is all that a watch returns. An order that may be the copy's waits for 2 s, one that the copy lacks counts as withdrawn after 15 s; each is listed once more then. An id that another rollout of an earlier era had gets the era, so that it does not take that one's verdict.

Ruled out: to rank what is carried over above the copy's, as a reader that lists late would then outrank an order that another one has seen written; the era in each id, as all nodes that start anew would not find their own verdicts.

--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -10,7 +10,10 @@
 from daisyline.coordination.membership.gossip import Gossip
 from daisyline.coordination.membership.gossip_records import FactRecord
 from daisyline.coordination.settings.kind_reader import ReadObject, ReadResult
-from daisyline.coordination.settings.order_reading import orders_in
+from daisyline.coordination.settings.order_reading import (
+    REWRITE_WAIT_S,
+    orders_in,
+)
 from daisyline.coordination.settings.reader_role import (
     SETTINGS_KIND,
     SETTINGS_NAME,
@@ -18,9 +21,6 @@
 from daisyline.state.settings_history import EDITION
 from daisyline.state.store_time import StoreTime, era_fact
 
-# How long operators take to write again what a copy of the store lacks.
-REWRITE_WAIT_S = 2.0
-
 
 @attrs.frozen
 class PlatformReadConfig:
@@ -107,7 +107,10 @@
     effects: list[Any] = []
     if result.kind == SETTINGS_KIND:
         effects += _apply_settings(result, gossip, read_config, now)
-    for order in orders_in(result, gossip.fact_store.facts):
+    copy_since = gossip.reader_role.copy_since
+    read = orders_in(result, gossip.fact_store.facts, now - copy_since)
+    gossip.reader_role.list_again(result.kind, copy_since + read.decided_at_s)
+    for order in read.orders:
         fact = order.to_fact()
         record = FactRecord(fact, fact.ttl_ms)
         effects.extend(gossip.put_fact(record, now))
--- a/daisyline/state/orders.py
+++ b/daisyline/state/orders.py
@@ -22,8 +22,8 @@
     Attributes:
         kind: One of `ORDER_KINDS`.
         name: The zone or service that the order is for.
-        revision: The platform's revision at which the order was given or
-            withdrawn.
+        revision: The rank of the time at which the platform's store got or
+            lost the order, see `StoreTime`.
         payload: The fields of the order; empty if it was withdrawn.
     """
 
