Write verdicts again that an older copy of the store lacks

What was seen: a version was rolled back, the store came back from an older copy, and the operators' order was written again: its status stayed empty for 200 s, so operators would go on waiting or miss the deadline; and its new id, made of the new revision, made it another rollout, which brings the bad version in again.

Cause: a judge compares the object of its rollout each 200 s once it is in step, and progress hangs on the id.

Change: when the era rises, judges read the object again within 0.5 s, repeat failed calls at least once in a second while the order may be written again, and look once more after 5 s, when a write of the older era may have been carried out late. A plan that differs in its id only within 15 s of the return goes on with its state, its evidence and its verdict, which spreads under the new id. An order of the same version later than that is judged anew. The era is also learned from the rank of a peer's order.

--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -226,14 +226,15 @@
 
 @_apply.register
 def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
-    effects: Effects = []
+    # A later era is known before what is read in it comes into force.
+    effects = store_returns.learn_from_fact(effect.fact, core, now)
     effects += core.crashes.apply_fact(effect, now)
     effects += core.rollouts.handle(effect, now)
     effects += duty_handlers.handle(effect, core.duties, now)
     effects += target_notices.apply_departure(effect.fact, core, now)
     if effect.fact.kind in ORDER_KINDS:
         effects += core.fleet.apply_orders(now)
-    return effects + store_returns.learn_from_fact(effect.fact, core, now)
+    return effects
 
 
 _apply.register(fleet_events.StoreReturned, store_returns.apply_return)
--- a/daisyline/coordination/rollouts/rollout.py
+++ b/daisyline/coordination/rollouts/rollout.py
@@ -16,6 +16,7 @@
 from daisyline.coordination.effects import PlatformReply, Send
 from daisyline.coordination.events import EventLog, RolloutMoved
 from daisyline.coordination.membership.fact_events import FactChanged
+from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.coordination.rollouts.evidence import (
     EVIDENCE_INTERVAL_S,
     Collector,
@@ -77,6 +78,8 @@
         effects: list[Any] = []
         for plan in plans.values():
             progress = previous.get(plan.service)
+            continued = progress and progress.continue_as(plan, now)
+            effects.extend(continued or ())
             if progress is None or progress.plan.id != plan.id:
                 progress = Progress.from_plan(plan, now)
                 self._apply_fact(progress, now)
@@ -84,7 +87,7 @@
             self._progress[plan.service] = progress
             stopped = progress.stop_if_planned(now)
             if stopped:
-                self._log_move(progress, now)
+                _log_move(self._log, progress, now)
             effects.extend(stopped)
         self._choose_judges()
         return effects
@@ -111,7 +114,7 @@
         collector.record_call(sample, now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
-        """Handle an `Evidence`, a `FactChanged` or a `PlatformReply`.
+        """Handle an `Evidence`, a `FactChanged` or an event of the platform.
 
         Returns:
             The effects to carry out.
@@ -138,7 +141,7 @@
             before = progress.state.progress_key
             effects.extend(progress.tick(now))
             if progress.state.progress_key != before:
-                self._log_move(progress, now)
+                _log_move(self._log, progress, now)
         return effects
 
     def next_at(self) -> float:
@@ -209,9 +212,14 @@
             before = progress.state.progress_key
             effects.extend(progress.handle_reply(reply, now))
             if progress.state.progress_key != before:
-                self._log_move(progress, now)
+                _log_move(self._log, progress, now)
         return effects
 
+    def handle_return(self, now: float) -> None:
+        """Compare all objects again, as the store is an older copy."""
+        for progress in self._progress.values():
+            progress.handle_return(now)
+
     def _choose_judges(self) -> None:
         self._roles_applied = False
         self._judges = {
@@ -260,21 +268,22 @@
         """Advance a rollout to the state in the fact known about it."""
         fact = self._facts.get(fact_name_of(progress.plan))
         if fact is not None and progress.merge_fact(fact, now):
-            self._log_move(progress, now)
-
-    def _log_move(self, progress: Progress, now: float) -> None:
-        if self._log is not None:
-            status = progress.status
-            self._log.add(
-                RolloutMoved(
-                    now,
-                    service=status.service,
-                    rollout=status.id,
-                    stage=status.state,
-                    share=status.share,
-                    why=status.why,
-                )
+            _log_move(self._log, progress, now)
+
+
+def _log_move(log: EventLog | None, progress: Progress, now: float) -> None:
+    if log is not None:
+        status = progress.status
+        log.add(
+            RolloutMoved(
+                now,
+                service=status.service,
+                rollout=status.id,
+                stage=status.state,
+                share=status.share,
+                why=status.why,
             )
+        )
 
 
 @functools.singledispatch
@@ -299,6 +308,14 @@
     return []
 
 
+@_handle.register
+def _handle_store_returned(
+    event: StoreReturned, rollouts: Rollouts, now: float
+) -> list[Any]:
+    rollouts.handle_return(now)
+    return []
+
+
 @_handle.register
 def _handle_platform_reply(
     event: PlatformReply, rollouts: Rollouts, now: float
--- a/daisyline/coordination/rollouts/rollout_judge.py
+++ b/daisyline/coordination/rollouts/rollout_judge.py
@@ -119,6 +119,10 @@
         overall_tests = RateTests.from_config(_OVERALL_WEIGHT, restarts)
         return cls(plan, restarts, overall_tests)
 
+    def continue_as(self, plan: RolloutPlan) -> None:
+        """Keep the evidence for a plan that differs in its id only."""
+        self._plan = plan
+
     def add(self, evidence: Evidence) -> bool:
         """Add the counts of a message that is new and about this rollout.
 
--- a/daisyline/coordination/rollouts/rollout_progress.py
+++ b/daisyline/coordination/rollouts/rollout_progress.py
@@ -10,7 +10,10 @@
 from daisyline.coordination.membership.fact_events import PutFact
 from daisyline.coordination.rollouts.evidence_messages import Evidence
 from daisyline.coordination.rollouts.rollout_judge import Judge
-from daisyline.coordination.rollouts.rollout_record import RolloutRecordSync
+from daisyline.coordination.rollouts.rollout_record import (
+    REWRITE_WINDOW_S,
+    RolloutRecordSync,
+)
 from daisyline.coordination.rollouts.rollout_schedule import (
     decide,
     done_due_fraction,
@@ -58,6 +61,30 @@
     compared_at_step: int = 0
     compared_calls: int = 0
 
+    def start_settling(self, plan: RolloutPlan, now: float) -> None:
+        """Delay the next step by the settling time, after a step."""
+        self.settled_after = now + settle_s(plan)
+        self.compared_at_step = self.compared_calls
+
+    def schedule_evaluation(
+        self, plan: RolloutPlan, started_at: float, now: float
+    ) -> None:
+        """Schedule the next evaluation.
+
+        It comes after the regular interval, or earlier if the time at which the
+        rollout may become done lies within that interval.
+        """
+        self.evaluate_at = now + self.interval_s
+        last_step_s = done_due_fraction(plan) * plan.finish_in_s
+        last_step_at = started_at + last_step_s
+        if last_step_at > now:
+            self.evaluate_at = min(self.evaluate_at, last_step_at)
+
+    def continue_as(self, plan: RolloutPlan, now: float) -> None:
+        """Keep the evidence for a plan that differs in its id only."""
+        self.judge.continue_as(plan)
+        self.record_sync.restart(plan, now)
+
 
 @attrs.define
 class Progress:
@@ -74,6 +101,7 @@
     _started_at: float
     _last_spread_at: float
     _judge_state: JudgeState | None = None
+    _returned_at: float = -math.inf
 
     @classmethod
     def from_plan(cls, plan: RolloutPlan, now: float) -> 'Progress':
@@ -127,6 +155,32 @@
         if (plan.old, plan.new) != versions:
             self._judge_state = None
 
+    def handle_return(self, now: float) -> None:
+        """Compare the object again, as the store is an older copy."""
+        self._returned_at = now
+        if self._judge_state is not None:
+            self._judge_state.record_sync.restart(self.plan, now)
+
+    def continue_as(self, plan: RolloutPlan, now: float) -> list[Any] | None:
+        """Go on under another id, if the order was written again.
+
+        The order has another revision in the store's new era, and the plan
+        another id with it.
+
+        Returns:
+            The effects; None if the plan is of another rollout.
+        """
+        is_expected = now < self._returned_at + REWRITE_WINDOW_S
+        if not is_expected or attrs.evolve(plan, id=self.plan.id) != self.plan:
+            return None
+        if plan == self.plan:
+            return []
+        self.plan = plan
+        self._fact = self.state.to_fact(fact_name_of(plan))
+        if self._judge_state is not None:
+            self._judge_state.continue_as(plan, now)
+        return [] if self.state == RolloutState() else [PutFact(self._fact)]
+
     def start_judging(self, rng: Random, interval_s: float, now: float) -> None:
         """Make this node a judge, without evidence, unless it is one already.
 
@@ -170,7 +224,7 @@
             self._started_at, now - state.elapsed_ms / _MS_PER_S
         )
         if moved and self._judge_state is not None:
-            self._start_settling(self._judge_state, now)
+            self._judge_state.start_settling(self.plan, now)
         return moved
 
     def next_at(self) -> float:
@@ -233,7 +287,7 @@
         """Evaluate the evidence of the last interval; return the effects."""
         if now - judge_state.evaluate_at > MAX_EVALUATION_DELAY_S:
             judge_state.settled_after = now + settle_s(self.plan)
-        judge_state.evaluate_at = self._next_evaluation(judge_state, now)
+        judge_state.schedule_evaluation(self.plan, self._started_at, now)
         judgement = judge_state.judge.evaluate()
         judge_state.compared_calls = judgement.compared_calls
         if now < judge_state.settled_after and not judgement.should_roll_back:
@@ -247,19 +301,6 @@
         )
         return [] if decided is None else [self._publish(decided, now)]
 
-    def _next_evaluation(self, judge_state: JudgeState, now: float) -> float:
-        """Return the time of the next evaluation.
-
-        It comes after the regular interval, or earlier if the time at which the
-        rollout may become done lies within that interval.
-        """
-        regular_at = now + judge_state.interval_s
-        last_step_s = done_due_fraction(self.plan) * self.plan.finish_in_s
-        last_step_at = self._started_at + last_step_s
-        return (
-            min(regular_at, last_step_at) if last_step_at > now else regular_at
-        )
-
     def _respread(self, now: float) -> PutFact:
         """Spread the same state again before nodes forget its fact."""
         reissue_count = self.state.reissue_count + 1
@@ -278,10 +319,5 @@
         self.merge_fact(fact, now)
         return PutFact(fact)
 
-    def _start_settling(self, judge_state: JudgeState, now: float) -> None:
-        """Delay the next step by the settling time, after a step."""
-        judge_state.settled_after = now + settle_s(self.plan)
-        judge_state.compared_at_step = judge_state.compared_calls
-
     def _elapsed_ms(self, now: float) -> int:
         return int((now - self._started_at) * _MS_PER_S)
--- a/daisyline/coordination/rollouts/rollout_record.py
+++ b/daisyline/coordination/rollouts/rollout_record.py
@@ -1,5 +1,6 @@
 """Keeps the platform's object of a rollout up to date."""
 
+import math
 from random import Random
 from typing import Any
 
@@ -22,6 +23,13 @@
 MAX_FIRST_READ_DELAY_S = 2.0
 # The object is read again this often, in case another fleet has written it.
 RECHECK_INTERVAL_S = 200.0
+# After the store has come back from a copy, a write of before may still be
+# carried out late, so the object is read again soon.
+LATE_WRITE_S = 5.0
+# So long operators may take to write an order again that the copy lacks; until
+# then failed writes are repeated at least once in a second.
+REWRITE_WINDOW_S = 15.0
+MAX_REWRITE_BACKOFF_S = 1.0
 
 _OK = 200
 _NOT_FOUND = 404
@@ -79,6 +87,8 @@
     _synced_key: tuple[int, int] | None = None
     _due_at: float = 0
     _failures: int = 0
+    _returned_at: float = -math.inf
+    _must_recheck: bool = False
 
     @classmethod
     def from_plan(
@@ -96,6 +106,21 @@
             return self._due_at
         return 0
 
+    def restart(self, plan: RolloutPlan, now: float) -> None:
+        """Read the object again, as the store has come back from a copy.
+
+        Args:
+            plan: The plan, whose id may have changed with its order.
+            now: Monotonic seconds.
+        """
+        self._plan = plan
+        self._token = ''
+        self._synced_key = None
+        self._failures = 0
+        self._returned_at = now
+        self._must_recheck = True
+        self._due_at = now + self._rng.uniform(0, FIRST_BACKOFF_S)
+
     def tick(self, state: RolloutState, now: float) -> list[PlatformRead]:
         """Start a read if one is due, and return it as an effect.
 
@@ -126,7 +151,7 @@
         # No backoff after a conflict: the object has changed and is read again.
         if reply.status != _CONFLICT:
             self._failures += 1
-            self._due_at = now + self._backoff_s()
+            self._due_at = now + self._backoff_s(now)
         return (None, [])
 
     def _handle_read(
@@ -152,7 +177,9 @@
     def _mark_synced(self, state: RolloutState, now: float) -> None:
         self._synced_key = state.progress_key
         self._failures = 0
-        self._due_at = now + RECHECK_INTERVAL_S
+        recheck_s = LATE_WRITE_S if self._must_recheck else RECHECK_INTERVAL_S
+        self._must_recheck = False
+        self._due_at = now + recheck_s
 
     def _start_read(self, now: float) -> PlatformRead:
         self._token = self._next_token('read', now)
@@ -164,7 +191,9 @@
         name = fact_name_of(self._plan)
         return f'rollout:{name}:{self._requests}:{action}'
 
-    def _backoff_s(self) -> float:
+    def _backoff_s(self, now: float) -> float:
         """Return a random delay in seconds; its limit doubles on failure."""
-        max_wait_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
+        is_rewriting = now < self._returned_at + REWRITE_WINDOW_S
+        longest_s = MAX_REWRITE_BACKOFF_S if is_rewriting else MAX_BACKOFF_S
+        max_wait_s = min(longest_s, FIRST_BACKOFF_S * 2**self._failures)
         return self._rng.uniform(FIRST_BACKOFF_S / 2, max_wait_s)
--- a/daisyline/coordination/store_returns.py
+++ b/daisyline/coordination/store_returns.py
@@ -4,12 +4,17 @@
 from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.coordination.node_core import Effects, NodeCore
 from daisyline.state.facts import Fact
-from daisyline.state.store_time import era_in
+from daisyline.state.orders import ORDER_KINDS
+from daisyline.state.store_time import StoreTime, era_in
 
 
 def learn_from_fact(fact: Fact, core: NodeCore, now: float) -> Effects:
     """Learn the era that another node has told of, if a fact does."""
-    return core.store_clock.learn(era_in(fact), now)
+    era = era_in(fact)
+    if fact.kind in ORDER_KINDS:
+        # Nodes of the build before know no era.
+        era = StoreTime.from_rank(fact.rank).era or None
+    return core.store_clock.learn(era, now)
 
 
 def apply_return(effect: StoreReturned, core: NodeCore, now: float) -> Effects:
@@ -22,4 +27,7 @@
             settings_version=core.fleet.settings.version,
         )
     )
-    return core.fleet.handle(effect, now)
+    return [
+        *core.fleet.handle(effect, now),
+        *core.rollouts.handle(effect, now),
+    ]
