Read a rollout's object again at once after a conflict

Cause: a judge whose first write met a conflict read the object again only when the reply to that write would have counted as lost, after 15 s, though the comment says that there is no wait. So a verdict could reach the store 15 s late if operators changed the object meanwhile. Found while the verdicts after a return of the store were traced; not reported.

Change: the read comes after a random delay of up to 0.5 s.

Measured: the new test fails without the change, and all of coordination.rollouts pass with it.

--- a/daisyline/coordination/rollouts/rollout_record.py
+++ b/daisyline/coordination/rollouts/rollout_record.py
@@ -149,7 +149,9 @@
             self._mark_synced(state, now)
             return (None, [])
         # No backoff after a conflict: the object has changed and is read again.
-        if reply.status != _CONFLICT:
+        if reply.status == _CONFLICT:
+            self._due_at = now + self._rng.uniform(0, FIRST_BACKOFF_S)
+        else:
             self._failures += 1
             self._due_at = now + self._backoff_s(now)
         return (None, [])
--- a/tests/coordination/rollouts/test_store_returns.py
+++ b/tests/coordination/rollouts/test_store_returns.py
@@ -94,6 +94,16 @@
     assert 0 < rollouts.next_at() - now <= LATE_WRITE_S
 
 
+def test_a_conflict_is_followed_by_a_read_at_once() -> None:
+    # Guards against a verdict that waits until a lost reply would be given up.
+    rollouts = _judge()
+    rollouts.handle(RETURN, 4)
+    write = _let_read(rollouts, 5, 200)[0]
+    rollouts.handle(PlatformReply(write.token, 409, 20, era=2), 5)
+    assert rollouts.next_at() <= 6
+    assert _let_read(rollouts, 6, 200)
+
+
 def test_a_moving_rollout_keeps_its_share_and_its_judge() -> None:
     step = RolloutState(Stage.MOVING, 2, 0.25, 900, 'no failures')
     rollouts = _judge(step)
