Write departures again that an older copy of the store lacks

What was seen: a target left with an acknowledgement, the store came back from an older copy, and all nodes were started anew: the target was used again, as only its node's object in the store outlasts the processes, and the copy lacks it.

Cause: a departure that the store has confirmed is never compared again, though the store loses what it confirmed when it comes back from a copy.

Change: when the era rises, a node that holds departures of the last two minutes reads its object within a second and writes those that it lacks. A node without any makes no call; so a return costs one read, and one write where something is missing, for each node whose target left lately.

Measured: the test of a departure that the copy lacks fails without the change and passes with it. The one of a confirmation by the older era passes without it, too, since answers of an older era count as none.

--- a/daisyline/coordination/departures/departure_record.py
+++ b/daisyline/coordination/departures/departure_record.py
@@ -41,6 +41,8 @@
 # acknowledgement, in seconds.
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 8.0
+# After a return of the store the nodes read their objects within this time.
+MAX_RETURN_DELAY_S = 1.0
 # Half of the starts that a process remembers, see `registration.MAX_LEFT`.
 MAX_DEPARTURES = 32
 _MAX_DOUBLINGS = 10
@@ -135,6 +137,27 @@
             self._due_at = math.inf
         return self._start_call(now)
 
+    def handle_return(self, now: float) -> Effects:
+        """Compare the object again, as the store is an older copy.
+
+        Departures that the copy lacks are written again. Unless an
+        acknowledgement waits, the read is delayed, as many nodes may have one.
+        """
+        is_waiting = self.acknowledgement_wait_s(now) > 0
+        self._token = ''
+        self._written = frozenset()
+        self._failures = 0
+        self._due_at = math.inf
+        self._forget_old(now)
+        self._unsaved.update(self._known)
+        self._must_read = bool(self._known)
+        if not self._known:
+            return []
+        if is_waiting:
+            return self._start_call(now)
+        self._due_at = now + self._rng.uniform(0, MAX_RETURN_DELAY_S)
+        return []
+
     def tick(self, now: float) -> Effects:
         """Return the call that is due, after one that failed or was lost."""
         if now < self._due_at:
--- a/tests/coordination/departures/test_departure_record.py
+++ b/tests/coordination/departures/test_departure_record.py
@@ -46,6 +46,7 @@
         loses_answers: Whether calls take effect but are not answered.
         rejects_writes: Whether writes are answered with a conflict.
         calls: The reads and writes of the node's object.
+        era: The era that answers of the store state.
     """
 
     platform: FakePlatform
@@ -55,6 +56,7 @@
     loses_answers: bool = False
     rejects_writes: bool = False
     calls: list[Any] = attrs.field(factory=list)
+    era: int = 1
     _replies: list[tuple[float, PlatformReply]] = attrs.field(factory=list)
 
     def restart(
@@ -89,6 +91,14 @@
                 self.handle(reply)
             self._carry_out(node_handlers.tick(self.core, self.now))
 
+    def return_store(self) -> None:
+        """Let the store come back as it was before any write."""
+        self.platform.stored.clear()
+        self.platform.revision = 0
+        self.era += 1
+        # Another call of the node tells it of the era.
+        self.handle(PlatformReply('other', 404, era=self.era))
+
     @property
     def phase(self) -> Phase | None:
         """Return the phase of the target in use; None without one."""
@@ -125,6 +135,7 @@
             version, content = self.platform.stored.get(OBJECT, (0, None))
             status = 200 if version else 404
             reply = PlatformReply(effect.token, status, version, content)
+        reply = attrs.evolve(reply, era=self.era)
         if not self.loses_answers:
             self._replies.append((self.now + self.delay_s, reply))
 
@@ -156,6 +167,45 @@
     assert [type(call) for call in stored_node.calls] == [PlatformRead]
 
 
+def test_a_departure_that_an_older_copy_lacks_is_written_again(
+    stored_node: StoredNode,
+) -> None:
+    # Guards against a target that is used again after a return of the store
+    # and a restart of all nodes.
+    stored_node.handle(LEAVING)
+    stored_node.wait(1)
+    assert stored_node.stored == [TARGET.instance]
+    stored_node.return_store()
+    assert not stored_node.stored
+    stored_node.wait(2)
+    assert stored_node.stored == [TARGET.instance]
+    stored_node.restart()
+    stored_node.announce(sequence=2)
+    stored_node.wait(HOLD_S)
+    stored_node.announce(sequence=3)
+    assert stored_node.phase == Phase.LEAVING
+
+
+def test_a_departure_confirmed_by_the_older_era_is_written_again(
+    stored_node: StoredNode,
+) -> None:
+    stored_node.delay_s = 0.2
+    stored_node.handle(LEAVING)
+    stored_node.return_store()
+    assert not stored_node.stored
+    stored_node.wait(2)
+    assert stored_node.stored == [TARGET.instance]
+
+
+def test_a_node_without_departures_makes_no_call_after_a_return(
+    stored_node: StoredNode,
+) -> None:
+    stored_node.handle(PlatformReply('other', 404, era=1))
+    stored_node.return_store()
+    stored_node.wait(5)
+    assert not stored_node.calls
+
+
 def test_a_leave_without_a_start_holds_for_earlier_starts_only(
     stored_node: StoredNode,
 ) -> None:
