Give a duty up when the store comes back from an older copy

Cause: the copy may not know the holder, its lease or its token. A holder went on until its next write met a conflict, so for a lease another node could act beside it; and the next token was one more than the copy's, which may have been given out already.

Change: a node that learns of the later era gives the duty up at once and drops reports that are not sent. A claim's token is never below the time of day, not only after a deletion, and reports that this process wrote and the copy lacks are taken over.

--- a/daisyline/coordination/duties/duty_handlers.py
+++ b/daisyline/coordination/duties/duty_handlers.py
@@ -17,6 +17,7 @@
 from daisyline.coordination.duties.usage_messages import UsageCounts
 from daisyline.coordination.effects import PlatformReply
 from daisyline.coordination.membership.fact_events import FactChanged
+from daisyline.coordination.membership.fleet_events import StoreReturned
 
 Effects = list[Any]
 
@@ -46,6 +47,15 @@
     return effects
 
 
+@handle.register
+def _(event: StoreReturned, duties: Duties, now: float) -> Effects:
+    usage = duties.usage
+    if usage is None:
+        return []
+    duties.schedule(now)
+    return [*usage.holder.handle_return(now), DropUnsentReports()]
+
+
 @handle.register
 def _(event: UsageReply, duties: Duties, now: float) -> Effects:
     usage = duties.usage
--- a/daisyline/coordination/duties/duty_holder.py
+++ b/daisyline/coordination/duties/duty_holder.py
@@ -115,6 +115,16 @@
             self._rejected_token = self.holding.record.token
         return self.give_up('the platform has seen a higher token', now)
 
+    def handle_return(self, now: float) -> Effects:
+        """Hold nothing any more, as the store is an older copy.
+
+        The copy need not know of this holder, so another node may claim the
+        duty at once.
+        """
+        if self.holding is None:
+            self.stage = Waiting(now + self.config.takeover_wait_s)
+        return self.give_up('the store came back from an older copy', now)
+
     def interrupt(self) -> None:
         """Act only after the next write, as the process was suspended."""
         self.store.interrupt()
@@ -189,8 +199,9 @@
     def _claim_of(self, found: DutyRecord | None, at: Moment) -> DutyRecord:
         """Return the record of a new holder, with a token of its own.
 
-        An object that was deleted may have held a higher token than this node
-        knows, so a new one begins with a number that only grows: the time.
+        The store may have held a higher token than this node knows, in an object
+        that was deleted or before it came back from a copy. So a token is not
+        below a number that only grows: the time.
         """
         own = self._last_record
         tokens = [self.known.token, self._rejected_token]
@@ -202,9 +213,8 @@
             tokens.append(found.token)
             newest = max(newest, found.newest)
             reports = found.reports
-        elif own is not None and own.newest == newest:
+        has_lost = found is None or found.newest < newest
+        if has_lost and own is not None and own.newest == newest:
             reports = own.reports
-        token = max(tokens) + 1
-        if found is None or found.token <= self._rejected_token:
-            token = max(token, int(at.wall))
+        token = max(*tokens, int(at.wall)) + 1
         return DutyRecord(self._name, self._start, token, newest, reports)
--- a/daisyline/coordination/store_returns.py
+++ b/daisyline/coordination/store_returns.py
@@ -1,6 +1,7 @@
 """What a node does when the platform's store comes back from a copy."""
 
 from daisyline.coordination import events as log
+from daisyline.coordination.duties import duty_handlers
 from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.coordination.node_core import Effects, NodeCore
 from daisyline.state.facts import Fact
@@ -30,4 +31,5 @@
     return [
         *core.fleet.handle(effect, now),
         *core.rollouts.handle(effect, now),
+        *duty_handlers.handle(effect, core.duties, now),
     ]
--- a/tests/coordination/duties/test_usage_report.py
+++ b/tests/coordination/duties/test_usage_report.py
@@ -9,6 +9,7 @@
 from daisyline.coordination.duties.duty_events import ReportUsage
 from daisyline.coordination.duties.duty_lease import Lease
 from daisyline.coordination.duties.duty_record import DutyRecord
+from daisyline.coordination.membership.fleet_events import StoreReturned
 from daisyline.state.settings import Settings
 from tests.coordination.duties.fakes import CONFIG, NEVER
 from tests.coordination.duties.rig import START, DutyFleet
@@ -195,6 +196,65 @@
     assert _reported(duty_fleet) == list(range(len(duty_fleet.api.reports)))
 
 
+def test_a_return_of_the_store_ends_the_duty_and_changes_no_count(
+    duty_fleet: DutyFleet,
+) -> None:
+    # Guards against a holder that acts on a lease that the copy doesn't know,
+    # and against a token or a window that is used again.
+    copy = attrs.evolve(duty_fleet.store)
+    _pass_time(duty_fleet, 12)
+    token = duty_fleet.store.content['token']
+    newest = duty_fleet.store.content['newest']
+    assert newest > copy.content['newest']
+    before = dict(duty_fleet.api.reports)
+    duty_fleet.store = copy
+    for node in duty_fleet.nodes.values():
+        duty_fleet.deliver(node, StoreReturned(2, 1))
+    assert not duty_fleet.holders()
+    _pass_time(duty_fleet, 30)
+    assert duty_fleet.store.content['token'] > token
+    assert _reported(duty_fleet) == list(range(len(duty_fleet.api.reports)))
+    assert {
+        window: duty_fleet.api.reports[window] for window in before
+    } == before
+
+
+def test_a_token_is_higher_than_those_that_only_a_lost_object_held(
+    duty_fleet: DutyFleet,
+) -> None:
+    token = _restart_on_a_copy(duty_fleet)
+    duty_fleet.api_delay_s = NEVER
+    _pass_time(duty_fleet, 30)
+    assert duty_fleet.store.content['token'] > token
+
+
+def test_a_window_whose_report_only_a_lost_object_held_keeps_its_count(
+    duty_fleet: DutyFleet,
+) -> None:
+    _restart_on_a_copy(duty_fleet)
+    _pass_time(duty_fleet, 30)
+    assert _last_due(duty_fleet) in duty_fleet.api.reports
+
+
+def _restart_on_a_copy(fleet: DutyFleet) -> int:
+    """Kill all nodes as the store comes back, after two changes of holder.
+
+    Returns:
+        The highest token that was given out.
+    """
+    copy = attrs.evolve(fleet.store)
+    for _ in range(2):
+        fleet.kill(fleet.holders()[0])
+        _pass_time(fleet, 25)
+    token: int = fleet.store.content['token']
+    for running in NAMES:
+        fleet.kill(running)
+    fleet.store = copy
+    for name in NAMES:
+        fleet.start(name)
+    return token
+
+
 def test_two_candidates_at_the_same_time_do_not_both_hold_the_duty() -> None:
     # Both see no other member, so each is the first candidate.
     fleet = DutyFleet(rng=random.Random(3))
