Test crowds at each door of a machine, which come back, start and stop

Cause: the tests of memory had one crowd, at the callers' port, on a node that runs. The ports for targets, readiness, operators and nodes were not tried, nor several at once, nor crowds that leave and come back, nor a start or a stop.

Change: crowds of 32 clients at each door, with bodies less a byte, large and tiny chunks, bodies far over the limit, announced or sent, and heads without end; the bounds are those of the tests before, fixed here before any change of the product. The eight tests before pass, each alone.

Measured, each alone: nine of twelve pass. Three fail, all with crowds that come one after the other: 153, 162 and 171 MB on a machine of 128 MB. A trial with five crowds of bodies less a byte, 2 s apart: peaks of 90, 169, 232, 299 and 360 MB, so a node ends when clients come back often enough. The same trial with a fixed threshold for mapped memory peaks at 292 MB, so the heap alone is not the cause.

--- a/tests/journeys/memory_rig.py
+++ b/tests/journeys/memory_rig.py
@@ -34,6 +34,23 @@
 CHUNK_CLIENTS = 40
 CHUNKS = 200_000
 IDLE_CLIENTS = 300
+# Clients at each door of the machine; their bodies at one door together exceed
+# the memory that a node keeps for others.
+DOOR_CLIENTS = 32
+DOOR_CHUNKS = 50_000
+# So many crowds come one after the other.
+CROWDS = 5
+FAR_OVER_FACTOR = 75
+SHAPES = (
+    'less a byte',
+    'large chunks',
+    'chunks of a byte',
+    'announced far over the limit',
+    'sent far over the limit',
+    'a head without end',
+)
+HTTP_DOORS = ('callers', 'notices', 'ready', 'operators')
+DOORS = (*HTTP_DOORS, 'peers')
 # The service times of the target, beside complete bodies and otherwise.
 SLOW_WORK_MS = 1000
 WORK_MS = 5
@@ -48,11 +65,13 @@
 
     Attributes:
         place: The node and the target.
+        fleet: The fleet that they are.
         memory_mb: The memory of the machine, in megabytes.
         sockets: The connections of the clients, which stay open.
     """
 
     place: UsersPlace
+    fleet: UsersFleet
     memory_mb: int = MACHINE_MB
     sockets: list[socket.socket] = attrs.field(factory=list)
 
@@ -61,14 +80,23 @@
         """Return the process of the node."""
         return self.place.node
 
-    def send_from_clients(self, clients: int, octets: bytes) -> None:
+    def send_from_clients(
+        self, clients: int, octets: bytes, doors: tuple[str, ...] = ('callers',)
+    ) -> None:
         """Send the same bytes from many clients at once.
 
         A client that is refused or gets no room stops; all of them keep their
         connections open.
+
+        Args:
+            clients: The number of clients at each door.
+            octets: What each of them sends.
+            doors: The ports of the node, by their roles.
         """
-        with futures.ThreadPoolExecutor(clients) as threads:
-            list(threads.map(self._send, itertools.repeat(octets, clients)))
+        calls = list(itertools.product(doors, range(clients)))
+        with futures.ThreadPoolExecutor(len(calls)) as threads:
+            for door, _number in calls:
+                threads.submit(self._send, octets, door)
 
     def send_and_read(self, octets: bytes) -> bytes:
         """Send bytes from one client; return the first bytes of the answer."""
@@ -80,6 +108,13 @@
         limits = (DESCRIPTORS, DESCRIPTORS)
         resource.prlimit(self.node.popen.pid, resource.RLIMIT_NOFILE, limits)
 
+    def restart_node(self) -> None:
+        """Start the node again, after it was killed."""
+        place = self.place
+        place.node = self.fleet.start_node(
+            place.name, place.zone, place.ports, memory_mb=self.memory_mb
+        )
+
     def check_node(self) -> None:
         """Check that the node kept its bounds and answers a request."""
         assert self.node.popen.poll() is None, 'the node process has ended'
@@ -102,8 +137,8 @@
         for sock in self.sockets:
             sock.close()
 
-    def _send(self, octets: bytes) -> None:
-        address = (HOST, self.place.ports['callers'])
+    def _send(self, octets: bytes, door: str = 'callers') -> None:
+        address = (HOST, self.place.ports[door])
         with contextlib.suppress(OSError):
             sock = socket.create_connection(address, timeout=SEND_TIMEOUT_S)
             self.sockets.append(sock)
@@ -140,12 +175,32 @@
         stack.callback(fleet.kill)
         fleet.start_platform(manifest)
         place = fleet.add('ghent-a', memory_mb=memory_mb)
-        machine = SmallMachine(place, memory_mb)
+        machine = SmallMachine(place, fleet, memory_mb)
         stack.callback(machine.close)
         wait_until(machine.is_answering)
         yield machine
 
 
+def shape_of_body(name: str) -> bytes:
+    """Return what a client sends of a body that it does not end.
+
+    Args:
+        name: One of `SHAPES`.
+    """
+    far_over = FAR_OVER_FACTOR * BODY_BYTES
+    announced = head_of(f'Content-Length: {far_over}')
+    shapes = {
+        'less a byte': head_of(f'Content-Length: {BODY_BYTES}')
+        + bytes(BODY_BYTES - 1),
+        'large chunks': chunked(BODY_BYTES, 65_536),
+        'chunks of a byte': chunked(DOOR_CHUNKS, 1),
+        'announced far over the limit': announced + bytes(BODY_BYTES),
+        'sent far over the limit': chunked(3 * BODY_BYTES, 65_536),
+        'a head without end': head_of('X-Filler: 1')[:-2] + bytes(BODY_BYTES),
+    }
+    return shapes[name]
+
+
 def peak_bytes(process: Process) -> int:
     """Return the largest resident memory of a process so far."""
     path = _files_of(process) / 'status'
