Release the body of a caller's connection when it closes

What was seen: each crowd of clients that left bodies unfinished and went away added 60 MB to a node, until it exceeded the memory of its machine; five crowds of 32 clients took 360 MB on a machine of 128 MB.

Cause: a connection and its handler refer to each other, so the body stays until a garbage collection, which starts by the number of objects and is rare by choice. The account of memory had counted it as released.

Change: the handler drops the body as soon as the connection is closed.

Ruled out: unused parts of the heap, by a run with a fixed threshold for mapped memory (292 MB); collecting more often, which costs all calls.

--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -109,6 +109,9 @@
         self.on_closed(self)
         self._postponed = None
         self.answers.discard()
+        # The account counts the body no more, but the connection and this
+        # object refer to each other until the next garbage collection.
+        self._codec.discard_body()
         if self._memory is not None:
             self._memory.release()
 
