--- a/tests/transport/test_duty_client.py
+++ b/tests/transport/test_duty_client.py
@@ -43,6 +43,22 @@
     assert driver.events == [UsageReply('c', 429, 0.5)]
 
 
+def test_an_answer_without_a_status_confirms_no_report(
+    driver: LoopDriver,
+) -> None:
+    listener = driver.listen()
+    address = (HOST, listener.getsockname()[1])
+    client = DutyClient(driver.loop, address, driver.events.append, DutyCodec())
+    for status in (b'000', b'00', b'2 0'):
+        client.call(_report(5))
+        peer = driver.accept(listener)
+        peer.read_until(b'}}')
+        peer.send(ANSWER.replace(b'429', status, 1))
+        driver.run_until(driver.events.copy)
+        assert driver.events == [UsageReply('c', 0)], status
+        driver.events.clear()
+
+
 def test_a_report_is_not_sent_after_the_lease_or_a_pause(
     driver: LoopDriver,
 ) -> None:
--- a/tests/transport/test_platform_client.py
+++ b/tests/transport/test_platform_client.py
@@ -55,6 +55,13 @@
     assert _reply_to(driver, cut_behind_head, closes=True) == NO_REPLY
 
 
+def test_an_answer_without_a_status_counts_as_none(driver: LoopDriver) -> None:
+    whole = HEAD % (len(VALUE), VALUE)
+    for status in (b'000', b'099', b'00', b'2 0'):
+        broken = whole.replace(b'200', status, 1)
+        assert _reply_to(driver, broken, closes=False) == NO_REPLY, status
+
+
 def test_an_endless_answer_is_aborted(driver: LoopDriver) -> None:
     with mock.patch(f'{MODULE}._MAX_ANSWER_BYTES', 100_000):
         endless = b'HTTP/1.1 200 OK\r\n\r\n%s' % bytes(300_000)
