Play the return of the store among the faults of the soak

Change: the fault `PlatformReturn`, last in the order of kinds: the platform is away for 0.3 to 2 s and comes back as it was 1, 3 or 10 s before; what operators had written is written again 0.5 s later. A zone is not taken out meanwhile, as the change could be lost with the copy. Versions of settings are compared with their era.

--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -12,6 +12,10 @@
 # A silent connection is detected when it is next used, and pools keep idle
 # connections open.
 SILENT_WINDOW_S = 25.0
+# When operators write again what the platform's copy lacks, and how long after
+# that the fault ends, in seconds.
+REWRITE_S = 0.5
+AFTER_REWRITE_S = 0.5
 
 
 def inject(fault: Any, injector: Injector) -> None:
@@ -66,17 +70,14 @@
         return False
     end_fault = injector.begin_fault('PauseNode', fault.place)
     injector.signal(fault.place, signal.SIGSTOP)
-    resume = functools.partial(_resume_node, fault, injector, end_fault)
-    injector.call_later(fault.seconds, resume)
-    return True
 
+    def resume() -> None:
+        injector.signal(fault.place, signal.SIGCONT)
+        injector.release(fault.place)
+        end_fault()
 
-def _resume_node(
-    fault: schedule.PauseNode, injector: Injector, end_fault: Callback
-) -> None:
-    injector.signal(fault.place, signal.SIGCONT)
-    injector.release(fault.place)
-    end_fault()
+    injector.call_later(fault.seconds, resume)
+    return True
 
 
 @apply_fault.register
@@ -216,6 +217,28 @@
     injector.call_later(fault.seconds, recover)
 
 
+@apply_fault.register
+def _platform_return(
+    fault: schedule.PlatformReturn, injector: Injector
+) -> bool:
+    if injector.zone_out or injector.is_platform_returning:
+        return False
+    injector.is_platform_returning = True
+    end_fault = injector.begin_fault('PlatformReturn', PLATFORM)
+    injector.fleet.return_platform(
+        age_s=fault.age_s + fault.seconds,
+        away_s=fault.seconds,
+        rewrite_s=REWRITE_S,
+    )
+
+    def recover() -> None:
+        injector.is_platform_returning = False
+        end_fault()
+
+    injector.call_later(fault.seconds + REWRITE_S + AFTER_REWRITE_S, recover)
+    return True
+
+
 @apply_fault.register
 def _silent_callers(fault: schedule.SilentCallers, injector: Injector) -> bool:
     injector.fleet.links[fault.place].callers.silence()
@@ -249,7 +272,7 @@
 
 @apply_fault.register
 def _zone_out(fault: schedule.ZoneOut, injector: Injector) -> bool:
-    if injector.zone_out:
+    if injector.zone_out or injector.is_platform_returning:
         return False
     ZoneOutAndIn(injector, fault).start()
     return True
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -148,6 +148,11 @@
         request = Message.post_json('/faults', fields)
         self.send_request(self.platform_port, request, _ignore)
 
+    def return_platform(self, **fields: float) -> None:
+        """Let the platform come back from a copy; see `StoreReturn`."""
+        request = Message.post_json('/return', fields)
+        self.send_request(self.platform_port, request, _ignore)
+
     def send_request(
         self,
         port: int,
--- a/standins/soak_injector.py
+++ b/standins/soak_injector.py
@@ -55,6 +55,8 @@
         journal: The journal in which the times of faults are recorded.
         log: The counts of faults.
         zone_out: The zone that a fault has taken out, or empty.
+        is_platform_returning: Whether the platform comes back from a copy, and
+            operators' writes may be lost until it has written them again.
         on_poison: Called to send a poison request.
     """
 
@@ -64,6 +66,7 @@
         self.journal = journal
         self.log = FaultLog()
         self.zone_out = ''
+        self.is_platform_returning = False
         self.on_poison: Callable[[Poison], None] = bool
         self._loop = fleet.loop
         self._processes = fleet.processes
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -24,7 +24,7 @@
 )
 from standins.soak_schedule import Poison, Scope, Timed, draw_schedule
 from standins.soak_table import table_lines
-from standins.soak_watch import NodeMonitor, read_faults
+from standins.soak_watch import NodeMonitor, read_faults, stored_version
 from standins.up import print_line
 
 READY_TIMEOUT_S = 60.0
@@ -186,8 +186,7 @@
 
     def _finish(self, outcome: Message | LostCall) -> None:
         if isinstance(outcome, Message):
-            stored = outcome.json() or {}
-            self.journal.newest_version = stored.get('version', -1)
+            self.journal.newest_version = stored_version(outcome)
         self._monitor.stop()
         self._processes.stop_all(self._loop.stop)
 
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 import random
-from collections.abc import Callable, Container, Iterator, Sequence
+from collections.abc import Callable, Container
 from typing import Any
 
 import attrs
@@ -24,6 +24,7 @@
 FAILURE_FRACTIONS = (0.3, 1.0)
 PLATFORM_DELAYS_MS = (200, 500, 1000)
 READ_LAGS_MS = (500, 3000)
+COPY_AGES_S = (1, 3, 10)
 
 
 @attrs.frozen
@@ -121,6 +122,14 @@
     lag_ms: float
 
 
+@attrs.frozen
+class PlatformReturn:
+    """Let the platform come back from an older copy after some seconds."""
+
+    seconds: float
+    age_s: float
+
+
 @attrs.frozen
 class SilentCallers:
     """Silence callers' open connections to a node permanently."""
@@ -222,7 +231,8 @@
     schedule: list[Timed] = []
     at = FIRST_FAULT_S
     drawn = [kind for kind in KINDS if kind.__name__ not in left_out]
-    kinds = _shuffled_rounds(rng, drawn)
+    rounds = (rng.sample(drawn, len(drawn)) for _ in itertools.count())
+    kinds = itertools.chain.from_iterable(rounds)
     while at < duration_s:
         fault = _draw_fault(next(kinds), rng, scope, duration_s - at)
         schedule.append(Timed(at, fault))
@@ -230,13 +240,6 @@
     return tuple(schedule)
 
 
-def _shuffled_rounds(
-    rng: random.Random, kinds: Sequence[type]
-) -> Iterator[type]:
-    rounds = (rng.sample(kinds, len(kinds)) for _ in itertools.count())
-    return itertools.chain.from_iterable(rounds)
-
-
 def _draw_fault(
     kind: type, rng: random.Random, scope: Scope, remaining_s: float
 ) -> Any:
@@ -250,6 +253,7 @@
         'share': functools.partial(rng.choice, FAILURE_FRACTIONS),
         'delay_ms': functools.partial(rng.choice, PLATFORM_DELAYS_MS),
         'lag_ms': functools.partial(rng.choice, READ_LAGS_MS),
+        'age_s': functools.partial(rng.choice, COPY_AGES_S),
         'answers': functools.partial(rng.choice, FAULTY),
     }
     fields = {field.name: draws[field.name]() for field in attrs.fields(kind)}
@@ -267,7 +271,14 @@
 
 
 _DOWN_KINDS = frozenset(
-    (KillNode, KillTarget, CrashTarget, StopNode, StopTarget)
+    (
+        KillNode,
+        KillTarget,
+        CrashTarget,
+        StopNode,
+        StopTarget,
+        PlatformReturn,
+    )
 )
 KINDS = (
     KillNode,
@@ -289,4 +300,5 @@
     StopNode,
     StopTarget,
     FaultyAnswers,
+    PlatformReturn,
 )
--- a/standins/soak_watch.py
+++ b/standins/soak_watch.py
@@ -5,8 +5,10 @@
 import pathlib
 from typing import Any
 
+from daisyline.state.store_time import StoreTime
 from standins.fleet import Place
 from standins.http import LostCall, Message
+from standins.platform import Platform
 from standins.processes import HOST
 from standins.soak_fleet import SoakFleet
 from standins.soak_records import (
@@ -103,3 +105,10 @@
         '0',
     )
     return int(next(peaks_kib)) * BYTES_PER_KIB
+
+
+def stored_version(answer: Message) -> int:
+    """Return the version by which nodes know the settings that are stored."""
+    revision = (answer.json() or {}).get('version', -1)
+    era = int(answer.headers.get(Platform.era_header.lower(), '0'))
+    return StoreTime(era, revision).rank
