Use no answer that tells of the return before the parts know of it

Cause: the answer by which a node learned of the later era was handled before the return was. A list that was under way as the store came back so counted as one of a copy that is long known: what the copy lacks was withdrawn on sight.

Change: such an answer goes to no part, as all of them read anew; a duty awaits no reply any more.

--- a/daisyline/coordination/duties/duty_holder.py
+++ b/daisyline/coordination/duties/duty_holder.py
@@ -121,6 +121,7 @@
         The copy need not know of this holder, so another node may claim the
         duty at once.
         """
+        self.store.drop()
         if self.holding is None:
             self.stage = Waiting(now + self.config.takeover_wait_s)
         return self.give_up('the store came back from an older copy', now)
--- a/daisyline/coordination/duties/duty_store.py
+++ b/daisyline/coordination/duties/duty_store.py
@@ -92,6 +92,10 @@
             self._retry_at = now + pause_s
         return True
 
+    def drop(self) -> None:
+        """Await no reply any more; one that still comes is ignored."""
+        self._token = ''
+
     def interrupt(self) -> None:
         """Treat the awaited reply as lost, as the process was suspended.
 
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -185,6 +185,9 @@
 @_dispatch.register
 def _(event: PlatformReply, core: NodeCore, now: float) -> Effects:
     learned = core.store_clock.learn(event.era, now)
+    if any(isinstance(one, fleet_events.StoreReturned) for one in learned):
+        # All parts read anew, as they do for calls that are dropped.
+        return learned
     reply = core.store_clock.date(event)
     return [
         *learned,
--- a/tests/coordination/test_store_returns.py
+++ b/tests/coordination/test_store_returns.py
@@ -20,6 +20,7 @@
     StoreClock,
 )
 from daisyline.state.members import Member
+from daisyline.state.orders import Orders, zone_out_order
 from daisyline.state.store_time import StoreTime, era_fact
 from tests.support import fixture, function_tests
 
@@ -85,6 +86,26 @@
     assert _returns(core) == [(1, 2), (2, 3), (3, 4), (4, 5)]
 
 
+def test_a_list_that_tells_of_the_return_withdraws_nothing(
+    core: NodeCore,
+) -> None:
+    # Guards against a list that was under way as the store came back.
+    _answer(core, _list_settings(core, 0), 9, 1, 0)
+    effects = node_handlers.tick(core, 1)
+    listing = next(
+        each
+        for each in effects
+        if isinstance(each, PlatformList) and each.kind == 'zones'
+    )
+    order = zone_out_order('ghent-a', StoreTime(1, 8).rank).to_fact()
+    told = RecordUpdates((), (FactRecord(order, order.ttl_ms),))
+    node_handlers.handle(ev.CallMessageReceived('other', told), core, 1)
+    assert Orders.from_facts(core.fleet.facts).zones_out == {'ghent-a'}
+    empty = PlatformReply(listing.token, 200, 3, [], 2)
+    assert DropPlatformCalls() in node_handlers.handle(empty, core, 30)
+    assert Orders.from_facts(core.fleet.facts).zones_out == {'ghent-a'}
+
+
 def test_an_era_that_another_node_tells_of_counts_as_much(
     core: NodeCore,
 ) -> None:
