--- a/tests/coordination/test_store_returns.py
+++ b/tests/coordination/test_store_returns.py
@@ -30,7 +30,7 @@
 
 
 @fixture
-def core() -> Iterator[NodeCore]:
+def lone_core() -> Iterator[NodeCore]:
     """Provide a node that is the only one of its fleet."""
     member = Member('n', '10.0.0.1', 1, 'ghent-a', 'be', 1)
     yield NodeCore.from_config(
@@ -66,32 +66,34 @@
     ]
 
 
-def test_the_first_era_that_a_node_learns_is_no_return(core: NodeCore) -> None:
-    effects = _answer(core, _list_settings(core, 0), 9, 4, 0)
+def test_the_first_era_that_a_node_learns_is_no_return(
+    lone_core: NodeCore,
+) -> None:
+    effects = _answer(lone_core, _list_settings(lone_core, 0), 9, 4, 0)
     assert DropPlatformCalls() not in effects
-    assert core.store_clock.era == 4
-    assert not _returns(core)
+    assert lone_core.store_clock.era == 4
+    assert not _returns(lone_core)
 
 
 def test_any_answer_of_a_later_era_drops_calls_and_reads_again(
-    core: NodeCore,
+    lone_core: NodeCore,
 ) -> None:
-    _answer(core, _list_settings(core, 0), 9, 1, 0)
+    _answer(lone_core, _list_settings(lone_core, 0), 9, 1, 0)
     for number, status in enumerate((404, 409, 410, 503), 2):
         reply = PlatformReply('any', status, era=number)
-        effects = node_handlers.handle(reply, core, number)
+        effects = node_handlers.handle(reply, lone_core, number)
         assert DropPlatformCalls() in effects
-        assert core.store_clock.era == number
-        assert _list_settings(core, number + 0.1)
-    assert _returns(core) == [(1, 2), (2, 3), (3, 4), (4, 5)]
+        assert lone_core.store_clock.era == number
+        assert _list_settings(lone_core, number + 0.1)
+    assert _returns(lone_core) == [(1, 2), (2, 3), (3, 4), (4, 5)]
 
 
 def test_a_list_that_tells_of_the_return_withdraws_nothing(
-    core: NodeCore,
+    lone_core: NodeCore,
 ) -> None:
     # Guards against a list that was under way as the store came back.
-    _answer(core, _list_settings(core, 0), 9, 1, 0)
-    effects = node_handlers.tick(core, 1)
+    _answer(lone_core, _list_settings(lone_core, 0), 9, 1, 0)
+    effects = node_handlers.tick(lone_core, 1)
     listing = next(
         each
         for each in effects
@@ -99,21 +101,21 @@
     )
     order = zone_out_order('ghent-a', StoreTime(1, 8).rank).to_fact()
     told = RecordUpdates((), (FactRecord(order, order.ttl_ms),))
-    node_handlers.handle(ev.CallMessageReceived('other', told), core, 1)
-    assert Orders.from_facts(core.fleet.facts).zones_out == {'ghent-a'}
+    node_handlers.handle(ev.CallMessageReceived('other', told), lone_core, 1)
+    assert Orders.from_facts(lone_core.fleet.facts).zones_out == {'ghent-a'}
     empty = PlatformReply(listing.token, 200, 3, [], 2)
-    assert DropPlatformCalls() in node_handlers.handle(empty, core, 30)
-    assert Orders.from_facts(core.fleet.facts).zones_out == {'ghent-a'}
+    assert DropPlatformCalls() in node_handlers.handle(empty, lone_core, 30)
+    assert Orders.from_facts(lone_core.fleet.facts).zones_out == {'ghent-a'}
 
 
 def test_an_era_that_another_node_tells_of_counts_as_much(
-    core: NodeCore,
+    lone_core: NodeCore,
 ) -> None:
-    _answer(core, _list_settings(core, 0), 9, 1, 0)
+    _answer(lone_core, _list_settings(lone_core, 0), 9, 1, 0)
     updates = RecordUpdates((), (FactRecord(era_fact(2), 60_000),))
     event = ev.CallMessageReceived('other', updates)
-    assert DropPlatformCalls() in node_handlers.handle(event, core, 1)
-    assert _returns(core) == [(1, 2)]
+    assert DropPlatformCalls() in node_handlers.handle(event, lone_core, 1)
+    assert _returns(lone_core) == [(1, 2)]
 
 
 def test_an_answer_of_an_older_era_that_comes_late_changes_nothing() -> None:
