Drop an unused time and an order that is built twice

Cause: `StoreClock.learn` took the time, which nothing uses since the age of a copy is kept with the readers; a rollout's order was built a second time for each object that is read, also where its id stays.

Change: the parameter is gone, also from `learn_from_fact`; the second order is built only for an id that was given out again. Behaviour is the same, and the tests check what they did.

Measured: make check passes, and so do the 20 tests of the return, of orders and of a node's parts.

--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -184,7 +184,7 @@
 
 @_dispatch.register
 def _(event: PlatformReply, core: NodeCore, now: float) -> Effects:
-    learned = core.store_clock.learn(event.era, now)
+    learned = core.store_clock.learn(event.era)
     if any(isinstance(one, fleet_events.StoreReturned) for one in learned):
         # All parts read anew, as they do for calls that are dropped.
         return learned
@@ -230,7 +230,7 @@
 @_apply.register
 def _(effect: FactChanged, core: NodeCore, now: float) -> Effects:
     # A later era is known before what is read in it comes into force.
-    effects = store_returns.learn_from_fact(effect.fact, core, now)
+    effects = store_returns.learn_from_fact(effect.fact, core)
     effects += core.crashes.apply_fact(effect, now)
     effects += core.rollouts.handle(effect, now)
     effects += duty_handlers.handle(effect, core.duties, now)
--- a/daisyline/coordination/settings/order_reading.py
+++ b/daisyline/coordination/settings/order_reading.py
@@ -138,9 +138,10 @@
     if plan is None:
         return None
     order = rollout_order(plan, time.rank)
-    if _takes_old_id(order, plan, held):
-        plan = attrs.evolve(plan, id=f'{plan.id}@{time.era}')
-    return rollout_order(plan, time.rank)
+    if not _takes_old_id(order, plan, held):
+        return order
+    own_id = f'{plan.id}@{time.era}'
+    return rollout_order(attrs.evolve(plan, id=own_id), time.rank)
 
 
 def _takes_old_id(order: Order, plan: RolloutPlan, held: Facts) -> bool:
--- a/daisyline/coordination/settings/platform_reading.py
+++ b/daisyline/coordination/settings/platform_reading.py
@@ -56,12 +56,11 @@
         """Return the newest known era; 0 if none is known."""
         return self._era or 0
 
-    def learn(self, era: int | None, now: float) -> list[Any]:
+    def learn(self, era: int | None) -> list[Any]:
         """Learn an era of the store; one that is not newer changes nothing.
 
         Args:
             era: The era; None if an answer states none.
-            now: Monotonic seconds.
 
         Returns:
             Effects; `StoreReturned` if an older era was known before.
--- a/daisyline/coordination/store_returns.py
+++ b/daisyline/coordination/store_returns.py
@@ -9,13 +9,13 @@
 from daisyline.state.store_time import StoreTime, era_in
 
 
-def learn_from_fact(fact: Fact, core: NodeCore, now: float) -> Effects:
+def learn_from_fact(fact: Fact, core: NodeCore) -> Effects:
     """Learn the era that another node has told of, if a fact does."""
     era = era_in(fact)
     if fact.kind in ORDER_KINDS:
         # Nodes of the build before know no era.
         era = StoreTime.from_rank(fact.rank).era or None
-    return core.store_clock.learn(era, now)
+    return core.store_clock.learn(era)
 
 
 def apply_return(effect: StoreReturned, core: NodeCore, now: float) -> Effects:
--- a/tests/coordination/test_store_returns.py
+++ b/tests/coordination/test_store_returns.py
@@ -120,11 +120,11 @@
 
 def test_an_answer_of_an_older_era_that_comes_late_changes_nothing() -> None:
     clock = StoreClock()
-    clock.learn(2, 0)
+    clock.learn(2)
     late = PlatformReply('t', 200, 57, [], 1)
     assert clock.date(late) == PlatformReply('t', 0, era=2)
     assert clock.late_answers == 1
-    assert not clock.learn(1, 1)
+    assert not clock.learn(1)
     assert clock.era == 2
     current = PlatformReply('t', 200, 17, [], 2)
     assert clock.date(current) == current
@@ -132,5 +132,5 @@
 
 def test_a_store_that_states_no_era_stays_in_the_first() -> None:
     clock = StoreClock()
-    assert not clock.learn(None, 0)
+    assert not clock.learn(None)
     assert clock.date(PlatformReply('t', 200, 7)).time == StoreTime(0, 7)
