--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A machine stands still for a second while it receives long bodies."""
+"""A machine turns slow while several others send it long bodies."""
 
 import hashlib
 import os
@@ -13,13 +13,16 @@
 
 import rig2  # noqa: E402
 
-BODY_BYTES = 3 * 2**19
-STILL_S = 1.0
-# From the time at which all clients of a group have sent their bodies to the
-# nodes beside them, which send them on.
-STILL_AFTER_S = 0.02
-GROUP = 16
-GROUPS = 2
+BODY_BYTES = 3 * 2**20
+CLIENTS = 24
+MEMORY_MB = 200
+# The share of a core that a machine of the site has, and how many times slower
+# it gets. Its process runs for that share of each tenth of a second.
+CORE_SHARE = 0.43
+TIMES_SLOWER = 5.9
+SLOW_S = 4.5
+TURN_S = 0.1
+ROUNDS = 2
 ROUTES = [
     rig2.route('r-pages', '/pages/', 'safe', 'catalogue'),
     rig2.route('r-checks', '/checks/', 'safe', 'docs', timeout_s=4.0),
@@ -27,14 +30,12 @@
 
 
 class Uploads:
-    """The requests with long bodies that clients send."""
+    """The requests with long bodies that clients send at the same time."""
 
     def __init__(self, rig):
         self._rig = rig
-        self._sent = threading.Condition()
-        self._start = threading.Barrier(GROUP)
+        self._start = threading.Barrier(CLIENTS)
         self.bodies = {}
-        self.sent = 0
 
     def upload(self, machine):
         """Send one request and read its answer."""
@@ -45,12 +46,9 @@
             request_id, 'POST', '/checks/list', body=body, limit_ms=8000
         )
         with socket.create_connection(machine.callers) as sock:
-            sock.settimeout(8)
+            sock.settimeout(9)
             self._start.wait()
             sock.sendall(octets)
-            with self._sent:
-                self.sent += 1
-                self._sent.notify_all()
             self._rig.record.add(
                 f'client has sent {request_id} to {machine.name}: POST'
                 f' /checks/list with a body of {len(body)} bytes'
@@ -60,14 +58,13 @@
             f'client has the answer to {request_id}: {answer.status}'
         )
 
-    def wait(self, count):
-        """Wait until so many requests are sent."""
-        with self._sent:
-            self._sent.wait_for(lambda: self.sent >= count, 5)
+
+def run_page(target, sock, request):
+    sock.sendall(target.head(request, 2) + b'ok')
+    return True
 
 
 def play(rig):
-    uploads = Uploads(rig)
     ran = []
 
     def run_check(target, sock, request):
@@ -75,55 +72,44 @@
             ran.append((request.id, request.body))
         return run_page(target, sock, request)
 
-    for number in range(GROUP * GROUPS):
-        rig.add(f'node-{number}', 'catalogue', run_page)
-    docs = rig.add('node-docs', 'docs', run_check)
-    wait_until_ready(rig, docs)
-    for group in range(GROUPS):
-        play_group(rig, uploads, group, docs)
+    for number in range(CLIENTS):
+        rig.add(f'node-{number}', 'catalogue', run_page, memory_mb=MEMORY_MB)
+    docs = rig.add('node-docs', 'docs', run_check, memory_mb=MEMORY_MB)
+    # Each node has sent requests to both services before.
+    rig.start(('/pages/warm', '/checks/warm'), limit_s=40)
+    time.sleep(1)
+    uploads = Uploads(rig)
+    for _ in range(ROUNDS):
+        play_round(rig, uploads, docs)
     return any([not is_unchanged(rig, uploads, *one) for one in ran])
 
 
-def run_page(target, sock, request):
-    sock.sendall(target.head(request, 2) + b'ok')
-    return True
-
-
-def wait_until_ready(rig, docs):
-    """Start the nodes; no request goes from one service to the other yet."""
-    for machine in rig.machines:
-        machine.start()
-    until = time.monotonic() + 40
-    asked = {
-        machine: '/checks/warm' if machine is docs else '/pages/warm'
-        for machine in rig.machines
-    }
-    while time.monotonic() < until:
-        if all(rig.ask(*one).status == 200 for one in asked.items()):
-            time.sleep(2)
-            return
-        time.sleep(0.2)
-    raise RuntimeError('the nodes do not serve')
-
-
-def play_group(rig, uploads, group, docs):
-    machines = rig.machines[group * GROUP : (group + 1) * GROUP]
-    threads = [
+def play_round(rig, uploads, docs):
+    """Let the machine turn slow once, and send it a body from each other."""
+    share = CORE_SHARE / (TIMES_SLOWER if rig2.has_trouble() else 1)
+    rig.record.add(f'node-docs has a share of {share:.3f} of a core from now on')
+    threads = [threading.Thread(target=slow_down, args=(docs, share))]
+    threads += [
         threading.Thread(target=uploads.upload, args=(machine,))
-        for machine in machines
+        for machine in rig.machines
+        if machine is not docs
     ]
-    sent = uploads.sent
     for thread in threads:
         thread.start()
-    uploads.wait(sent + GROUP)
-    if rig2.has_trouble():
-        time.sleep(STILL_AFTER_S)
-        docs.signal(signal.SIGSTOP)
-        time.sleep(STILL_S)
-        docs.signal(signal.SIGCONT)
     for thread in threads:
         thread.join()
-    time.sleep(2)
+    rig.record.add('node-docs has a whole core again')
+    time.sleep(4)
+
+
+def slow_down(machine, share):
+    """Let a process run for a share of the time only."""
+    until = time.monotonic() + SLOW_S
+    while time.monotonic() < until:
+        machine.process.send_signal(signal.SIGSTOP)
+        time.sleep(TURN_S * (1 - share))
+        machine.process.send_signal(signal.SIGCONT)
+        time.sleep(TURN_S * share)
 
 
 def is_unchanged(rig, uploads, request_id, body):
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -529,7 +529,7 @@
     Interim answers (1xx) before the head are passed over.
     """
     answer = Answer()
-    with contextlib.suppress(OSError, ValueError):
+    with contextlib.suppress(OSError, ValueError, IndexError):
         while answer.status // 100 in {0, 1}:
             line = stream.readline()
             if not line:
@@ -547,6 +547,9 @@
 
 
 def _read_body(stream, answer, on_body):
+    if answer.status in {204, 304}:
+        answer.is_whole = True
+        return
     length = answer.headers.get('content-length')
     if length is not None:
         _read_octets(stream, int(length), answer, on_body)
