--- a/review/rig2.py
+++ b/review/rig2.py
@@ -634,6 +634,8 @@
     """Play a case and exit: 1 if the rule was broken, 0 if it held, else 2."""
     rig = None
     code = NOT_RUN
+    # A caller such as nohup ignores it, which the nodes would inherit.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     try:
         rig = Rig(folder, routes)
         code = BROKEN if play(rig) else HELD
