--- a/review/rig2.py
+++ b/review/rig2.py
@@ -450,6 +450,55 @@
             self.process.wait()
 
 
+class Platform:
+    """The platform's watch: a process that exceeds its memory is killed.
+
+    It is started again, as is one that ended by itself.
+
+    Attributes:
+        ends: How often the process has ended.
+        peak_mb: The most memory that any of the processes had.
+    """
+
+    def __init__(self, machine, memory_mb, record):
+        self.ends = 0
+        self.peak_mb = 0
+        self._machine = machine
+        self._memory_mb = memory_mb
+        self._record = record
+        self._ending = threading.Event()
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+        self._thread.start()
+
+    def end(self):
+        """End the watch; no process is started after it."""
+        self._ending.set()
+        self._thread.join()
+
+    def _watch(self):
+        while not self._ending.wait(0.005):
+            with contextlib.suppress(OSError):
+                self._check(self._machine.memory_peak_mb())
+
+    def _check(self, used_mb):
+        self.peak_mb = max(self.peak_mb, used_mb)
+        code = self._machine.process.poll()
+        # The pages don't say which megabytes; this is the larger reading.
+        if used_mb <= self._memory_mb * 1.048576 and code is None:
+            return
+        name = self._machine.name
+        if code is None:
+            self._record.add(
+                f'{name} has taken {used_mb:.0f} MB of {self._memory_mb} MB'
+                ' and is killed'
+            )
+        else:
+            self._record.add(f'{name} has ended with {code}')
+        self._machine.end()
+        self.ends += 1
+        self._machine.start()
+
+
 def route(name, prefix, kind, service, timeout_s=1.5, attempts=2):
     """Return a route of the manifest."""
     return {
@@ -587,6 +636,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store(manifest(routes))
         self.machines = []
+        self.platforms = []
 
     def add(self, name, service, behave, slots=9, memory_mb=300):
         """Add a machine with its target."""
@@ -623,8 +673,27 @@
         except OSError:
             return Answer()
 
+    def watch_memory(self, memory_mb):
+        """Watch the memory of all machines; return what watches each."""
+        self.platforms = [
+            Platform(machine, memory_mb, self.record)
+            for machine in self.machines
+        ]
+        return self.platforms
+
+    def wait_until_served(self, machine, path, limit_s=20):
+        """Wait until a node serves a request; return whether it does."""
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            if self._serves(machine, (path,)):
+                return True
+            time.sleep(0.1)
+        return False
+
     def end(self):
         """End all processes and remove the temporary folder."""
+        for platform in self.platforms:
+            platform.end()
         for machine in self.machines:
             machine.end()
         self.folder.cleanup()
