--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,10 @@
 TIMES_SLOWER = 5.9
 SLOW_S = 4.5
 TURN_S = 0.1
-ROUNDS = 2
+# How often the machine turns slow at the most; without the trouble it is played
+# to the end.
+ROUNDS = 5
+CALM_ROUNDS = 2
 ROUTES = [
     rig2.route('r-pages', '/pages/', 'safe', 'catalogue'),
     rig2.route('r-checks', '/checks/', 'safe', 'docs', timeout_s=4.0),
@@ -79,9 +82,12 @@
     rig.start(('/pages/warm', '/checks/warm'), limit_s=40)
     time.sleep(1)
     uploads = Uploads(rig)
-    for _ in range(ROUNDS):
+    for _ in range(ROUNDS if rig2.has_trouble() else CALM_ROUNDS):
         play_round(rig, uploads, docs)
-    return any([not is_unchanged(rig, uploads, *one) for one in ran])
+        if any([not is_unchanged(rig, uploads, *one) for one in ran]):
+            return True
+        ran.clear()
+    return False
 
 
 def play_round(rig, uploads, docs):
