--- a/review/rig2.py
+++ b/review/rig2.py
@@ -28,6 +28,8 @@
 COMMAND = ('python3', '-P', '-m', 'daisyline.platform')
 HEARTBEAT_S = 1.5
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A script may take 120 s; one that takes longer than this ends as not run.
+LIMIT_S = 110
 # The limits that `fleetbench wire` shows for the small sites.
 LIMITS = {
     'maxHeaderBytes': 16384,
@@ -699,12 +701,19 @@
         self.folder.cleanup()
 
 
+def _stop(number, _frame):
+    raise RuntimeError(f'stopped by {signal.Signals(number).name}')
+
+
 def run(folder, routes, play):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, else 2."""
     rig = None
     code = NOT_RUN
     # A caller such as nohup ignores it, which the nodes would inherit.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop)
+    signal.alarm(LIMIT_S)
     try:
         rig = Rig(folder, routes)
         code = BROKEN if play(rig) else HELD
@@ -713,6 +722,8 @@
         if rig is not None:
             rig.record.add(f'the case could not run: {error!r}')
     finally:
+        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         if rig is not None:
             rig.end()
     print({HELD: 'held', BROKEN: 'BROKEN', NOT_RUN: 'not run'}[code])
