Log on which stream the parts of a long body came

Change: the node beside the target writes BodyMoved at the first part of a body (begun) and when it is complete or given up, with the stream that this came on. Streams are numbered in the order they were opened.

--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -109,6 +109,18 @@
     limit_bytes: int = 0
 
 
+@attrs.frozen(slots=True)
+class BodyMoved(Event):
+    """A long body of another node's call began to arrive, or ceased to."""
+
+    node: str = ''
+    stream: int = 0
+    attempt: int = 0
+    parts: int = 0
+    octets: int = 0
+    state: str = ''
+
+
 @attrs.frozen(slots=True)
 class Cut(Event):
     """A call was given up while it ran."""
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -79,10 +79,10 @@
         start = own_member.incarnation
         identity = Identity(config.cluster, own_member.name, start)
         address = config.platform_address
+        streams = Streams(loop, identity, on_event, MemoryGuard.from_core(core))
+        streams.bodies.record = core.events.add
         return cls(
-            streams=Streams(
-                loop, identity, on_event, MemoryGuard.from_core(core)
-            ),
+            streams=streams,
             platform=PlatformClient(
                 loop, address, on_event, front.platform_codec
             ),
--- a/daisyline/transport/long_bodies.py
+++ b/daisyline/transport/long_bodies.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination import events as log
 from daisyline.coordination.calls.call_events import (
     CallBodyRefused,
     CallMessageReceived,
@@ -106,10 +107,21 @@
 
 @attrs.define(eq=False)
 class _IncomingBody:
-    """The body of one call from another node, and what it holds."""
+    """The body of one call from another node, and what it holds.
+
+    Attributes:
+        holder: What it holds, in the account of the node.
+        received: The parts that came before the call.
+        parts: The number of these parts.
+        octets: The length of these parts.
+        is_complete: Whether the call has followed.
+    """
 
     holder: Holder
     received: io.BytesIO = attrs.field(factory=io.BytesIO)
+    parts: int = 0
+    octets: int = 0
+    is_complete: bool = False
 
     def clear(self, _cause: Cause) -> None:
         """Discard what was received; the call is refused at its end."""
@@ -117,23 +129,33 @@
 
 
 class IncomingBodies:
-    """The bodies of the calls that other nodes sent, until the calls end."""
+    """The bodies of the calls that other nodes sent, until the calls end.
+
+    Attributes:
+        record: Records an event about a body that came in parts.
+    """
 
-    def __init__(self, guard: MemoryGuard) -> None:
+    def __init__(self, loop: Loop, guard: MemoryGuard) -> None:
         """Count the bodies in the account of the node."""
+        self._loop = loop
         self._guard = guard
         self._bodies: dict[str, _IncomingBody] = {}
+        self.record: Callable[[log.Event], None] = bool
 
-    def add(self, peer: str, part: RequestPart) -> None:
+    def add(self, peer: str, stream: int, part: RequestPart) -> None:
         """Keep a part of the body of a call that follows."""
         body = self._body_of(peer, part.call)
+        body.parts += 1
+        body.octets += len(part.body)
+        if body.parts == 1:
+            self._record(body, part.call, stream, 'begun')
         size = body.holder.held_bytes + len(part.body)
         self._guard.hold(body.holder, size)
         if not body.holder.is_revoked:
             body.received.write(part.body)
 
     def complete(
-        self, peer: str, run: RunCall
+        self, peer: str, stream: int, run: RunCall
     ) -> CallMessageReceived | CallBodyRefused:
         """Return the event for a call, with the earlier parts of its body."""
         if not run.body:
@@ -142,20 +164,52 @@
         size = body.holder.held_bytes + len(run.body)
         self._guard.hold(body.holder, size)
         if body.holder.is_revoked:
-            self.release(run.call)
+            self.release(run.call, stream, 'refused')
             return CallBodyRefused(peer, run.call)
         body.holder.is_revocable = False
+        body.is_complete = True
         if body.received.tell():
+            body.octets += len(run.body)
+            self._record(body, run.call, stream, 'complete', run.attempt)
             body.received.write(run.body)
             run = attrs.evolve(run, body=body.received.getvalue())
             body.received = io.BytesIO()
         return CallMessageReceived(peer, run)
 
-    def release(self, call: str) -> None:
-        """Forget the body of a call that has ended."""
+    def release(self, call: str, stream: int, cause: str) -> None:
+        """Forget the body of a call that has ended.
+
+        Args:
+            call: The id of the call.
+            stream: The number of the stream that the end came on.
+            cause: Why the call has ended, for the log.
+        """
         body = self._bodies.pop(call, None)
         if body is not None:
             self._guard.release(body.holder)
+            if body.parts and not body.is_complete:
+                self._record(body, call, stream, cause)
+
+    def _record(
+        self,
+        body: _IncomingBody,
+        call: str,
+        stream: int,
+        state: str,
+        attempt: int = 0,
+    ) -> None:
+        self.record(
+            log.BodyMoved(
+                at=self._loop.now(),
+                call=call,
+                node=body.holder.client,
+                stream=stream,
+                attempt=attempt,
+                parts=body.parts,
+                octets=body.octets,
+                state=state,
+            )
+        )
 
     def _body_of(self, peer: str, call: str) -> _IncomingBody:
         body = self._bodies.get(call)
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -55,6 +55,7 @@
     Attributes:
         peer: The peer's name; empty until its `Hello` is accepted.
         peer_incarnation: The incarnation of the peer; 0 until then.
+        number: The number of the stream among those of this process.
         key: The key of an outbound stream: a node name or HOST:PORT.
         expected_peer: The name that the peer must have; empty accepts any.
         is_reply_awaited: Returns whether this node awaits a reply from the
@@ -97,6 +98,7 @@
         self._pinged_at: float | None = None
         self.peer = ''
         self.peer_incarnation = 0
+        self.number = 0
         self.key = ''
         self.expected_peer = ''
         self.is_reply_awaited: Callable[[], bool] = bool
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -46,6 +46,11 @@
     All replies to a call go on the stream that the call came on. Another node
     may have opened a second one since, and parts of an answer that are sent on
     different streams can be lost or overtake each other.
+
+    Attributes:
+        bodies: The bodies of the calls that other nodes sent.
+        members: Returns the nodes that are known, by name.
+        awaits_reply: Returns whether this node awaits a reply from a node.
     """
 
     def __init__(
@@ -64,7 +69,7 @@
             memory: The account of the node; None for one of its own.
         """
         self._memory = memory or MemoryGuard(MemoryAccount.from_config(None))
-        self._bodies = IncomingBodies(self._memory)
+        self.bodies = IncomingBodies(loop, self._memory)
         self._loop = loop
         self._identity = identity
         self._encoder = FrameEncoder()
@@ -75,6 +80,7 @@
         # The stream that each call in progress here came on.
         self._origins: dict[str, Stream] = {}
         self._ping_rounds = PingRounds()
+        self._numbers = itertools.count(1)
         self._unidentified: set[Stream] = set()
         self._listener: Listener | None = None
         self.members: Callable[[], Mapping[str, Member]] = dict
@@ -131,7 +137,8 @@
             stream = self._origins.get(message.call)
             if _is_final(message):
                 self._origins.pop(message.call, None)
-                self._bodies.release(message.call)
+                number = 0 if stream is None else stream.number
+                self.bodies.release(message.call, number, 'replied')
         else:
             stream = self._newest_inbound(node)
         if stream is not None:
@@ -175,6 +182,7 @@
             self._handle_message,
             self._outbound_closed,
         )
+        stream.number = next(self._numbers)
         stream.key = name
         unsent = OutgoingBytes(self._memory, name, connection)
         stream.count_unsent = unsent.count
@@ -193,6 +201,7 @@
         )
         unsent = OutgoingBytes(self._memory, connection.peer_host, connection)
         stream.count_unsent = unsent.count
+        stream.number = next(self._numbers)
         self._unidentified.add(stream)
 
     def _handle_message(self, stream: Stream, message: Any) -> None:
@@ -204,16 +213,18 @@
             # so that the body is released when the stream ends.
             self._origins[message.call] = stream
         if isinstance(message, RequestPart):
-            self._bodies.add(stream.peer, message)
+            self.bodies.add(stream.peer, stream.number, message)
         elif isinstance(message, RunCall):
-            self._on_event(self._bodies.complete(stream.peer, message))
+            self._on_event(
+                self.bodies.complete(stream.peer, stream.number, message)
+            )
         else:
             self._handle_short_message(stream, message)
 
     def _handle_short_message(self, stream: Stream, message: Any) -> None:
         if isinstance(message, CancelCall):
             self._origins.pop(message.call, None)
-            self._bodies.release(message.call)
+            self.bodies.release(message.call, stream.number, 'cancelled')
         elif isinstance(message, Pong):
             self._ping_rounds.record_answer(stream, message.nonce)
             if self._ping_rounds.is_incomplete(stream.peer, message.nonce):
@@ -268,7 +279,7 @@
         )
         for call in calls:
             self._origins.pop(call)
-            self._bodies.release(call)
+            self.bodies.release(call, stream.number, 'stream-lost')
         return calls
 
     def _newest_inbound(self, node: str) -> Stream | None:
--- a/tests/transport/test_long_bodies.py
+++ b/tests/transport/test_long_bodies.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from daisyline.coordination import events as log
 from daisyline.coordination.calls.call_events import (
     CallBodyRefused,
     CallMessageReceived,
@@ -57,6 +58,7 @@
     receiver: Streams
     port: int
     account: MemoryAccount
+    logged: list[log.BodyMoved] = attrs.field(factory=list)
 
     def send(self, message: Any) -> None:
         """Send a message from the first node to the other one."""
@@ -77,7 +79,9 @@
     assert receiver._listener is not None
     port = receiver._listener.port
     sender = Streams(driver.loop, Identity('c', 'n0', 1), bool)
-    yield Pair(driver, sender, receiver, port, account)
+    pair = Pair(driver, sender, receiver, port, account)
+    receiver.bodies.record = pair.logged.append
+    yield pair
     sender.close()
     receiver.close()
 
@@ -92,6 +96,18 @@
     assert not pair.account.held_bytes
 
 
+def test_the_log_tells_on_which_stream_a_long_body_came(pair: Pair) -> None:
+    pair.send(RUN)
+    pair.driver.run_until(lambda: len(pair.logged) == 2)
+    number = pair.receiver._inbound['n0'][0].number
+    assert [
+        (event.call, event.node, event.stream, event.state)
+        for event in pair.logged
+    ] == [('c1', 'n0', number, 'begun'), ('c1', 'n0', number, 'complete')]
+    assert pair.logged[-1].attempt == RUN.attempt
+    assert pair.logged[-1].octets == len(LONGEST_BODY)
+
+
 def test_a_body_without_room_is_refused_and_leaves_no_bytes(
     pair: Pair,
 ) -> None:
