Run a call with its whole body as it was sent, or refuse it

What callers saw: 502 for requests with bodies over 1 MiB through a slow node, while their target had run the end of the body as if it were the whole one.

Cause: parts of a body were kept under the call's id alone, which is the same in each attempt. A CancelCall on a newer stream dropped the parts that an older one had brought; those still to be read there began an empty body, and its RunCall completed it. Ruled out by the log of a run that failed: a second attempt joined with the first, a body revoked for memory and forgotten, a sender that starts in the middle. The same cause let each of them happen.

Change: InboundCalls keeps parts by stream and call. BodyPart and RunLongCall state attempt, position and length; a body that does not add up is refused as not run. A message about a call on an older stream of a process, after one on a newer stream, is dropped and closes its stream, as a node sends its calls on one stream at a time. Calls that were asked about on a new stream are no longer withdrawn with the first one. A node announces with a Ping after its Hello that it reads the new messages; the build before sends and gets those it reads.

Two tests of streams compare all bytes that a peer gets: they expect that Ping after the Hello now, and are as strict as before.

--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -6,10 +6,12 @@
 import attrs
 
 from daisyline.coordination.calls.messages import Headers, RunCall
-from daisyline.state.failures import Failure
+from daisyline.state.failures import Failure, Reason
 from daisyline.state.routes import Route
 from daisyline.state.targets import Target
 
+MEMORY_SHORT = Failure(Reason.OVERLOADED, detail='memory is short')
+
 
 @attrs.frozen
 class RequestReceived:
@@ -71,15 +73,17 @@
 
 @attrs.frozen
 class CallBodyRefused:
-    """A call from another node was not read, as memory is short.
+    """The body of a call from another node was not read as a whole.
 
     Attributes:
         node: The entry node of the call.
         call: The call's id.
+        failure: Why the call is refused as not run.
     """
 
     node: str
     call: str
+    failure: Failure = MEMORY_SHORT
 
 
 @attrs.frozen
--- a/daisyline/coordination/calls/messages.py
+++ b/daisyline/coordination/calls/messages.py
@@ -7,6 +7,10 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 # The value of `objective_ms` if the settings state no objective.
 NO_OBJECTIVE = -1
+# A node of an earlier build sends 0 as the revision of the messages. Since
+# `BODY_REVISION` a node reads `BodyPart` and `RunLongCall`.
+BODY_REVISION = 1
+OWN_REVISION = BODY_REVISION
 
 
 @attrs.frozen
@@ -32,11 +36,11 @@
 
     Attributes:
         nonce: Returned in the `Pong`.
-        settings_version: The newest settings version of the sender.
+        revision: The newest revision of the messages that the sender reads.
     """
 
     nonce: int
-    settings_version: int
+    revision: int = OWN_REVISION
 
 
 @attrs.frozen
@@ -45,11 +49,11 @@
 
     Attributes:
         nonce: The nonce of the `Ping`.
-        settings_version: The newest settings version of the sender.
+        revision: The revision in the `Ping`, whose sender it is of.
     """
 
     nonce: int
-    settings_version: int
+    revision: int
 
 
 @attrs.frozen
@@ -108,9 +112,43 @@
         return f'{method} /{first}'
 
 
+@attrs.frozen
+class RunLongCall(RunCall):
+    """Ask a target's node to run a call whose body came in parts.
+
+    Its own `body` is the end of the body.
+
+    Attributes:
+        body_length: The length of the whole body, in bytes.
+    """
+
+    body_length: int
+
+
+@attrs.frozen
+class BodyPart:
+    """A part of a long body, sent before the `RunLongCall` that has its end.
+
+    Attributes:
+        call: The call's id.
+        attempt: The number of the attempt.
+        start: The position of the part in the body, in bytes.
+        body_length: The length of the whole body, in bytes.
+        body: The part of the body.
+    """
+
+    call: str
+    attempt: int
+    start: int
+    body_length: int
+    body: bytes
+
+
 @attrs.frozen
 class RequestPart:
-    """A part of a long body, sent before the `RunCall` that has its end.
+    """A part of a long body, as nodes of earlier builds send and read it.
+
+    It is sent before the `RunCall` that has the end of the body.
 
     Attributes:
         call: The call's id.
--- a/daisyline/coordination/calls/target_side_handlers.py
+++ b/daisyline/coordination/calls/target_side_handlers.py
@@ -99,9 +99,7 @@
     target_side.unconfirmed_peers.update(
         dict.fromkeys(target_side.peers, nonce)
     )
-    return [
-        ev.SendReply(peer, msg.Ping(nonce, 0)) for peer in target_side.peers
-    ]
+    return [ev.SendReply(peer, msg.Ping(nonce)) for peer in target_side.peers]
 
 
 @handle.register
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -217,7 +217,7 @@
         if isinstance(message, msg.Ping):
             # A node has no stream to itself that would answer the ping, and
             # its messages to itself are never delayed.
-            message = msg.Pong(message.nonce, message.settings_version)
+            message = msg.Pong(message.nonce, message.revision)
         return _dispatch(ev.CallMessageReceived(node, message), core, now)
     return None
 
--- a/daisyline/protocol/frames.py
+++ b/daisyline/protocol/frames.py
@@ -59,7 +59,11 @@
 
 
 # Classes without nested classes whose tags follow those above.
-_LATER_MESSAGES: tuple[type, ...] = (messages.RequestPart,)
+_LATER_MESSAGES: tuple[type, ...] = (
+    messages.RequestPart,
+    messages.BodyPart,
+    messages.RunLongCall,
+)
 
 
 @attrs.frozen
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -80,7 +80,7 @@
         identity = Identity(config.cluster, own_member.name, start)
         address = config.platform_address
         streams = Streams(loop, identity, on_event, MemoryGuard.from_core(core))
-        streams.bodies.record = core.events.add
+        streams.calls.record = core.events.add
         return cls(
             streams=streams,
             platform=PlatformClient(
--- a/daisyline/transport/long_bodies.py
+++ b/daisyline/transport/long_bodies.py
@@ -1,21 +1,18 @@
 """Bodies of calls on the streams between nodes: long ones go in parts."""
 
-import io
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from daisyline.coordination import events as log
-from daisyline.coordination.calls.call_events import (
-    CallBodyRefused,
-    CallMessageReceived,
-)
 from daisyline.coordination.calls.messages import (
+    BODY_REVISION,
+    BodyPart,
     CancelCall,
     RequestPart,
     RunCall,
+    RunLongCall,
 )
 from daisyline.coordination.memory.memory_account import Cause, Holder, Kind
 from daisyline.transport.loop import Loop
@@ -50,6 +47,8 @@
         self._waiting: deque[RunCall] = deque()
         self._sent_bytes = 0
         self._is_scheduled = False
+        self._peer_revision = 0
+        self._is_length_stated = False
 
     def __len__(self) -> int:
         """Return the number of calls that are not completely sent."""
@@ -60,6 +59,10 @@
         """Return the calls that the peer can't run, as their end is missing."""
         return list(self._waiting)
 
+    def learn_revision(self, revision: int) -> None:
+        """Use the newest messages that the peer reads, from the next call on."""
+        self._peer_revision = max(self._peer_revision, revision)
+
     def take(self, message: Any) -> bool:
         """Keep a call with a long body; return False for other messages.
 
@@ -87,17 +90,34 @@
         if self._waiting and self._connection.is_open:
             self._write(self._next_message())
 
-    def _next_message(self) -> RequestPart | RunCall:
+    def _next_message(self) -> BodyPart | RequestPart | RunCall:
         """Return the next part of the first call; at its end, the call."""
         run = self._waiting[0]
         start = self._sent_bytes
+        if not start:
+            self._is_length_stated = self._peer_revision >= BODY_REVISION
         end = start + _PART_BYTES
         self._sent_bytes = end
         if end < len(run.body):
-            return RequestPart(run.call, run.body[start:end])
+            return self._part(run, start, end)
         self._sent_bytes = 0
         self._waiting.popleft()
-        return attrs.evolve(run, body=run.body[start:])
+        return self._call_with_end(run, start)
+
+    def _part(
+        self, run: RunCall, start: int, end: int
+    ) -> BodyPart | RequestPart:
+        part = run.body[start:end]
+        if self._is_length_stated:
+            return BodyPart(run.call, run.attempt, start, len(run.body), part)
+        return RequestPart(run.call, part)
+
+    def _call_with_end(self, run: RunCall, start: int) -> RunCall:
+        if not self._is_length_stated:
+            return attrs.evolve(run, body=run.body[start:])
+        fields = attrs.asdict(run, recurse=False)
+        fields['body'] = run.body[start:]
+        return RunLongCall(**fields, body_length=len(run.body))
 
     def _drop(self, call: str) -> None:
         if self._waiting and self._waiting[0].call == call:
@@ -105,121 +125,6 @@
         self._waiting = deque(run for run in self._waiting if run.call != call)
 
 
-@attrs.define(eq=False)
-class _IncomingBody:
-    """The body of one call from another node, and what it holds.
-
-    Attributes:
-        holder: What it holds, in the account of the node.
-        received: The parts that came before the call.
-        parts: The number of these parts.
-        octets: The length of these parts.
-        is_complete: Whether the call has followed.
-    """
-
-    holder: Holder
-    received: io.BytesIO = attrs.field(factory=io.BytesIO)
-    parts: int = 0
-    octets: int = 0
-    is_complete: bool = False
-
-    def clear(self, _cause: Cause) -> None:
-        """Discard what was received; the call is refused at its end."""
-        self.received = io.BytesIO()
-
-
-class IncomingBodies:
-    """The bodies of the calls that other nodes sent, until the calls end.
-
-    Attributes:
-        record: Records an event about a body that came in parts.
-    """
-
-    def __init__(self, loop: Loop, guard: MemoryGuard) -> None:
-        """Count the bodies in the account of the node."""
-        self._loop = loop
-        self._guard = guard
-        self._bodies: dict[str, _IncomingBody] = {}
-        self.record: Callable[[log.Event], None] = bool
-
-    def add(self, peer: str, stream: int, part: RequestPart) -> None:
-        """Keep a part of the body of a call that follows."""
-        body = self._body_of(peer, part.call)
-        body.parts += 1
-        body.octets += len(part.body)
-        if body.parts == 1:
-            self._record(body, part.call, stream, 'begun')
-        size = body.holder.held_bytes + len(part.body)
-        self._guard.hold(body.holder, size)
-        if not body.holder.is_revoked:
-            body.received.write(part.body)
-
-    def complete(
-        self, peer: str, stream: int, run: RunCall
-    ) -> CallMessageReceived | CallBodyRefused:
-        """Return the event for a call, with the earlier parts of its body."""
-        if not run.body:
-            return CallMessageReceived(peer, run)
-        body = self._body_of(peer, run.call)
-        size = body.holder.held_bytes + len(run.body)
-        self._guard.hold(body.holder, size)
-        if body.holder.is_revoked:
-            self.release(run.call, stream, 'refused')
-            return CallBodyRefused(peer, run.call)
-        body.holder.is_revocable = False
-        body.is_complete = True
-        if body.received.tell():
-            body.octets += len(run.body)
-            self._record(body, run.call, stream, 'complete', run.attempt)
-            body.received.write(run.body)
-            run = attrs.evolve(run, body=body.received.getvalue())
-            body.received = io.BytesIO()
-        return CallMessageReceived(peer, run)
-
-    def release(self, call: str, stream: int, cause: str) -> None:
-        """Forget the body of a call that has ended.
-
-        Args:
-            call: The id of the call.
-            stream: The number of the stream that the end came on.
-            cause: Why the call has ended, for the log.
-        """
-        body = self._bodies.pop(call, None)
-        if body is not None:
-            self._guard.release(body.holder)
-            if body.parts and not body.is_complete:
-                self._record(body, call, stream, cause)
-
-    def _record(
-        self,
-        body: _IncomingBody,
-        call: str,
-        stream: int,
-        state: str,
-        attempt: int = 0,
-    ) -> None:
-        self.record(
-            log.BodyMoved(
-                at=self._loop.now(),
-                call=call,
-                node=body.holder.client,
-                stream=stream,
-                attempt=attempt,
-                parts=body.parts,
-                octets=body.octets,
-                state=state,
-            )
-        )
-
-    def _body_of(self, peer: str, call: str) -> _IncomingBody:
-        body = self._bodies.get(call)
-        if body is None:
-            body = _IncomingBody(Holder(Kind.PEERS_IN, peer))
-            body.holder.revoke = body.clear
-            self._bodies[call] = body
-        return body
-
-
 class OutgoingBytes:
     """The bytes that wait to be sent on one stream, in the account."""
 
--- a/daisyline/transport/ping_rounds.py
+++ b/daisyline/transport/ping_rounds.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from daisyline.coordination.calls.messages import Ping
 from daisyline.transport.stream import Stream
 
 
@@ -29,19 +30,22 @@
 
     _rounds: dict[str, PingRound] = attrs.field(factory=dict)
 
-    def start(self, node: str, nonce: int, streams: list[Stream]) -> None:
-        """Start a round; it replaces an earlier one."""
-        self._rounds[node] = PingRound(nonce, set(streams))
+    def start(self, node: str, ping: Ping, streams: list[Stream]) -> None:
+        """Ping a node on streams; this replaces an earlier round."""
+        if streams:
+            self._rounds[node] = PingRound(ping.nonce, set(streams))
+        for stream in streams:
+            stream.send(ping)
 
-    def is_incomplete(self, node: str, nonce: int) -> bool:
-        """Return whether streams of a node still have to answer a ping."""
-        latest = self._rounds.get(node)
-        return latest is not None and latest.nonce == nonce
+    def record_answer(self, stream: Stream, nonce: int) -> bool:
+        """Record an answer to a ping.
 
-    def record_answer(self, stream: Stream, nonce: int) -> None:
-        """Record that a ping was answered on a stream."""
-        if self.is_incomplete(stream.peer, nonce):
+        Returns:
+            Whether no other stream of the node still has to answer the ping.
+        """
+        if self._is_incomplete(stream.peer, nonce):
             self.record_end(stream)
+        return not self._is_incomplete(stream.peer, nonce)
 
     def record_end(self, stream: Stream) -> int | None:
         """Record that a stream has answered or ended.
@@ -57,3 +61,7 @@
             return None
         self._rounds.pop(stream.peer)
         return latest.nonce
+
+    def _is_incomplete(self, node: str, nonce: int) -> bool:
+        latest = self._rounds.get(node)
+        return latest is not None and latest.nonce == nonce
--- a/daisyline/transport/stream.py
+++ b/daisyline/transport/stream.py
@@ -27,6 +27,9 @@
 _IDLE_PING_AFTER_S = 10.0
 # A check that comes so much too late means that the process was paused.
 _PAUSE_THRESHOLD_S = 0.5
+# Follows the `Hello`, to tell what this node reads. Its `Pong` tells nothing.
+_OPENING_PING = Ping(0)
+_OPENING_PONG = Pong(_OPENING_PING.nonce, _OPENING_PING.revision)
 # A node that is not identified yet sends its `Hello` and nothing else.
 _MAX_HELLO_BYTES = 16_384
 # A stream with more unsent bytes is closed, so that a peer that reads too
@@ -55,7 +58,8 @@
     Attributes:
         peer: The peer's name; empty until its `Hello` is accepted.
         peer_incarnation: The incarnation of the peer; 0 until then.
-        number: The number of the stream among those of this process.
+        number: Grows with each stream of this process.
+        is_accepted: Whether the peer opened the stream.
         key: The key of an outbound stream: a node name or HOST:PORT.
         expected_peer: The name that the peer must have; empty accepts any.
         is_reply_awaited: Returns whether this node awaits a reply from the
@@ -99,12 +103,15 @@
         self.peer = ''
         self.peer_incarnation = 0
         self.number = 0
+        self.is_accepted = not connection.is_connecting
         self.key = ''
         self.expected_peer = ''
         self.is_reply_awaited: Callable[[], bool] = bool
         self.count_unsent: Callable[[], None] = bool
         connection.handler = self
         self._write(identity.hello())
+        if self.is_accepted:
+            self._write(_OPENING_PING)
         self._check = loop.call_at(self._check_due_at(), self._check_liveness)
 
     @property
@@ -180,8 +187,9 @@
         elif isinstance(message, BadFrame) or not self.peer:
             self.close()
         elif isinstance(message, Ping):
-            self._write(Pong(message.nonce, message.settings_version))
-        else:
+            self._bodies.learn_revision(message.revision)
+            self._write(Pong(message.nonce, message.revision))
+        elif message != _OPENING_PONG:
             self._on_message(self, message)
 
     def _handle_hello(self, hello: Hello) -> None:
@@ -238,7 +246,7 @@
                 self.close()
                 return
             self._pinged_at = now
-            self._write(Ping(int(now), 0))
+            self._write(Ping(int(now)))
         self._check = self._loop.call_at(
             self._check_due_at(), self._check_liveness
         )
--- a/daisyline/transport/streams.py
+++ b/daisyline/transport/streams.py
@@ -10,24 +10,26 @@
     MessageUndelivered,
     StreamLost,
 )
+from daisyline.coordination.calls.inbound_calls import (
+    ENTRY_MESSAGES,
+    InboundCalls,
+    InboundStream,
+    StreamSuperseded,
+)
 from daisyline.coordination.calls.messages import (
     AnswerHead,
     AnswerPart,
     CallRefused,
     CallRunning,
-    CancelCall,
     Hello,
     Ping,
     Pong,
-    QueryCall,
-    RequestPart,
-    RunCall,
 )
 from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.protocol.frames import FrameEncoder
 from daisyline.state.members import Member
 from daisyline.transport.listener import Listener
-from daisyline.transport.long_bodies import IncomingBodies, OutgoingBytes
+from daisyline.transport.long_bodies import OutgoingBytes
 from daisyline.transport.loop import Loop
 from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.ping_rounds import PingRounds
@@ -36,7 +38,6 @@
 
 Handler = Callable[[Any], None]
 
-_REQUESTS = (RunCall, RequestPart, QueryCall)
 _CALL_REPLIES = (AnswerHead, AnswerPart, CallRefused, CallRunning)
 
 
@@ -48,7 +49,7 @@
     different streams can be lost or overtake each other.
 
     Attributes:
-        bodies: The bodies of the calls that other nodes sent.
+        calls: The calls in progress that other nodes sent.
         members: Returns the nodes that are known, by name.
         awaits_reply: Returns whether this node awaits a reply from a node.
     """
@@ -69,7 +70,7 @@
             memory: The account of the node; None for one of its own.
         """
         self._memory = memory or MemoryGuard(MemoryAccount.from_config(None))
-        self.bodies = IncomingBodies(loop, self._memory)
+        self.calls = InboundCalls(self._memory)
         self._loop = loop
         self._identity = identity
         self._encoder = FrameEncoder()
@@ -77,8 +78,8 @@
         self._outbound: dict[str, Stream] = {}
         # The streams that each node has opened, the newest last.
         self._inbound: dict[str, list[Stream]] = {}
-        # The stream that each call in progress here came on.
-        self._origins: dict[str, Stream] = {}
+        # All streams that are not closed, by their numbers.
+        self._open: dict[int, Stream] = {}
         self._ping_rounds = PingRounds()
         self._numbers = itertools.count(1)
         self._unidentified: set[Stream] = set()
@@ -131,14 +132,14 @@
         node has noticed that, or will, and gives the call up.
         """
         if isinstance(message, Ping):
-            self._ping(node, message)
+            # Its `Pong` is reported once all streams have answered or ended.
+            streams = self._inbound.get(node, [])
+            self._ping_rounds.start(node, message, streams)
             return
         if isinstance(message, _CALL_REPLIES):
-            stream = self._origins.get(message.call)
+            stream = self._open.get(self.calls.origin_of(message.call))
             if _is_final(message):
-                self._origins.pop(message.call, None)
-                number = 0 if stream is None else stream.number
-                self.bodies.release(message.call, number, 'replied')
+                self.calls.record_end(message.call)
         else:
             stream = self._newest_inbound(node)
         if stream is not None:
@@ -156,17 +157,6 @@
         for stream in self._identified():
             stream.shut_down()
 
-    def _ping(self, node: str, ping: Ping) -> None:
-        """Ping a node on all streams that it has opened.
-
-        Its `Pong` is reported once all of them have answered or ended.
-        """
-        streams = self._inbound.get(node, [])
-        if streams:
-            self._ping_rounds.start(node, ping.nonce, streams)
-        for stream in streams:
-            stream.send(ping)
-
     def _identified(self) -> tuple[Stream, ...]:
         """Return the streams that this node and others have opened."""
         inbound = itertools.chain.from_iterable(self._inbound.values())
@@ -174,62 +164,54 @@
 
     def _dial(self, name: str, host: str, port: int) -> Stream:
         connection = Connection.dial(self._loop, host, port)
-        stream = Stream(
-            self._loop,
-            connection,
-            self._identity,
-            self._encoder,
-            self._handle_message,
-            self._outbound_closed,
-        )
-        stream.number = next(self._numbers)
+        stream = self._open_stream(name, connection, self._outbound_closed)
         stream.key = name
-        unsent = OutgoingBytes(self._memory, name, connection)
-        stream.count_unsent = unsent.count
         stream.is_reply_awaited = lambda: self.awaits_reply(stream.key)
         self._outbound[name] = stream
         return stream
 
     def _accept(self, connection: Connection) -> None:
+        name = connection.peer_host
+        stream = self._open_stream(name, connection, self._inbound_closed)
+        self._unidentified.add(stream)
+
+    def _open_stream(
+        self,
+        name: str,
+        connection: Connection,
+        on_closed: Callable[[Stream], None],
+    ) -> Stream:
         stream = Stream(
             self._loop,
             connection,
             self._identity,
             self._encoder,
             self._handle_message,
-            self._inbound_closed,
+            on_closed,
         )
-        unsent = OutgoingBytes(self._memory, connection.peer_host, connection)
+        unsent = OutgoingBytes(self._memory, name, connection)
         stream.count_unsent = unsent.count
         stream.number = next(self._numbers)
-        self._unidentified.add(stream)
+        self._open[stream.number] = stream
+        return stream
 
     def _handle_message(self, stream: Stream, message: Any) -> None:
         if isinstance(message, Hello):
             self._register(stream)
-            return
-        if isinstance(message, _REQUESTS):
-            # A call with a part of its body counts as one of the stream, too,
-            # so that the body is released when the stream ends.
-            self._origins[message.call] = stream
-        if isinstance(message, RequestPart):
-            self.bodies.add(stream.peer, stream.number, message)
-        elif isinstance(message, RunCall):
-            self._on_event(
-                self.bodies.complete(stream.peer, stream.number, message)
-            )
-        else:
-            self._handle_short_message(stream, message)
-
-    def _handle_short_message(self, stream: Stream, message: Any) -> None:
-        if isinstance(message, CancelCall):
-            self._origins.pop(message.call, None)
-            self.bodies.release(message.call, stream.number, 'cancelled')
-        elif isinstance(message, Pong):
-            self._ping_rounds.record_answer(stream, message.nonce)
-            if self._ping_rounds.is_incomplete(stream.peer, message.nonce):
-                return
-        self._on_event(CallMessageReceived(stream.peer, message))
+        elif isinstance(message, ENTRY_MESSAGES):
+            self._receive_from_entry(stream, message)
+        elif not isinstance(message, Pong) or self._ping_rounds.record_answer(
+            stream, message.nonce
+        ):
+            self._on_event(CallMessageReceived(stream.peer, message))
+
+    def _receive_from_entry(self, stream: Stream, message: Any) -> None:
+        source, now = _source_of(stream), self._loop.now()
+        for event in self.calls.receive(source, message, now):
+            if isinstance(event, StreamSuperseded):
+                stream.close()
+            else:
+                self._on_event(event)
 
     def _register(self, stream: Stream) -> None:
         """Register a stream by its peer."""
@@ -243,6 +225,7 @@
 
     def _outbound_closed(self, stream: Stream) -> None:
         """Report the undelivered messages and the loss of the stream."""
+        self._open.pop(stream.number)
         name = stream.key
         if self._outbound.get(name) is stream:
             self._outbound.pop(name)
@@ -250,12 +233,14 @@
             self._report(MessageUndelivered(name, message))
         if stream.peer:
             self._report(StreamLost(name, stream.peer_incarnation))
+            self._loop.defer(lambda: self._report_end(stream))
 
     def _inbound_closed(self, stream: Stream) -> None:
         """Report the loss of a stream, if calls came on it or it was the last.
 
         The calls that came on it get no more replies.
         """
+        self._open.pop(stream.number)
         self._unidentified.discard(stream)
         streams = self._inbound.get(stream.peer, [])
         if stream not in streams:
@@ -263,24 +248,24 @@
         streams.remove(stream)
         if not streams:
             self._inbound.pop(stream.peer)
-        calls = self._forget_calls(stream)
-        if calls or not streams:
-            is_last = not streams
-            self._report(InboundStreamLost(stream.peer, calls, is_last))
+        self._loop.defer(lambda: self._report_end(stream))
+
+    def _report_end(self, stream: Stream) -> None:
+        """Report the calls whose replies would go on a closed stream.
+
+        Their node may have asked for some of them on another stream since it
+        closed; these are not lost.
+        """
+        is_open = stream.peer in self._inbound
+        is_last = stream.is_accepted and not is_open
+        now = self._loop.now()
+        calls = self.calls.end_stream(_source_of(stream), is_last, now)
+        if calls or is_last:
+            self._on_event(InboundStreamLost(stream.peer, calls, is_last))
         nonce = self._ping_rounds.record_end(stream)
-        if nonce is not None and streams:
+        if nonce is not None and is_open:
             pong = Pong(nonce, 0)
-            self._report(CallMessageReceived(stream.peer, pong))
-
-    def _forget_calls(self, stream: Stream) -> frozenset[str]:
-        """Forget the calls that came on a stream, and return their ids."""
-        calls = frozenset(
-            call for call, origin in self._origins.items() if origin is stream
-        )
-        for call in calls:
-            self._origins.pop(call)
-            self.bodies.release(call, stream.number, 'stream-lost')
-        return calls
+            self._on_event(CallMessageReceived(stream.peer, pong))
 
     def _newest_inbound(self, node: str) -> Stream | None:
         """Return the stream that a node opened last, or None."""
@@ -295,3 +280,12 @@
 def _is_final(reply: Any) -> bool:
     """Return whether a reply is the last one to its call."""
     return isinstance(reply, CallRefused) or getattr(reply, 'last', False)
+
+
+def _source_of(stream: Stream) -> InboundStream:
+    return InboundStream(
+        stream.number,
+        stream.peer,
+        stream.peer_incarnation,
+        stream.is_accepted,
+    )
--- a/standins/users_target.py
+++ b/standins/users_target.py
@@ -126,6 +126,7 @@
                 'path': request.path,
                 'tenant': request.headers.get('tenant'),
                 'authorization': request.headers.get('authorization'),
+                'body_bytes': len(request.body),
             }
         )
         work_s = self._state.work_ms / _MS_PER_S
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -14,6 +14,7 @@
     StreamLost,
 )
 from daisyline.coordination.calls.messages import (
+    BODY_REVISION,
     AnswerPart,
     CallRunning,
     CancelCall,
@@ -108,6 +109,12 @@
     peer.send(b''.join(map(FrameEncoder().encode, messages)))
 
 
+def _opening_of(side: StreamsUnderTest) -> bytes:
+    """Return what a node sends first on a stream that it accepts."""
+    opening = (side.streams._identity.hello(), Ping(0, BODY_REVISION))
+    return b''.join(map(FrameEncoder().encode, opening))
+
+
 def test_messages_go_both_ways_on_one_stream(
     entry: StreamsUnderTest, target_node: StreamsUnderTest
 ) -> None:
@@ -384,8 +391,7 @@
     target_node.streams.reply('n0', AnswerPart(QUERY.call, b'end', last=True))
     target_node.streams.reply('n0', running)
     newer.read_until(FrameEncoder().encode(running))
-    hello = target_node.streams._identity.hello()
-    sent = b''.join(map(FrameEncoder().encode, (hello, running)))
+    sent = _opening_of(target_node) + FrameEncoder().encode(running)
     assert bytes(newer.received) == sent
 
 
@@ -406,11 +412,35 @@
     target_node.streams.reply('n0', AnswerPart(QUERY.call, b'b', last=True))
     target_node.streams.reply('n0', CancelCall('back'))
     newer.read_until(FrameEncoder().encode(CancelCall('back')))
-    hello = target_node.streams._identity.hello()
-    sent = b''.join(map(FrameEncoder().encode, (hello, CancelCall('back'))))
+    sent = _opening_of(target_node) + FrameEncoder().encode(CancelCall('back'))
     assert bytes(newer.received) == sent
 
 
+def test_a_call_that_is_asked_about_is_not_lost_with_its_first_stream(
+    driver: LoopDriver, target_node: StreamsUnderTest
+) -> None:
+    # Guards against a call that its node asked about on a new stream and that
+    # is withdrawn all the same, as the loss of the first one is reported later.
+    older, newer = (
+        driver.connect(target_node.port),
+        driver.connect(target_node.port),
+    )
+    _send_messages(older, _hello('n0'), QUERY, QueryCall('n0-2'))
+    _send_messages(newer, _hello('n0'))
+    driver.run_until(
+        lambda: len(target_node.events_of(CallMessageReceived)) == 2
+    )
+    inbound = target_node.streams._inbound['n0']
+    driver.run_until(lambda: len(inbound) == 2)
+    first, second = inbound
+    first.close()
+    second._handle_message(QUERY)
+    target_node.until(InboundStreamLost)
+    assert target_node.events_of(InboundStreamLost) == [
+        InboundStreamLost('n0', frozenset(('n0-2',)), is_last=False)
+    ]
+
+
 PING = Ping(7, 0)
 PONG = Pong(7, 0)
 CONFIRMED = CallMessageReceived('n0', PONG)
