Give long bodies pages of their own in a node's memory

What callers saw: after crowds of clients with unfinished bodies a node took more memory than its machine has and was killed, with what it was serving.

Cause: glibc raises the bound above which a block has pages of its own with each such block that is freed, up to 32 MiB. Bodies then grow in the heap side by side and leave holes that are too small for the longer ones of the next crowd. Ruled out: bytes that the account does not count, as the same crowds keep the bound when the same bytes are allocated otherwise.

Change: a node fixes that bound at 128 KiB as it starts. No bound of the account or of a test was changed.

Not run on arm64, where glibc has the same parameter and the same default.

--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -1,6 +1,5 @@
 """A node: the loop that runs its decisions on its sockets."""
 
-import gc
 import math
 import random
 import signal
@@ -19,13 +18,12 @@
 from daisyline.transport.deadlines import Deadline
 from daisyline.transport.effect_handlers import Transports, perform
 from daisyline.transport.file_watch import FileWatcher
+from daisyline.transport.heap import collect_rarely, map_large_blocks
 from daisyline.transport.log_lines import DecisionLog, LineWriter
 from daisyline.transport.loop import Loop
 from daisyline.transport.operators import OperatorsPort
 
 _NS_PER_US = 1_000
-# Collecting the oldest generation takes milliseconds, so it is made rare.
-_GC_THRESHOLDS = (20_000, 50, 100)
 _STOP_CHECK_INTERVAL_S = 0.05
 # After it announces that it leaves, a node accepts calls from other nodes for
 # this time, until all of them have received the announcement.
@@ -146,10 +144,8 @@
 
     def run(self) -> None:
         """Run until the node is stopped and its calls have ended."""
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*_GC_THRESHOLDS)
-        gc.enable()
+        map_large_blocks()
+        collect_rarely()
         self._run_tick()
         self._loop.handle_hangup()
         self._loop.run()
--- a/tests/journeys/memory_rig.py
+++ b/tests/journeys/memory_rig.py
@@ -40,6 +40,12 @@
 DOOR_CHUNKS = 50_000
 # So many crowds come one after the other.
 CROWDS = 5
+# Crowds whose bodies lack their end, on the smallest machine: the longest body
+# is as long as limits ever permit.
+GROWING_BODIES = tuple(length * 1_048_576 for length in (4, 8, 16, 32, 64))
+GROWING_CLIENTS = 16
+GROWING_ROUNDS = 4
+CHUNK_BYTES = 65_536
 FAR_OVER_FACTOR = 75
 SHAPES = (
     'less a byte',
--- a/tests/journeys/test_memory_doors.py
+++ b/tests/journeys/test_memory_doors.py
@@ -83,6 +83,18 @@
         small_machine.check_node()
 
 
+def test_crowds_with_longer_and_longer_bodies_leave_room_for_others(
+    smallest_machine: SmallMachine,
+) -> None:
+    # Guards against holes in the heap: bodies that grow side by side leave
+    # ones that are too small for the longer bodies of the next crowd.
+    for length in rig.GROWING_BODIES * rig.GROWING_ROUNDS:
+        octets = rig.chunked(length, rig.CHUNK_BYTES)
+        smallest_machine.send_from_clients(rig.GROWING_CLIENTS, octets)
+        smallest_machine.close()
+    smallest_machine.check_node()
+
+
 def test_crowds_of_frames_that_come_back_leave_room_for_others(
     small_machine: SmallMachine,
 ) -> None:
