Reset a broken answer's connection once earlier answers have arrived

What callers saw: of whole answers to pipelined requests up to 13 of 14 never arrived when the answer to a later request broke off at its target.

Cause: the queue of answers wrote the whole ones and reset the connection in the same turn, which discards what the client has not acknowledged. An orderly close was weighed: without framing a cut answer would look whole.

Change: DelayedReset waits until the client has acknowledged the bytes of the earlier answers, for 10 s without progress at the most. No request of the connection is started meanwhile.

--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -15,6 +15,7 @@
 from daisyline.protocol.answer_codec import AnswerCodec
 from daisyline.protocol.refusals import body_of, headers_of
 from daisyline.state.failures import Failure
+from daisyline.transport.delayed_reset import DelayedReset
 from daisyline.transport.sockets import Connection
 
 # More of an answer is requested only while at most this many bytes wait for
@@ -61,12 +62,18 @@
     """
 
     def __init__(
-        self, connection: Connection, on_event: Callable[[Any], None]
+        self,
+        connection: Connection,
+        on_event: Callable[[Any], None],
+        delayed_reset: DelayedReset,
     ) -> None:
         """Start without an answer."""
         self._connection = connection
+        self._delayed_reset = delayed_reset
         self._on_event = on_event
         self._answers: deque[QueuedAnswer] = deque()
+        # What was written of the first answer.
+        self._partial_bytes = 0
         self.closing = False
 
     def __len__(self) -> int:
@@ -97,6 +104,14 @@
         """Return the answer to the newest request, or None."""
         return self._answers[-1] if self._answers else None
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether no request is answered after those in the queue."""
+        return any(
+            answer.is_aborted or answer.closes_connection
+            for answer in self._answers
+        )
+
     @property
     def all_overlap(self) -> bool:
         """Return whether a further request may start beside all of them."""
@@ -155,27 +170,24 @@
         return self.flush()
 
     def abort(self, answer: QueuedAnswer) -> bool:
-        """Reset the connection after the answers before this one are sent."""
+        """Reset the connection once the answers before this one are through."""
         answer.call = ''
         answer.is_aborted = True
         return self.flush()
 
-    def reset(self) -> None:
-        """Reset the connection, so that no unfinished answer looks whole."""
-        self._connection.reset()
-
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
             first = self._answers[0]
             self._send(first)
             if first.is_aborted:
-                self._connection.reset()
-                return False
+                self._delayed_reset.start(self._partial_bytes)
+                return self._connection.is_open
             if not first.is_complete:
                 self.report_delivery()
                 return True
             self._answers.popleft()
+            self._partial_bytes = 0
             if not first.codec.is_reusable or first.closes_connection:
                 return False
         return self._connection.is_open
@@ -224,6 +236,7 @@
             octets = bytes(answer.unsent)
             answer.unsent.clear()
             self._connection.write(octets)
+            self._partial_bytes += len(octets)
 
     def _abort_invalid(self, answer: QueuedAnswer) -> bool:
         call = answer.call
--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -14,6 +14,7 @@
 from daisyline.state.failures import Failure, Reason
 from daisyline.transport.answer_queue import AnswerQueue, QueuedAnswer
 from daisyline.transport.caller_memory import CallerMemory
+from daisyline.transport.delayed_reset import DelayedReset
 from daisyline.transport.loop import Loop
 from daisyline.transport.memory_guard import MemoryGuard
 from daisyline.transport.sockets import Connection
@@ -58,7 +59,9 @@
         self._codec = ServerCodec(body_limit_bytes)
         self._ending = False
         self._memory: CallerMemory | None = None
-        self.answers = AnswerQueue(connection, on_event)
+        self.answers = AnswerQueue(
+            connection, on_event, DelayedReset(loop, connection)
+        )
         self._timeout = loop.call_later(_REQUEST_TIMEOUT_S, connection.abort)
 
     @property
@@ -92,6 +95,10 @@
         self._connection.discard_received()
         self._connection.abort()
 
+    def reset(self) -> None:
+        """Reset the connection, so that no unfinished answer looks whole."""
+        self._connection.reset()
+
     def send_answer(self, answer: AnswerCaller) -> None:
         """Send the head and first part of an answer."""
         queued = self.answers.find_incomplete(answer.call)
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -186,8 +186,7 @@
             or self._codec.is_finished
         ):
             return False
-        newest = self.answers.newest
-        if newest is not None and newest.closes_connection:
+        if self.answers.is_ending:
             return False
         if self._connection.buffered_bytes:
             # No further answer is produced until the caller reads this one.
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -124,7 +124,7 @@
         """
         for connection in tuple(self._connections):
             if connection.is_busy:
-                connection.answers.reset()
+                connection.reset()
             else:
                 connection.drop()
 
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -2,7 +2,10 @@
 
 import contextlib
 import errno
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from typing import Protocol
 
@@ -22,6 +25,7 @@
 _KEEPALIVE_PROBES = 3
 _ACK_TIMEOUT_MS = 5_000
 _CONNECT_STARTED_CODES = frozenset((0, errno.EINPROGRESS))
+_INT = struct.Struct('i')
 _RETRY_CODES = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
 
@@ -93,6 +97,14 @@
         """Return the number of bytes that wait to be sent."""
         return len(self._send_buffer)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Return how many written bytes the peer has not acknowledged."""
+        if not self.is_open:
+            return 0
+        field = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(_INT.size))
+        return len(self._send_buffer) + int(_INT.unpack(field)[0])
+
     @property
     def is_connecting(self) -> bool:
         """Return whether the connection is not established yet."""
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -15,6 +15,7 @@
 )
 from daisyline.protocol.http_messages import Request
 from daisyline.state.failures import Failure, Outcome, Reason
+from daisyline.transport import delayed_reset
 from daisyline.transport.callers import CallerConnection
 from daisyline.transport.effect_handlers import perform
 from daisyline.transport.listener import Listener
@@ -432,3 +433,45 @@
     )
     assert peer.read_until_end().endswith(b'first')
     assert peer.was_reset
+
+
+def _pipeline_two_calls(callers_port: CallersPort) -> Peer:
+    """Return a caller whose calls c1 and c2 are in progress."""
+    peer = callers_port.driver.connect(callers_port.port)
+    callers_port.driver.run_until(lambda: callers_port.connections)
+    callers_port.caller.may_overlap = lambda _request: True
+    peer.send(_get(1) + _get(2))
+    callers_port.wait_for_requests(2)
+    return peer
+
+
+def test_an_answer_that_breaks_off_waits_until_earlier_ones_are_delivered(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    # Guards against whole answers that the reset for a later one discards, as
+    # the caller's kernel has not taken them yet (review/9).
+    peer = _pipeline_two_calls(callers_port)
+    body = b'x' * len(PART) * PART_COUNT
+    for call, part, last in (('c1', body, True), ('c2', b'half', False)):
+        answer = AnswerCaller(call, 200, (), part, last)
+        callers_port.caller.send_answer(answer)
+    callers_port.caller.abort_answer('c2')
+    driver.run_for(0.1)
+    assert peer.read_until_end().count(b'x') == len(body)
+    assert peer.was_reset
+
+
+def test_a_caller_that_reads_nothing_delays_a_reset_for_a_bounded_time(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    peer = _pipeline_two_calls(callers_port)
+    with mock.patch.object(delayed_reset, 'STALL_TIMEOUT_S', 0.2):
+        body = PART * PART_COUNT
+        callers_port.caller.send_answer(
+            AnswerCaller('c1', 200, (), body, last=True)
+        )
+        callers_port.caller.abort_answer('c2')
+        assert callers_port.caller._connection.is_open
+        driver.run_until(lambda: not callers_port.caller._connection.is_open)
+    peer.read_until_end()
+    assert peer.was_reset
