Drop what follows a refused body behind a request in progress

What callers saw: a node took memory until it was killed, from one client that went on to send a body that had been refused.

Cause: the refusal waits behind earlier answers. Nothing is decoded until then, but all that came was passed to the decoder, which kept it, and the account no longer counted the connection. Ruled out: the refused body itself, which is released.

Change: bytes after the last request that is answered are dropped as soon as that is known, not only once the connection ends.

--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -84,7 +84,8 @@
         """Decode bytes and start the requests that may start now."""
         # After the last request the connection is read only to detect that
         # the caller closes it.
-        if not self._ending and not self._codec.is_finished:
+        is_past_last = self._ending or self.answers.is_ending
+        if not is_past_last and not self._codec.is_finished:
             self.active_at = self._loop.now()
             self._codec.feed(octets)
             self._update_memory()
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -1,10 +1,15 @@
 """Connections of callers hold no more than the account of memory allows."""
 
-from collections.abc import Iterator
+import contextlib
+import tracemalloc
+from collections.abc import Callable, Iterator
 
 import attrs
 
-from daisyline.coordination.calls.call_events import CallerDisconnected
+from daisyline.coordination.calls.call_events import (
+    AnswerCallerPart,
+    CallerDisconnected,
+)
 from daisyline.coordination.memory.costly_bodies import MAX_COSTLY_BODIES
 from daisyline.coordination.memory.memory_account import Kind, MemoryAccount
 from daisyline.state.failures import Reason
@@ -19,12 +24,24 @@
 BODY = b'x' * 3000
 HEAD = b'POST / HTTP/1.1\r\nHost: docs\r\n%s\r\n\r\n'
 UNFINISHED = HEAD % b'Content-Length: 3001' + BODY
+FOLLOWING_PART = bytes(65_536)
+FOLLOWING_PARTS = 100
 TINY_CHUNK_COUNT = 4000
 TINY_CHUNKS = (
     HEAD % b'Transfer-Encoding: chunked' + b'1\r\nx\r\n' * TINY_CHUNK_COUNT
 )
 
 
+@contextlib.contextmanager
+def tracing() -> Iterator[Callable[[], int]]:
+    """Provide a function that returns the bytes allocated since the start."""
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
 @attrs.define
 class GuardedPort:
     """A port for callers whose connections share one account."""
@@ -131,3 +148,24 @@
     assert refused.startswith(b'HTTP/1.1 503')
     assert b'Daisyline-Outcome: not-run' in refused
     assert b'Retry-After: ' in refused
+
+
+def test_what_follows_a_refused_body_behind_a_request_is_not_kept(
+    guarded_port: GuardedPort,
+) -> None:
+    # Guards against memory without bound for one client: the refusal waits for
+    # an earlier answer while the client goes on sending (review/8).
+    peer = guarded_port.connect()
+    caller = guarded_port.callers.caller
+    caller.may_overlap = lambda _request: True
+    peer.send(_get(1) + HEAD % b'Content-Length: 10000000')
+    guarded_port.callers.wait_for_requests(1)
+    with tracing() as traced_bytes:
+        for _ in range(FOLLOWING_PARTS):
+            peer.send(FOLLOWING_PART)
+        assert traced_bytes() < len(FOLLOWING_PART) * FOLLOWING_PARTS / 2
+    caller.send_answer(_first_part())
+    caller.send_part(AnswerCallerPart('', b'', last=True))
+    received = peer.read_until_end()
+    assert received.count(b'HTTP/1.1 200') == 1
+    assert received.count(b'HTTP/1.1 413') == 1
