Send 100 Continue after the answers to earlier requests

What callers saw: an answer whose body had `HTTP/1.1 100` in its middle and looked whole by its length.

Cause: the interim response was written straight to the connection, past the queue that keeps the order of answers.

Change: it is written once no answer of an earlier request is due.

--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -156,7 +156,7 @@
         | None,
     ) -> bool:
         """Handle a decoded event; return whether to decode the next one."""
-        if isinstance(event, ContinueExpected):
+        if isinstance(event, ContinueExpected) and not self.answers:
             self._connection.write(self._codec.continue_response())
         elif isinstance(event, MalformedRequest):
             self._refuse_unfinished(event.failure, event.status)
@@ -164,16 +164,20 @@
             self._postponed = event
             return self._start_request(event)
         else:
-            self._bound_cost()
-            if isinstance(event, MoreBuffered) and not self._ending:
-                self._awaits_turn = True
-                self._connection.pause_reading()
-                self._loop.call_next(self._begin_turn)
-            else:
-                self._connection.resume_reading()
+            self._await_bytes(isinstance(event, MoreBuffered))
             return False
         return True
 
+    def _await_bytes(self, has_more: bool) -> None:
+        """Go on when bytes come, or in the next turn if some are left."""
+        self._bound_cost()
+        if has_more and not self._ending:
+            self._awaits_turn = True
+            self._connection.pause_reading()
+            self._loop.call_next(self._begin_turn)
+        else:
+            self._connection.resume_reading()
+
     def _bound_cost(self) -> None:
         """Count a body in tiny chunks; it is refused if there are too many."""
         if self._memory is not None and not self._ending:
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -30,6 +30,10 @@
 PART = bytes(50_000)
 PART_COUNT = 100
 MAX_BUFFERED_BYTES = 400_000
+EXPECTING = (
+    b'POST / HTTP/1.1\r\nHost: docs\r\nContent-Length: 2\r\n'
+    b'Expect: 100-continue\r\n\r\n'
+)
 
 
 @attrs.define
@@ -289,10 +293,7 @@
     driver: LoopDriver, callers_port: CallersPort
 ) -> None:
     peer = driver.connect(callers_port.port)
-    peer.send(
-        b'POST / HTTP/1.1\r\nHost: docs\r\nContent-Length: 2\r\n'
-        b'Expect: 100-continue\r\n\r\n'
-    )
+    peer.send(EXPECTING)
     assert peer.read_until(b'\r\n\r\n').startswith(b'HTTP/1.1 100')
     peer.send(b'ab')
     driver.run_until(lambda: callers_port.requests)
@@ -300,6 +301,26 @@
     assert peer.read_until(b'done').count(b'HTTP/1.1') == 2
 
 
+def test_a_request_to_continue_is_answered_after_the_answers_before_it(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    # Guards against an interim response in the middle of the body of another
+    # answer, which looks whole (review/7).
+    peer = callers_port.call(_get(1))
+    peer.send(EXPECTING)
+    length = ((b'Content-Length', b'10'),)
+    callers_port.caller.send_answer(_first_part(length))
+    peer.read_until(b'half')
+    driver.run_for(0.05)
+    assert b'HTTP/1.1 100' not in peer.read_now()
+    callers_port.caller.send_part(AnswerCallerPart('', b'-whole', last=True))
+    received = peer.read_until(b'HTTP/1.1 100')
+    assert b'half-wholeHTTP/1.1 100' in received
+    peer.send(b'ab')
+    callers_port.wait_for_requests(2)
+    assert callers_port.requests[1].body == b'ab'
+
+
 def test_an_upgrade_is_answered_and_the_connection_stays_open(
     driver: LoopDriver, callers_port: CallersPort
 ) -> None:
