Let a soak send long bodies and slow nodes down

Cause: the soak sent no body over 1 MiB and slowed no node, so it could not find targets that run a part of a body.

Change: one stream of repeatable calls has bodies of 1.25 MiB, each with its digest, which its target compares; a run with another body is a violation of `body`.

With two such calls a second a node held 78.5 MB, over the 64 MiB of the check of memory; the bound stays, and the stream has one call each 2 s.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,6 +1,7 @@
 """The deployments of the two users: zones, services, limits and delays."""
 
 import itertools
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -45,6 +46,7 @@
         services: The services.
         zone_ms: The one-way latency between two zones, in milliseconds.
         client_ms: The one-way latency to clients, in milliseconds.
+        defaults: Limits of all services in place of the built-in ones.
     """
 
     name: str
@@ -53,6 +55,7 @@
     services: tuple[ServicePlan, ...]
     zone_ms: float = 1
     client_ms: float = 1
+    defaults: Mapping[str, int] = attrs.field(factory=dict)
 
     @property
     def instances(self) -> tuple[Instance, ...]:
@@ -70,6 +73,7 @@
         return {
             'cluster': self.name,
             'zones': {zone: {'region': self.region} for zone in self.zones},
+            'defaults': dict(self.defaults),
             'services': {
                 service.name: {
                     'slots_per_upstream': service.slots,
--- a/standins/soak_calls.py
+++ b/standins/soak_calls.py
@@ -14,11 +14,15 @@
 )
 from standins.http import LostCall, Message
 from standins.tally import Ending
+from standins.target_messages import DIGEST_HEADER, digest_of
 from standins.target_model import CHAIN_PREFIX, POISON_PATH
 
 REASON_HEADER = 'daisyline-reason'
 DEADLINE_MS = 3000
 LOOKUP_PATH_COUNT = 40
+# Nodes send longer bodies than 1 MiB to each other in parts.
+UPLOAD_BYTES = 1_310_720
+UPLOAD_GAP_MS = 2000
 
 
 @attrs.frozen
@@ -49,6 +53,13 @@
     service: str
 
 
+@attrs.frozen
+class Upload:
+    """A repeatable call with a long body, whose digest it states."""
+
+    service: str
+
+
 @attrs.frozen
 class PoisonedLookup:
     """A repeatable call that crashes each target; re-sent until answered."""
@@ -90,6 +101,7 @@
     CallStream('chain', ChainedLookup('catalogue')),
     CallStream('order', Order('catalogue')),
     CallStream('keyed', KeyedOrder('catalogue')),
+    CallStream('upload', Upload('docs'), gap_ms=UPLOAD_GAP_MS),
 )
 
 
@@ -134,6 +146,15 @@
     return Message('POST', '/orders', headers=headers, body=_body(call_id))
 
 
+@request_of.register
+def _(kind: Upload, call_id: str, number: int) -> Message:
+    octets = f'{call_id} '.encode()
+    body = (octets * (UPLOAD_BYTES // len(octets) + 1))[:UPLOAD_BYTES]
+    headers = _headers(kind.service, call_id)
+    headers[DIGEST_HEADER] = digest_of(body)
+    return Message('GET', '/uploads', headers=headers, body=body)
+
+
 @request_of.register
 def _(kind: PoisonedLookup, call_id: str, number: int) -> Message:
     path = f'{POISON_PATH}/{call_id}'
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -27,6 +27,7 @@
 # while reads are stale, and while answers are lost or late.
 PLATFORM_OUTAGE_KIND = 'PlatformDown'
 CONTRACT_LIMITS = frozenset(('slots', 'connections'))
+CHANGED_BODY = 'body'
 
 
 @attrs.frozen
@@ -100,6 +101,15 @@
             yield Violation('limits', detail)
 
 
+def changed_bodies(journal: Journal) -> Violations:
+    """Check that each request ran with the body that its caller sent."""
+    for violation in journal.limit_violations:
+        if violation.limit == CHANGED_BODY:
+            where = f'{violation.place} at {violation.at:.3f}'
+            detail = f'{violation.detail} ran with another body at {where}'
+            yield Violation('body', detail)
+
+
 def work_in_zones_out(journal: Journal) -> Violations:
     """Check that a zone that is out gets no new calls after a grace period."""
     for period in journal.zone_out_periods:
@@ -243,6 +253,7 @@
     false_refusals,
     duplicate_runs,
     exceeded_limits,
+    changed_bodies,
     work_in_zones_out,
     work_at_leaving_targets,
     unexplained_losses,
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -7,6 +7,8 @@
 from standins import soak_schedule as schedule
 from standins.soak_injector import Callback, Injector
 from standins.soak_records import PLATFORM, Window
+from standins.soak_slow_nodes import slow_node
+from standins.soak_slowness import SlowNode, SlowTarget
 from standins.soak_zone import ZoneOutAndIn
 
 # A silent connection is detected when it is next used, and pools keep idle
@@ -121,7 +123,7 @@
 
 
 @apply_fault.register
-def _slow_target(fault: schedule.SlowTarget, injector: Injector) -> bool:
+def _slow_target(fault: SlowTarget, injector: Injector) -> bool:
     end_fault = injector.begin_fault('SlowTarget', fault.place)
     injector.fleet.set_target_faults(fault.place, slow_factor=fault.factor)
     _schedule_target_recovery(fault, injector, end_fault)
@@ -151,7 +153,7 @@
 
 
 def _schedule_target_recovery(
-    fault: schedule.SlowTarget | schedule.FailFast | schedule.FaultyAnswers,
+    fault: SlowTarget | schedule.FailFast | schedule.FaultyAnswers,
     injector: Injector,
     end_fault: Callback,
 ) -> None:
@@ -276,3 +278,6 @@
         return False
     ZoneOutAndIn(injector, fault).start()
     return True
+
+
+apply_fault.register(SlowNode, slow_node)
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -14,6 +14,7 @@
 from standins.processes import HOST, Ports, Processes
 from standins.relay import Relay
 from standins.relay_model import RelayModel
+from standins.soak_calls import UPLOAD_BYTES
 
 CALLED_SERVICE = 'catalogue'
 CHAINED_SERVICE = 'docs'
@@ -41,6 +42,7 @@
             service_ms=SERVICE_MS,
         ),
     ),
+    defaults={'body_limit_bytes': 2 * UPLOAD_BYTES},
 )
 
 
--- a/standins/soak_records.py
+++ b/standins/soak_records.py
@@ -49,7 +49,7 @@
         place: The place of the target.
         instance: The target's instance.
         number: The number of this report of the instance, from 1.
-        limit: `slots`, `connections`, `cold`, `leaving` or `twice`.
+        limit: `slots`, `connections`, `cold`, `leaving`, `twice` or `body`.
         at: When, in monotonic seconds.
         detail: The value that exceeded it.
     """
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from standins.soak_slowness import SlowNode, SlowTarget
 from standins.target_answers import FAULTY
 
 # The time of the first fault, and the mean time between faults.
@@ -59,15 +60,6 @@
     seconds: float
 
 
-@attrs.frozen
-class SlowTarget:
-    """Make a target's calls take many times longer."""
-
-    place: str
-    seconds: float
-    factor: float
-
-
 @attrs.frozen
 class FailFast:
     """Make a target fail a fraction of its calls immediately."""
@@ -301,4 +293,5 @@
     StopTarget,
     FaultyAnswers,
     PlatformReturn,
+    SlowNode,
 )
--- a/standins/target.py
+++ b/standins/target.py
@@ -157,6 +157,7 @@
             method=request.method,
             path=request.path,
             budget_ms=int(budget) if budget.isdigit() else None,
+            is_body_changed=is_body_changed(request),
         )
         self._reporter.report_start(call, self._loop.now())
         self._run_model(call)
@@ -248,6 +249,12 @@
     return ending.status
 
 
+def is_body_changed(request: Message) -> bool:
+    """Return whether a body is not the one that its caller stated."""
+    stated = request.headers.get(msg.DIGEST_HEADER.lower())
+    return stated is not None and stated != msg.digest_of(request.body)
+
+
 def _ignore(_ending: Message | LostCall) -> None:
     """Do nothing; the target announces itself again a second later."""
 
--- a/standins/target_messages.py
+++ b/standins/target_messages.py
@@ -1,9 +1,13 @@
 """The messages that the model of a target handles, and its effects."""
 
+import hashlib
 from typing import Any
 
 import attrs
 
+# The digest of the body as its caller sent it.
+DIGEST_HEADER = 'X-Body-Digest'
+
 
 @attrs.frozen
 class ConnectionOpened:
@@ -29,6 +33,7 @@
         method: The request's method.
         path: The request's path.
         budget_ms: Milliseconds until the call's deadline; `None` if unknown.
+        is_body_changed: Whether the body is not the one that its caller sent.
     """
 
     token: Any
@@ -36,6 +41,7 @@
     method: str
     path: str
     budget_ms: int | None = None
+    is_body_changed: bool = False
 
 
 @attrs.frozen
@@ -110,3 +116,8 @@
 @attrs.frozen
 class Stop:
     """Stop the process in order, as no call is running."""
+
+
+def digest_of(body: bytes) -> str:
+    """Return the digest of a body, as `DIGEST_HEADER` states it."""
+    return hashlib.blake2b(body).hexdigest()
--- a/standins/target_records.py
+++ b/standins/target_records.py
@@ -37,7 +37,7 @@
     """A limit that was exceeded, or a rule of the contract that was broken.
 
     Attributes:
-        limit: `slots`, `connections`, `cold`, `leaving` or `twice`.
+        limit: `slots`, `connections`, `cold`, `leaving`, `twice` or `body`.
         at: The time of the violation, in monotonic seconds.
         detail: The value that exceeded the limit, or the call or path.
     """
@@ -107,6 +107,8 @@
         self.max_running = max(self.max_running, running)
         if self._left_at is not None and now > self._left_at + LEAVING_GRACE_S:
             self.record_violation('leaving', now, call.path)
+        if call.is_body_changed:
+            self.record_violation('body', now, call.call_id)
         if call.call_id:
             self._count_run(call, now)
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -14,6 +14,7 @@
     KeyedOrder,
     Order,
     PoisonedLookup,
+    Upload,
     classify,
     is_resent,
     request_of,
@@ -38,6 +39,7 @@
 from standins.soak_reports import ReportReceiver, record_report
 from standins.soak_schedule import KINDS, Scope, draw_schedule
 from standins.tally import Ending
+from standins.target import is_body_changed
 from standins.target_messages import CallReceived
 from standins.target_records import Violation as Broken
 from standins.target_report import Reporter
@@ -142,6 +144,20 @@
     assert record.violated_checks() == ['limits', 'limits']
 
 
+def test_a_request_that_ran_with_another_body_is_found(record: Record) -> None:
+    broken = LimitViolation('a', 'i1', 2, 'body', 1, 'upload-1')
+    record.journal.limit_violations.append(broken)
+    assert record.violated_checks() == ['body']
+
+
+def test_a_target_compares_a_body_with_the_digest_of_its_caller() -> None:
+    request = request_of(Upload('docs'), 'upload-1', 1)
+    headers = {name.lower(): text for name, text in request.headers.items()}
+    received = attrs.evolve(request, headers=headers)
+    assert not is_body_changed(received)
+    assert is_body_changed(attrs.evolve(received, body=request.body[1:]))
+
+
 def test_a_zone_gets_no_new_calls_while_it_is_out(record: Record) -> None:
     record.journal.zone_out_periods.append(ZoneOutPeriod('ghent-a', 10, 20))
     for at in (9, 12.9, 20.1):
