Split the handling of a part of a body by its message

Cause: one method told the parts of the build before from those that state their place by their type, and another one both completed and recorded a body.

Change: each message has a handler of its own, and completing a body is apart from passing it on.

--- a/daisyline/coordination/calls/inbound_calls.py
+++ b/daisyline/coordination/calls/inbound_calls.py
@@ -209,10 +209,13 @@
         return calls
 
     def add_part(
-        self, stream: InboundStream, part: RequestPart | BodyPart, now: float
+        self,
+        stream: InboundStream,
+        part: RequestPart | BodyPart,
+        body: _Body,
+        now: float,
     ) -> None:
         """Keep a part of the body of a call that follows."""
-        body = self._body_of(stream, part)
         body.parts += 1
         body.octets += len(part.body)
         if body.parts == 1:
@@ -225,25 +228,35 @@
         if not body.holder.is_revoked:
             body.received.write(part.body)
 
+    def ordered_body(self, stream: InboundStream, part: RequestPart) -> _Body:
+        """Return the body of a part that follows the earlier ones."""
+        body = self._bodies.get((stream.number, part.call))
+        if body is None or body.length is not None:
+            return self._start_body(stream, part.call)
+        return body
+
+    def stated_body(self, stream: InboundStream, part: BodyPart) -> _Body:
+        """Return the body of a part whose place in it is stated."""
+        body = self._bodies.get((stream.number, part.call))
+        if body is None or not part.start:
+            body = self._start_body(stream, part.call)
+            body.attempt = part.attempt
+            body.length = part.body_length
+        expected = (body.attempt, body.length, body.octets)
+        if (part.attempt, part.body_length, part.start) != expected:
+            body.is_broken = True
+        return body
+
     def run(self, stream: InboundStream, run: RunCall, now: float) -> Effects:
         """Return the event for a call: it is run whole, or refused."""
         self.record_end(run.call)
         body = self._bodies.pop((stream.number, run.call), None)
         if body is None:
             body = _Body(Holder(Kind.PEERS_IN, stream.peer))
-            is_whole = not isinstance(run, RunLongCall)
-        else:
-            is_whole = body.is_whole_with(run)
-        if is_whole and run.body:
-            held_bytes = body.holder.held_bytes + len(run.body)
-            self._memory.hold(body.holder, held_bytes)
-        failure = None if is_whole else _NOT_WHOLE
-        if body.holder.is_revoked:
-            failure = MEMORY_SHORT
+        failure = self._complete(body, run)
         if body.parts or failure is not None:
             state = 'complete' if failure is None else 'refused'
             body.attempt = run.attempt
-            body.octets += len(run.body)
             self._record(stream, run.call, body, state, now)
         if failure is not None:
             self._memory.release(body.holder)
@@ -267,29 +280,16 @@
         self._give_up(stream, cancel.call, 'cancelled', now)
         return [CallMessageReceived(stream.peer, cancel)]
 
-    def _body_of(
-        self, stream: InboundStream, part: RequestPart | BodyPart
-    ) -> _Body:
-        """Return the body that a part belongs to."""
-        key = (stream.number, part.call)
-        body = self._bodies.get(key)
-        if isinstance(part, BodyPart):
-            return self._stated_body(stream, part)
-        if body is None or body.length is not None:
-            body = self._start_body(stream, part.call)
-        return body
-
-    def _stated_body(self, stream: InboundStream, part: BodyPart) -> _Body:
-        """Return the body of a part whose place in it is stated."""
-        body = self._bodies.get((stream.number, part.call))
-        stated = (part.attempt, part.body_length, part.start)
-        if body is None or not part.start:
-            body = self._start_body(stream, part.call)
-            body.attempt = part.attempt
-            body.length = part.body_length
-        if (body.attempt, body.length, body.octets) != stated:
-            body.is_broken = True
-        return body
+    def _complete(self, body: _Body, run: RunCall) -> Failure | None:
+        """Add the end of a body; return why the call can't run, or None."""
+        is_whole = body.is_whole_with(run)
+        body.octets += len(run.body)
+        if is_whole:
+            held_bytes = body.holder.held_bytes + len(run.body)
+            self._memory.hold(body.holder, held_bytes)
+        if body.holder.is_revoked:
+            return MEMORY_SHORT
+        return None if is_whole else _NOT_WHOLE
 
     def _start_body(self, stream: InboundStream, call: str) -> _Body:
         key = (stream.number, call)
@@ -350,12 +350,21 @@
     return [CallMessageReceived(stream.peer, message)]
 
 
-@_receive.register(RequestPart)
-@_receive.register(BodyPart)
+@_receive.register
 def _(
-    message: Any, calls: InboundCalls, stream: InboundStream, now: float
+    message: RequestPart, calls: InboundCalls, stream: InboundStream, now: float
+) -> Effects:
+    body = calls.ordered_body(stream, message)
+    calls.add_part(stream, message, body, now)
+    return []
+
+
+@_receive.register
+def _(
+    message: BodyPart, calls: InboundCalls, stream: InboundStream, now: float
 ) -> Effects:
-    calls.add_part(stream, message, now)
+    body = calls.stated_body(stream, message)
+    calls.add_part(stream, message, body, now)
     return []
 
 
