--- a/daisyline/coordination/calls/entry_handlers.py
+++ b/daisyline/coordination/calls/entry_handlers.py
@@ -7,6 +7,10 @@
 from daisyline.coordination import internal_effects
 from daisyline.coordination.calls import call_events as ev
 from daisyline.coordination.calls import messages as msg
+from daisyline.coordination.calls.caller_events import (
+    AnswerBytesDelivered,
+    CallerDisconnected,
+)
 from daisyline.coordination.calls.customer_keys import RequestUnauthorized
 from daisyline.coordination.calls.entry import Effects, Entry
 from daisyline.coordination.calls.entry_call import (
@@ -78,13 +82,13 @@
 
 
 @handle.register
-def _(event: ev.CallerDisconnected, entry: Entry, now: float) -> Effects:
+def _(event: CallerDisconnected, entry: Entry, now: float) -> Effects:
     call = entry.calls.get(event.call)
     return [] if call is None else entry.cancel(call, now)
 
 
 @handle.register
-def _(event: ev.AnswerBytesDelivered, entry: Entry, now: float) -> Effects:
+def _(event: AnswerBytesDelivered, entry: Entry, now: float) -> Effects:
     call = entry.calls.get(event.call)
     if call is None:
         return []
--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -7,8 +7,10 @@
 import attrs
 
 from daisyline.coordination.calls.call_events import (
-    AnswerBytesDelivered,
     AnswerCaller,
+)
+from daisyline.coordination.calls.caller_events import (
+    AnswerBytesDelivered,
     CallerDisconnected,
 )
 from daisyline.coordination.calls.messages import Headers
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -6,11 +6,13 @@
 
 from daisyline.coordination.calls.call_events import (
     AnswerCaller,
-    CallerDisconnected,
     RefuseCaller,
     TargetAnnounced,
     TargetLeaving,
 )
+from daisyline.coordination.calls.caller_events import (
+    CallerDisconnected,
+)
 from daisyline.coordination.calls.registration import Announcement
 from daisyline.coordination.memory.connection_bound import (
     CALLERS_SHARE,
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -8,6 +8,8 @@
 
 from daisyline.coordination.calls.call_events import (
     AnswerCallerPart,
+)
+from daisyline.coordination.calls.caller_events import (
     CallerDisconnected,
 )
 from daisyline.coordination.memory.costly_bodies import MAX_COSTLY_BODIES
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -8,9 +8,11 @@
 
 from daisyline.coordination.calls.call_events import (
     AbortCaller,
-    AnswerBytesDelivered,
     AnswerCaller,
     AnswerCallerPart,
+)
+from daisyline.coordination.calls.caller_events import (
+    AnswerBytesDelivered,
     CallerDisconnected,
 )
 from daisyline.protocol.http_messages import Request
