Refuse an answer that is still held at its deadline

What callers saw: with a target that stood still in the middle of an answer, the whole answers behind it came 10.0 s after their requests, of a time limit of 1.5 s.

Cause: an answer whose head has come may exceed its deadline while it makes progress, as a client may read it slowly. One that is held is not waited for by a reading client, but keeps the others back.

Change: at the deadline the entry node ends such an answer with 504, outcome unknown, and cancels its call. One of which a part was sent, or that waits for its turn, may exceed its deadline as before.

--- a/daisyline/coordination/calls/call_events.py
+++ b/daisyline/coordination/calls/call_events.py
@@ -242,6 +242,13 @@
     failure: Failure
 
 
+@attrs.frozen
+class ExpireAnswer:
+    """Refuse an answer whose deadline has passed, if none of it was sent."""
+
+    call: str
+
+
 @attrs.frozen
 class SendReply:
     """Send a message on the stream that a node opened to this one."""
--- a/daisyline/coordination/calls/entry.py
+++ b/daisyline/coordination/calls/entry.py
@@ -362,12 +362,17 @@
         return self._timeouts[0][0] if self._timeouts else float('inf')
 
     def tick(self, now: float) -> Effects:
-        """Refuse calls whose deadline and grace period have passed."""
+        """End calls whose deadline and grace period have passed.
+
+        One whose answer has started is refused only if its caller was sent
+        nothing of it. Otherwise the target's node supervises it.
+        """
         effects: Effects = []
         while self.next_at() <= now:
             call = self._calls[heapq.heappop(self._timeouts)[1]]
-            # Once the answer has started, the target's node supervises it.
-            if not call.head_sent:
+            if call.head_sent:
+                effects.append(ev.ExpireAnswer(call.request.call))
+            else:
                 effects += self._time_out(call, now)
         return effects
 
--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -24,6 +24,9 @@
 _INVALID_ANSWER = Failure(
     Reason.TARGET_LOST, Outcome.UNKNOWN, 'the answer violates its framing'
 )
+_OVERDUE = Failure(
+    Reason.DEADLINE, Outcome.UNKNOWN, 'the answer is not complete'
+)
 
 
 class AnswerQueue:
@@ -157,7 +160,7 @@
         if last and octets is not None:
             end = answer.codec.end()
         if head is None or octets is None or end is None:
-            return self._abort_invalid(answer)
+            return self._give_up(answer, _INVALID_ANSWER)
         answer.unsent += head + octets + end
         answer.uncredited_bytes += len(body)
         answer.is_complete = last
@@ -186,11 +189,23 @@
         answer.is_aborted = True
         return self.flush()
 
+    def expire(self, call: str) -> bool:
+        """Refuse an answer that is held at its deadline; return as `flush`.
+
+        Only the others that wait behind it can still be in time.
+        """
+        first = self.first
+        if first is None or first.call != call:
+            return self._connection.is_open
+        if _is_first_held(self._answers):
+            return self._give_up(first, _OVERDUE)
+        return self._connection.is_open
+
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
             first = self._answers[0]
-            if first.unsent and not self._is_held(first):
+            if first.unsent and not _is_first_held(self._answers):
                 self._connection.write(first.take_unsent())
             if first.is_aborted:
                 self._delayed_reset.start(first.sent_bytes)
@@ -245,17 +260,20 @@
         answer.closes_connection = True
         return (*headers, (b'Connection', b'close'))
 
-    def _is_held(self, answer: QueuedAnswer) -> bool:
-        """Return whether an answer that is next waits until it is complete."""
-        return len(self) > 1 and not answer.is_complete and answer.can_be_held
-
-    def _abort_invalid(self, answer: QueuedAnswer) -> bool:
+    def _give_up(self, answer: QueuedAnswer, failure: Failure) -> bool:
+        """Abort an answer of which more may come, and cancel its call."""
         call = answer.call
-        may_go_on = self.abort(answer, _INVALID_ANSWER)
+        may_go_on = self.abort(answer, failure)
         if call:
             self._on_event(CallerDisconnected(call))
         return may_go_on
 
 
+def _is_first_held(answers: deque[QueuedAnswer]) -> bool:
+    """Return whether the answer that is next waits until it is complete."""
+    first = answers[0]
+    return len(answers) > 1 and not first.is_complete and first.can_be_held
+
+
 def _has_header(headers: Headers, name: bytes) -> bool:
     return any(key.lower() == name for key, _ in headers)
--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -130,6 +130,11 @@
         if queued is not None:
             self._continue_or_close(self.answers.abort(queued, abort.failure))
 
+    def expire_answer(self, call: str) -> None:
+        """Refuse an answer that is held at its deadline."""
+        if self.answers.find_incomplete(call) is not None:
+            self._continue_or_close(self.answers.expire(call))
+
     def _refuse_for_memory(self) -> None:
         """Refuse a request whose bytes were taken for others."""
         failure = Failure(Reason.OVERLOADED, detail='memory is short')
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -183,6 +183,13 @@
         connection.abort_answer(effect)
 
 
+@perform.register
+def _(effect: ev.ExpireAnswer, transports: Transports) -> None:
+    connection = transports.ports.find_caller(effect.call, last=False)
+    if connection is not None:
+        connection.expire_answer(effect.call)
+
+
 @perform.register
 def _(effect: internal_effects.TargetChanged, transports: Transports) -> None:
     transports.pool.update_target(effect.target)
--- a/tests/journeys/raw_target.py
+++ b/tests/journeys/raw_target.py
@@ -13,7 +13,13 @@
 import attrs
 
 from standins.processes import HOST, Ports
-from tests.fixtures import READ_BYTES, Process, kept_on_failure, wait_until
+from tests.fixtures import (
+    READ_BYTES,
+    Process,
+    fetch,
+    kept_on_failure,
+    wait_until,
+)
 from tests.journeys.users_rig import UsersFleet
 from tests.platform.fixtures import MANIFEST
 from tests.support import fixture
@@ -81,12 +87,14 @@
 
     Attributes:
         answer: Writes the answer to a request.
+        slots: How many requests it runs at a time.
         requests: The requests that were received, by their ids.
     """
 
     _listener: socket.socket
     _notices: int
     answer: Answer = answer_whole
+    slots: int = 2
     requests: dict[str, Received] = attrs.field(factory=dict)
     _stopped: threading.Event = attrs.field(factory=threading.Event)
     _born: int = attrs.field(factory=lambda: time.time_ns() // 1_000_000)
@@ -154,7 +162,7 @@
             'address': f'{HOST}:{port}',
             'zone': 'ghent-a',
             'version': 'v1',
-            'slots': 2,
+            'slots': self.slots,
             'state': 'ready',
             'coldRemainingS': 0,
             'sequence': sequence,
@@ -175,6 +183,7 @@
     node: Process
     target: RawTarget
     callers: int
+    operators: int
 
     def send(
         self, call: str, method: str = 'POST', body: bytes = b''
@@ -212,6 +221,16 @@
             while octets:
                 octets = sock.recv(READ_BYTES)
 
+    def use_slots(self, slots: int, usable: int) -> None:
+        """Let the target run more requests, and wait until its node knows."""
+        self.target.slots = slots
+
+        def is_known() -> bool:
+            members = fetch(self.operators, '/status')['members']
+            return int(members[0]['limit']) >= usable
+
+        wait_until(is_known)
+
     def is_answering(self) -> bool:
         """Return whether an ordinary request is answered."""
         self.target.answer = answer_whole
@@ -241,6 +260,8 @@
         node = fleet.start_node('n0', 'ghent-a', own_ports)
         target = RawTarget.listen(own_ports['target'], own_ports['notices'])
         stack.callback(target.stop)
-        place = RawPlace(node, target, own_ports['callers'])
+        place = RawPlace(
+            node, target, own_ports['callers'], own_ports['operators']
+        )
         wait_until(place.is_answering)
         yield place
--- a/tests/journeys/test_pipelines.py
+++ b/tests/journeys/test_pipelines.py
@@ -20,6 +20,7 @@
 
 OK = 200
 BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 CLIENT_TIMEOUT_S = 10.0
 REQUESTS = 7
 POSITIONS = (0, REQUESTS // 2, REQUESTS - 1)
@@ -72,12 +73,16 @@
 
 
 def _answer(
-    framing: bytes, part: bytes, resets: bool, received: Received
+    framing: bytes,
+    part: bytes,
+    resets: bool,
+    received: Received,
+    silent_s: float = BREAK_AFTER_S,
 ) -> None:
     """Break one answer off, and send the others whole."""
     if received.call.startswith(BROKEN.encode()):
         received.send(received.head(b'200 OK', framing) + part)
-        time.sleep(BREAK_AFTER_S)
+        time.sleep(silent_s)
         if resets:
             received.reset()
         return
@@ -109,3 +114,22 @@
         else:
             assert refusal[0] == BAD_GATEWAY
         assert set(calls) <= set(raw_place.target.requests)
+
+
+def test_answers_behind_one_that_stands_still_wait_until_its_deadline(
+    raw_place: RawPlace,
+) -> None:
+    # Guards against whole answers that are kept back for much longer than
+    # their clients wait, as the target of another one stands still.
+    raw_place.use_slots(2 * REQUESTS, usable=REQUESTS)
+    calls = [BROKEN, *(f'call{place}' for place in range(1, REQUESTS))]
+    raw_place.target.answer = functools.partial(
+        _answer, *BREAKS[0], silent_s=2 * CLIENT_TIMEOUT_S
+    )
+    with _connect(raw_place) as client:
+        client.send(calls)
+        refusal = client.read_answer()
+        answers = [client.read_answer() for _ in calls[1:]]
+    assert refusal is not None
+    assert refusal[0] == GATEWAY_TIMEOUT
+    assert answers.count((OK, WHOLE_BODY)) == REQUESTS - 1
--- a/tests/transport/test_pipelined_answers.py
+++ b/tests/transport/test_pipelined_answers.py
@@ -8,10 +8,15 @@
 from daisyline.coordination.calls.call_events import (
     AnswerCaller,
     AnswerCallerPart,
+    ExpireAnswer,
+)
+from daisyline.coordination.calls.caller_events import (
+    AnswerBroken,
+    CallerDisconnected,
 )
-from daisyline.coordination.calls.caller_events import AnswerBroken
 from daisyline.state.failures import Reason
 from daisyline.transport import queued_answer
+from daisyline.transport.effect_handlers import perform
 from tests.support import fixture, function_tests
 from tests.transport.rig import LoopDriver, Peer
 from tests.transport.test_callers import CallersPort, _broken, _get
@@ -52,6 +57,11 @@
         """Let an answer break off at its target."""
         self.callers.caller.abort_answer(_broken(f'c{number}'))
 
+    def expire(self, number: int) -> None:
+        """Let the deadline of a request pass."""
+        ports = mock.Mock(find_caller=lambda _call, last: self.callers.caller)
+        perform(ExpireAnswer(f'c{number}'), mock.Mock(ports=ports))
+
     def run_for(self, seconds: float) -> None:
         """Run the loop for a time in seconds."""
         self.callers.driver.run_for(seconds)
@@ -94,6 +104,44 @@
     assert not pipeline.peer.ended
 
 
+def test_an_answer_that_is_held_is_refused_at_its_deadline(
+    pipeline: Pipeline,
+) -> None:
+    # Guards against whole answers that wait behind one whose target stands
+    # still, long after all of them were due.
+    pipeline.send_requests(1, 2, 3)
+    pipeline.callers.wait_for_requests(3)
+    pipeline.send_answer(1, b'half', last=False)
+    pipeline.send_answer(2, b'second')
+    pipeline.expire(1)
+    received = pipeline.peer.read_until(b'second')
+    assert received.startswith(b'HTTP/1.1 504 ')
+    assert b'Daisyline-Outcome: unknown' in received
+    driver = pipeline.callers.driver
+    assert driver.events_of(CallerDisconnected) == [CallerDisconnected('c1')]
+    pipeline.send_part(1, b'late', last=True)
+    pipeline.send_answer(3, b'third')
+    assert b'late' not in pipeline.peer.read_until(b'third')
+
+
+def test_an_answer_that_is_not_held_may_exceed_its_deadline(
+    pipeline: Pipeline,
+) -> None:
+    pipeline.send_requests(1, 2)
+    pipeline.callers.wait_for_requests(2)
+    pipeline.send_answer(1, TOO_LONG, last=False)
+    pipeline.send_answer(2, b'second', last=False)
+    # The second one waits for its turn.
+    pipeline.expire(2)
+    pipeline.expire(1)
+    pipeline.send_part(1, b'end', last=True)
+    pipeline.expire(2)
+    pipeline.send_part(2, b'-whole', last=True)
+    received = pipeline.peer.read_until(b'-whole')
+    assert received.count(b'HTTP/1.1 200') == 2
+    assert not pipeline.callers.driver.events_of(CallerDisconnected)
+
+
 def test_an_answer_is_sent_at_once_if_none_waits_behind_it(
     pipeline: Pipeline,
 ) -> None:
