Reset a broken answer's connection although no bytes are counted

Cause: DelayedReset asks the kernel for the bytes that are not acknowledged. An error of that call was raised in the loop, and the connection kept a part of an answer without its reset.

Change: such bytes count as not delivered, so that the reset comes once the client has taken nothing for the time of a stalled one.

Measured: test_earlier_answers_are_delivered_if_the_kernel_counts_no_bytes raised OSError before and passes.

--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -26,6 +26,8 @@
 _ACK_TIMEOUT_MS = 5_000
 _CONNECT_STARTED_CODES = frozenset((0, errno.EINPROGRESS))
 _INT = struct.Struct('i')
+# More than any kernel buffers for a connection.
+_UNKNOWN_BYTES = 2_147_483_648
 _RETRY_CODES = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
 
@@ -99,10 +101,16 @@
 
     @property
     def undelivered_bytes(self) -> int:
-        """Return how many written bytes the peer has not acknowledged."""
+        """Return how many written bytes the peer has not acknowledged.
+
+        It is a number that is too large if the kernel does not tell.
+        """
         if not self.is_open:
             return 0
-        field = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(_INT.size))
+        try:
+            field = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(_INT.size))
+        except OSError:
+            return len(self._send_buffer) + _UNKNOWN_BYTES
         return len(self._send_buffer) + int(_INT.unpack(field)[0])
 
     @property
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -506,6 +506,23 @@
     assert peer.was_reset
 
 
+def test_earlier_answers_are_delivered_if_the_kernel_counts_no_bytes(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    # Guards against an error that leaves a broken answer without its reset.
+    peer = _pipeline_two_calls(callers_port)
+    body = b'x' * len(PART) * PART_COUNT
+    refused = mock.patch('fcntl.ioctl', side_effect=OSError)
+    with mock.patch.object(delayed_reset, 'STALL_TIMEOUT_S', 2.0), refused:
+        for call, part, last in (('c1', body, True), ('c2', b'half', False)):
+            answer = AnswerCaller(call, 200, (), part, last)
+            callers_port.caller.send_answer(answer)
+        callers_port.caller.abort_answer(_broken('c2'))
+        received = peer.read_until_end()
+    assert received.count(b'x') == len(body)
+    assert peer.was_reset
+
+
 def test_a_caller_that_reads_nothing_delays_a_reset_for_a_bounded_time(
     driver: LoopDriver, callers_port: CallersPort
 ) -> None:
