Let callers read nothing for 30 s before their answers are dropped

What callers saw: one that read nothing for 12 s lost the whole answers that had not reached its system, 14 of 14 with a small receive buffer, although no answer broke off.

Cause: TCP_USER_TIMEOUT of 5 s, meant for peers that are gone, also ends a connection whose peer is alive and does not read. Ruled out: memory, and the reset for a broken answer, which is not needed to lose them; its own bound of 10 s would have lost them next.

Change: accepted connections have 30 s, and so has the delayed reset.

--- a/daisyline/transport/delayed_reset.py
+++ b/daisyline/transport/delayed_reset.py
@@ -1,10 +1,11 @@
 """Resets a connection once its peer has what it still has to get."""
 
 from daisyline.transport.loop import Loop
+from daisyline.transport.socket_options import READ_STALL_TIMEOUT_S
 from daisyline.transport.sockets import Connection
 
 # The reset comes at the latest when the peer has received nothing for so long.
-STALL_TIMEOUT_S = 10.0
+STALL_TIMEOUT_S = READ_STALL_TIMEOUT_S
 # The kernel does not report acknowledgements, so it is asked for them.
 _CHECK_INTERVAL_S = 0.02
 
--- a/daisyline/transport/listener.py
+++ b/daisyline/transport/listener.py
@@ -6,11 +6,8 @@
 
 from daisyline.transport.loop import Loop
 from daisyline.transport.poller import READABLE
-from daisyline.transport.sockets import (
-    KEEPALIVE_IDLE_ACCEPTED_S,
-    Connection,
-    set_options,
-)
+from daisyline.transport.socket_options import ACCEPTED_TIMEOUTS, set_options
+from daisyline.transport.sockets import Connection
 
 _BACKLOG = 1024
 _ACCEPTS_PER_ITERATION = 64
@@ -93,7 +90,7 @@
                 if error.errno in _NO_DESCRIPTOR_CODES:
                     self._pause()
                 return
-            set_options(sock, KEEPALIVE_IDLE_ACCEPTED_S)
+            set_options(sock, ACCEPTED_TIMEOUTS)
             connection = Connection(self._loop, sock, is_connecting=False)
             connection.peer_host = address[0]
             self._on_accept(connection)
--- a/daisyline/transport/sockets.py
+++ b/daisyline/transport/sockets.py
@@ -12,18 +12,13 @@
 from daisyline.transport.loop import Loop
 from daisyline.transport.poller import READABLE, WRITABLE
 from daisyline.transport.send_buffer import SendBuffer
+from daisyline.transport.socket_options import DIALLED_TIMEOUTS, set_options
 
 _READ_BYTES = 65_536
 _DISCARDED_READS = 4
 # Bounds what one connection sends before others get their turn: 1 MiB.
 WRITES_PER_ITERATION = 16
 WRITE_BYTES = 65_536
-# No call waits on an idle caller connection, so it is probed less often.
-KEEPALIVE_IDLE_ACCEPTED_S = 15
-_KEEPALIVE_IDLE_DIALLED_S = 2
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 3
-_ACK_TIMEOUT_MS = 5_000
 _CONNECT_STARTED_CODES = frozenset((0, errno.EINPROGRESS))
 _INT = struct.Struct('i')
 # More than any kernel buffers for a connection.
@@ -288,21 +283,5 @@
 
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    set_options(sock, _KEEPALIVE_IDLE_DIALLED_S)
+    set_options(sock, DIALLED_TIMEOUTS)
     return sock
-
-
-def set_options(sock: socket.socket, idle_s: int) -> None:
-    """Disable Nagle's algorithm and enable detection of dead peers.
-
-    Keep-alive probes detect a connection whose state a device between the two
-    ends has dropped. The kernel answers them, not the target's process.
-    """
-    sock.setblocking(False)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, idle_s)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _ACK_TIMEOUT_MS)
