Refuse waiting answers in a shortage in place of a reset

What callers saw: a client that reads lost its connection, and with it whole answers whose work had run, when memory got short while they waited for the answer to an earlier request.

Cause: the account of memory takes back what makes no progress, and the bytes of answers were taken by a reset, which is meant for callers that do not read.

The two refusals of unfinished requests are made from constants.

--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -61,11 +61,6 @@
         """Return the number of answers in the queue."""
         return len(self._answers)
 
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Return whether bytes wait for the caller or for its network."""
-        return bool(self._connection.buffered_bytes)
-
     def count_held(self) -> tuple[int, int]:
         """Return the bytes of the requests and those of the unread answers."""
         request_bytes = 0
@@ -167,7 +162,7 @@
         return self.flush()
 
     def abort(self, answer: QueuedAnswer, failure: Failure) -> bool:
-        """End an answer that cannot be completed; return as `send_part` does.
+        """End an answer that can't be sent whole; return as `send_part` does.
 
         If none of it was sent, it is refused. Otherwise the connection is
         reset once the answers before it are through.
@@ -201,6 +196,18 @@
             return self._give_up(first, _OVERDUE)
         return self._connection.is_open
 
+    def refuse_waiting(self, failure: Failure) -> bool:
+        """Refuse the answers of which nothing was sent; return as `flush`."""
+        waiting = [
+            answer
+            for answer in self._answers
+            if answer.unsent and not answer.sent_bytes and not answer.is_refusal
+        ]
+        for answer in reversed(waiting):
+            refuse = self.abort if answer.is_complete else self._give_up
+            refuse(answer, failure)
+        return self.flush()
+
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
         while self._answers and self._connection.is_open:
--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -1,9 +1,13 @@
 """The answers on one connection of a caller, and what they hold in memory."""
 
+import functools
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from daisyline.coordination.calls.call_events import (
+    MEMORY_SHORT,
     AbortCaller,
     AnswerCaller,
     AnswerCallerPart,
@@ -11,7 +15,7 @@
 )
 from daisyline.protocol.dialect import Dialect
 from daisyline.protocol.http_server import ServerCodec
-from daisyline.state.failures import Failure, Reason
+from daisyline.state.failures import Failure, Outcome, Reason
 from daisyline.transport.answer_queue import AnswerQueue
 from daisyline.transport.caller_memory import CallerMemory
 from daisyline.transport.delayed_reset import DelayedReset
@@ -28,6 +32,10 @@
 # socket with unread bytes sends a reset, which can destroy the end of the
 # answer before the caller has read it.
 _LINGER_S = 1.0
+_TOO_COSTLY = Failure(
+    Reason.OVERLOADED, detail='too many bodies in tiny chunks'
+)
+_ANSWER_RELEASED = attrs.evolve(MEMORY_SHORT, outcome=Outcome.UNKNOWN)
 
 
 class AnsweringConnection:
@@ -85,12 +93,18 @@
         """Return whether a request is in progress."""
         return len(self.answers) > 0
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes wait for the caller or for its network."""
+        return bool(self._connection.buffered_bytes)
+
     def use_memory(self, guard: MemoryGuard) -> None:
         """Count what the connection holds in the account of the node."""
         self._memory = CallerMemory(guard, self._connection.peer_host)
-        self._memory.refuse = self._refuse_for_memory
-        self._memory.refuse_cost = self._refuse_for_cost
-        self._memory.reset = self._connection.reset
+        refuse = self._refuse_unfinished
+        self._memory.refuse = functools.partial(refuse, MEMORY_SHORT)
+        self._memory.refuse_cost = functools.partial(refuse, _TOO_COSTLY)
+        self._memory.release_answers = self._release_answers
         self._connection.on_progress = self._update_memory
 
     def drop(self) -> None:
@@ -135,17 +149,15 @@
         if self.answers.find_incomplete(call) is not None:
             self._continue_or_close(self.answers.expire(call))
 
-    def _refuse_for_memory(self) -> None:
-        """Refuse a request whose bytes were taken for others."""
-        failure = Failure(Reason.OVERLOADED, detail='memory is short')
-        self._refuse_unfinished(failure)
-
-    def _refuse_for_cost(self) -> None:
-        """Refuse a request in tiny chunks while there are too many of them."""
-        failure = Failure(
-            Reason.OVERLOADED, detail='too many bodies in tiny chunks'
-        )
-        self._refuse_unfinished(failure)
+    def _release_answers(self) -> None:
+        """Release the bytes of answers, which were taken for others."""
+        if self.has_unsent_bytes:
+            # The caller does not read.
+            self._connection.reset()
+        else:
+            self._continue_or_close(
+                self.answers.refuse_waiting(_ANSWER_RELEASED)
+            )
 
     def _refuse_unfinished(
         self, failure: Failure, status: int | None = None
--- a/daisyline/transport/caller_memory.py
+++ b/daisyline/transport/caller_memory.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from daisyline.coordination.memory.memory_account import Cause, Holder, Kind
 from daisyline.state.failures import Reason
 from daisyline.transport.memory_guard import MemoryGuard
@@ -12,7 +14,7 @@
 
     Attributes:
         refuse: Called when the bytes of an unfinished request are taken.
-        reset: Called when the bytes of unread answers are taken.
+        release_answers: Called when the bytes of answers are taken.
         refuse_cost: Called when too many bodies in tiny chunks arrive.
     """
 
@@ -25,9 +27,9 @@
         """
         self._guard = guard
         self._requests = Holder(Kind.REQUESTS, client, self._refuse)
-        self._answers = Holder(Kind.ANSWERS, client, self._reset)
+        self._answers = Holder(Kind.ANSWERS, client, self._release_answers)
         self.refuse: Callable[[], None] = bool
-        self.reset: Callable[[], None] = bool
+        self.release_answers: Callable[[], None] = bool
         self.refuse_cost: Callable[[], None] = bool
 
     def update(self, request_bytes: int, answer_bytes: int, calls: int) -> None:
@@ -66,5 +68,7 @@
     def _refuse(self, _cause: Cause) -> None:
         self.refuse()
 
-    def _reset(self, _cause: Cause) -> None:
-        self.reset()
+    def _release_answers(self, _cause: Cause) -> None:
+        # One that was revoked holds nothing more.
+        self._answers = attrs.evolve(self._answers, is_revoked=False)
+        self.release_answers()
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -70,7 +70,7 @@
 
         An answer is through when the kernel has its last byte.
         """
-        if self.answers.has_unsent_bytes:
+        if self.has_unsent_bytes:
             return True
         if self._ending or not self._connection.is_open:
             return False
--- a/daisyline/transport/operators.py
+++ b/daisyline/transport/operators.py
@@ -78,9 +78,7 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether a page is not wholly sent."""
-        return any(
-            client.answers.has_unsent_bytes for client in self._connections
-        )
+        return any(client.has_unsent_bytes for client in self._connections)
 
     def listen(self, host: str, port: int) -> None:
         """Accept connections of operators.
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -7,6 +7,7 @@
 import attrs
 
 from daisyline.coordination.calls.call_events import (
+    AnswerCaller,
     AnswerCallerPart,
 )
 from daisyline.coordination.calls.caller_events import (
@@ -26,6 +27,7 @@
 BODY = b'x' * 3000
 HEAD = b'POST / HTTP/1.1\r\nHost: docs\r\n%s\r\n\r\n'
 UNFINISHED = HEAD % b'Content-Length: 3001' + BODY
+WAITING_BODY = bytes(1_000_000)
 FOLLOWING_PART = bytes(65_536)
 FOLLOWING_PARTS = 100
 TINY_CHUNK_COUNT = 4000
@@ -115,6 +117,50 @@
     assert not account.by_kind[Kind.ANSWERS]
 
 
+def test_answers_that_wait_for_an_earlier_one_are_refused_in_a_shortage(
+    guarded_port: GuardedPort,
+) -> None:
+    # Guards against a caller that reads and loses all answers with its
+    # connection, as some of them wait for their turn.
+    callers, account = guarded_port.callers, guarded_port.account
+    account.limit_bytes = 40_000_000
+    peer = guarded_port.connect()
+    caller = callers.caller
+    caller.may_overlap = lambda _request: True
+    peer.send(_get(1) + _get(2) + _get(3))
+    callers.wait_for_requests(3)
+    for call, last in (('c2', True), ('c3', False)):
+        caller.send_answer(AnswerCaller(call, 200, (), WAITING_BODY, last))
+    account.limit_bytes = LIMIT_BYTES
+    guarded_port.connect().send(UNFINISHED)
+    callers.driver.run_until(lambda: account.revocations)
+    caller.send_answer(AnswerCaller('c1', 200, (), b'first', last=True))
+    received = peer.read_until(b'Daisyline-Call: c3')
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert received.count(b'Daisyline-Outcome: unknown') == 2
+    assert received.count(b'HTTP/1.1') == 3
+    disconnected = callers.driver.events_of(CallerDisconnected)
+    assert disconnected == [CallerDisconnected('c3')]
+    caller.send_part(AnswerCallerPart('c3', b'late', last=True))
+    assert account.by_kind[Kind.ANSWERS] == 0
+    assert not peer.ended
+
+
+def test_answers_count_in_the_account_after_a_shortage(
+    guarded_port: GuardedPort,
+) -> None:
+    callers, account = guarded_port.callers, guarded_port.account
+    peer = guarded_port.connect()
+    caller = callers.caller
+    caller.may_overlap = lambda _request: True
+    peer.send(_get(1) + _get(2) + _get(3))
+    callers.wait_for_requests(3)
+    for call in ('c2', 'c3'):
+        caller.send_answer(AnswerCaller(call, 200, (), WAITING_BODY, True))
+        assert 0 < account.by_kind[Kind.ANSWERS] < LIMIT_BYTES
+    assert sum(account.revocations.values()) == 2
+
+
 def test_a_single_body_in_tiny_chunks_is_decoded_in_turns(
     guarded_port: GuardedPort,
 ) -> None:
