Send whole answers behind one in progress as a node ends

Cause: a connection with a request in progress was reset, also if nothing of the answer had been sent.

Change: the answers in progress are refused, with an unknown outcome, whole ones are sent and the connection is closed. A cancelled call and a broken answer share one method of the queue.

--- a/daisyline/coordination/calls/caller_events.py
+++ b/daisyline/coordination/calls/caller_events.py
@@ -27,11 +27,11 @@
 
 @attrs.frozen
 class AnswerBroken:
-    """The caller did not get the whole of an answer that had begun.
+    """A caller gets no whole answer to a call that may have run.
 
     Attributes:
         call: The call's id.
-        reason: Why the answer cannot be completed.
+        reason: Why the answer is not sent whole.
         is_refused: Whether the caller gets a refusal in its place; otherwise
             its connection is reset.
         answers_lost: How many requests that were started get no answer because
--- a/daisyline/coordination/events.py
+++ b/daisyline/coordination/events.py
@@ -132,10 +132,10 @@
 
 @attrs.frozen(slots=True)
 class BrokenOff(Event):
-    """A caller got no whole answer, though its answer had begun.
+    """A caller got no whole answer, though its call may have run.
 
     Attributes:
-        reason: Why the answer could not be completed.
+        reason: Why the answer was not sent whole.
         state: `refused` if a refusal took its place; `reset` if the caller's
             connection was reset.
         answers_lost: How many further requests got no answer with a reset.
--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -88,6 +88,15 @@
             for answer in self._answers
         )
 
+    @property
+    def keeps_whole_answers(self) -> bool:
+        """Return whether whole answers wait behind one that is not sent."""
+        first = self.first
+        is_begun = first is None or bool(first.sent_bytes)
+        return not is_begun and any(
+            answer.is_complete for answer in self._answers
+        )
+
     @property
     def can_extend(self) -> bool:
         """Return whether a further request may start beside all of them.
@@ -155,34 +164,45 @@
         if last and octets is not None:
             end = answer.codec.end()
         if head is None or octets is None or end is None:
-            return self._give_up(answer, _INVALID_ANSWER)
+            return self.abort(answer, _INVALID_ANSWER, is_running=True)
         answer.unsent += head + octets + end
         answer.uncredited_bytes += len(body)
         answer.is_complete = last
         return self.flush()
 
-    def abort(self, answer: QueuedAnswer, failure: Failure) -> bool:
+    def abort(
+        self,
+        answer: QueuedAnswer,
+        failure: Failure,
+        *,
+        is_running: bool = False,
+    ) -> bool:
         """End an answer that can't be sent whole; return as `send_part` does.
 
         If none of it was sent, it is refused. Otherwise the connection is
         reset once the answers before it are through.
+
+        Args:
+            answer: The answer.
+            failure: The reason and outcome.
+            is_running: Whether its call has to be cancelled.
         """
-        is_refused = not answer.sent_bytes and not answer.is_refusal
-        if answer.call:
-            self._on_event(
-                AnswerBroken(
-                    answer.call,
-                    failure.reason,
-                    is_refused=is_refused,
-                    answers_lost=0 if is_refused else len(self) - 1,
-                )
-            )
+        call = answer.call
+        is_refused = answer.can_be_refused
+        if call:
+            lost = 0 if is_refused else len(self) - 1
+            broken = AnswerBroken(call, failure.reason, is_refused, lost)
+            self._on_event(broken)
         if is_refused:
             answer.discard_unsent()
-            return self.send_refusal(answer, failure)
-        answer.call = ''
-        answer.is_aborted = True
-        return self.flush()
+            may_go_on = self.send_refusal(answer, failure)
+        else:
+            answer.call = ''
+            answer.is_aborted = True
+            may_go_on = self.flush()
+        if call and is_running:
+            self._on_event(CallerDisconnected(call))
+        return may_go_on
 
     def expire(self, call: str) -> bool:
         """Refuse an answer that is held at its deadline; return as `flush`.
@@ -193,19 +213,22 @@
         if first is None or first.call != call:
             return self._connection.is_open
         if _is_first_held(self._answers):
-            return self._give_up(first, _OVERDUE)
+            return self.abort(first, _OVERDUE, is_running=True)
         return self._connection.is_open
 
-    def refuse_waiting(self, failure: Failure) -> bool:
-        """Refuse the answers of which nothing was sent; return as `flush`."""
-        waiting = [
-            answer
-            for answer in self._answers
-            if answer.unsent and not answer.sent_bytes and not answer.is_refusal
-        ]
-        for answer in reversed(waiting):
-            refuse = self.abort if answer.is_complete else self._give_up
-            refuse(answer, failure)
+    def refuse(
+        self, is_refused: Callable[[QueuedAnswer], Any], failure: Failure
+    ) -> bool:
+        """Refuse answers of which nothing was sent; return as `flush`.
+
+        Args:
+            is_refused: Returns whether to refuse an answer.
+            failure: The reason and outcome.
+        """
+        for answer in reversed(tuple(self._answers)):
+            if answer.can_be_refused and is_refused(answer):
+                is_running = not answer.is_complete
+                self.abort(answer, failure, is_running=is_running)
         return self.flush()
 
     def flush(self) -> bool:
@@ -267,14 +290,6 @@
         answer.closes_connection = True
         return (*headers, (b'Connection', b'close'))
 
-    def _give_up(self, answer: QueuedAnswer, failure: Failure) -> bool:
-        """Abort an answer of which more may come, and cancel its call."""
-        call = answer.call
-        may_go_on = self.abort(answer, failure)
-        if call:
-            self._on_event(CallerDisconnected(call))
-        return may_go_on
-
 
 def _is_first_held(answers: deque[QueuedAnswer]) -> bool:
     """Return whether the answer that is next waits until it is complete."""
--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -35,6 +35,7 @@
 _TOO_COSTLY = Failure(
     Reason.OVERLOADED, detail='too many bodies in tiny chunks'
 )
+_NODE_STOPS = Failure(Reason.LEAVING, Outcome.UNKNOWN, 'the node stops')
 _ANSWER_RELEASED = attrs.evolve(MEMORY_SHORT, outcome=Outcome.UNKNOWN)
 
 
@@ -112,9 +113,19 @@
         self._connection.discard_received()
         self._connection.abort()
 
-    def reset(self) -> None:
-        """Reset the connection, so that no unfinished answer looks whole."""
-        self._connection.reset()
+    def end_answers(self) -> None:
+        """End the answers in progress and close the connection.
+
+        It is reset if an unfinished answer could look whole. Otherwise whole
+        answers are sent, and refusals in the place of the others.
+        """
+        if self.has_unsent_bytes or not self.answers.keeps_whole_answers:
+            self._connection.reset()
+            return
+        self._ending = True
+        self._connection.discard_received()
+        self.answers.refuse(_is_incomplete, _NODE_STOPS)
+        self._connection.close()
 
     def send_answer(self, answer: AnswerCaller) -> None:
         """Send the head and first part of an answer."""
@@ -156,7 +167,7 @@
             self._connection.reset()
         else:
             self._continue_or_close(
-                self.answers.refuse_waiting(_ANSWER_RELEASED)
+                self.answers.refuse(_has_unsent, _ANSWER_RELEASED)
             )
 
     def _refuse_unfinished(
@@ -217,3 +228,11 @@
 
     def _start_requests(self) -> None:
         """Start the complete requests that may start now."""
+
+
+def _has_unsent(answer: QueuedAnswer) -> bool:
+    return bool(answer.unsent)
+
+
+def _is_incomplete(answer: QueuedAnswer) -> bool:
+    return not answer.is_complete
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -301,6 +301,8 @@
         return self._loop.now() > (self._stop_deadline or 0)
 
     def _end(self) -> None:
+        # Answers that were not sent by now are cut, and must not look whole.
+        self._transports.ports.close()
         self._transports.streams.close()
         self._loop.stop()
 
--- a/daisyline/transport/ports.py
+++ b/daisyline/transport/ports.py
@@ -120,13 +120,13 @@
             connection.close_gracefully()
 
     def close(self) -> None:
-        """Close all connections; reset those with a request in progress.
+        """Close all connections, and end the requests in progress.
 
         No further request is received.
         """
         for connection in tuple(self._connections):
             if connection.is_busy:
-                connection.reset()
+                connection.end_answers()
             else:
                 connection.drop()
 
--- a/daisyline/transport/queued_answer.py
+++ b/daisyline/transport/queued_answer.py
@@ -53,6 +53,11 @@
             not self.sent_bytes and size <= MAX_HELD_BYTES
         )
 
+    @property
+    def can_be_refused(self) -> bool:
+        """Return whether a refusal can take the place of a target's answer."""
+        return not self.sent_bytes and not self.is_refusal
+
     def record_head(self, headers: Headers) -> None:
         """Record the length that the head of the answer states."""
         for name, content in headers:
--- a/tests/transport/test_ports.py
+++ b/tests/transport/test_ports.py
@@ -10,6 +10,7 @@
     AnswerCaller,
     RequestReceived,
 )
+from daisyline.coordination.calls.caller_events import CallerDisconnected
 from daisyline.coordination.memory.memory_account import MemoryAccount
 from daisyline.state.settings import Settings
 from daisyline.transport.ports import Ports
@@ -20,6 +21,7 @@
 
 # More than the kernel takes for a caller that does not read.
 LONG_BODY = b'x' * 16_000_000
+BODY = b'x' * 100_000
 
 
 @attrs.define
@@ -168,6 +170,31 @@
     raise AssertionError('the connection ended in order')
 
 
+def test_whole_answers_behind_one_in_progress_are_sent_as_a_node_ends(
+    port: CallersPort,
+) -> None:
+    # Guards against whole answers that are lost with an earlier one that is
+    # not whole by the end of a planned stop.
+    port.ports._may_overlap = lambda _request: True
+    peer = port.connect()
+    peer.send(3 * _request())
+    port.driver.run_until(lambda: len(port.driver.events) == 3)
+    calls = [event.call for event in port.driver.events]
+    connection = port.ports.find_caller(calls[1], last=True)
+    assert connection is not None
+    whole = AnswerCaller(calls[1], 200, (), BODY, last=True)
+    connection.send_answer(whole)
+    port.ports.close()
+    received = peer.read_until_end()
+    assert not peer.was_reset
+    refusal, _, answer = received.partition(b'HTTP/1.1 200 ')
+    assert refusal.startswith(b'HTTP/1.1 502 ')
+    assert b'Daisyline-Outcome: unknown' in refusal
+    assert answer.partition(b'HTTP/1.1 502 ')[0].endswith(BODY)
+    lost = port.driver.events_of(CallerDisconnected)
+    assert {event.call for event in lost} == {calls[0], calls[2]}
+
+
 def test_no_request_is_received_while_a_node_ends(port: CallersPort) -> None:
     # Guards against a request on a kept connection that is sent on while the
     # node closes its streams, and is cut off as it ends.
