Let the soak draw pipelines whose answers break off

Cause: no call of the soak was sent behind another one, so it could not find whole answers that are lost with another one of their connection.

A request of a pipeline that no target started is not judged, as its caller may take it for unread; any other loss needs a fault.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -47,6 +47,7 @@
         zone_ms: The one-way latency between two zones, in milliseconds.
         client_ms: The one-way latency to clients, in milliseconds.
         defaults: Limits of all services in place of the built-in ones.
+        routes: The routes of requests, by name.
     """
 
     name: str
@@ -56,6 +57,7 @@
     zone_ms: float = 1
     client_ms: float = 1
     defaults: Mapping[str, int] = attrs.field(factory=dict)
+    routes: Mapping[str, Any] = attrs.field(factory=dict)
 
     @property
     def instances(self) -> tuple[Instance, ...]:
@@ -74,6 +76,7 @@
             'cluster': self.name,
             'zones': {zone: {'region': self.region} for zone in self.zones},
             'defaults': dict(self.defaults),
+            'routes': dict(self.routes),
             'services': {
                 service.name: {
                     'slots_per_upstream': service.slots,
--- a/standins/soak_calls.py
+++ b/standins/soak_calls.py
@@ -15,7 +15,12 @@
 from standins.http import LostCall, Message
 from standins.tally import Ending
 from standins.target_messages import DIGEST_HEADER, digest_of
-from standins.target_model import CHAIN_PREFIX, POISON_PATH
+from standins.target_model import (
+    BROKEN_PREFIX,
+    CHAIN_PREFIX,
+    PIPELINES_PREFIX,
+    POISON_PATH,
+)
 
 REASON_HEADER = 'daisyline-reason'
 DEADLINE_MS = 3000
@@ -161,6 +166,26 @@
     return Message('GET', path, headers=_headers(kind.service, call_id))
 
 
+def pipelined_requests(
+    number: int, count: int, broken: int | None
+) -> list[Message]:
+    """Return the requests of a pipeline.
+
+    Args:
+        number: The number of the pipeline, from 1.
+        count: The number of requests.
+        broken: The position of the one whose answer breaks off; None for
+            whole answers.
+    """
+    requests = []
+    for position in range(count):
+        call_id = f'pipe-{number}.{position}'
+        prefix = BROKEN_PREFIX if position == broken else PIPELINES_PREFIX
+        headers = _headers('docs', call_id)
+        requests.append(Message('GET', f'{prefix}{call_id}', headers=headers))
+    return requests
+
+
 @functools.singledispatch
 def is_resent(kind: Any, result: AttemptResult) -> bool:
     """Return whether the caller re-sends a call after this result."""
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from standins.soak_losses import can_affect, is_loss_to_explain
+from standins.soak_losses import can_affect, is_loss_to_explain, is_unread
 from standins.soak_records import Attempt, Journal, Start
 from standins.tally import Ending
 from standins.target_model import POISON_PATH
@@ -222,10 +222,13 @@
 def slow_recovery(journal: Journal) -> Violations:
     """Check that all calls succeed again soon after the last fault."""
     since = journal.faults_ended_at + RECOVERY_S
+    starts = _starts_by_call(journal)
     checked = [
         attempt
         for attempt in journal.attempts
-        if attempt.sent_at > since and not attempt.path.startswith(POISON_PATH)
+        if attempt.sent_at > since
+        and not attempt.path.startswith(POISON_PATH)
+        and not is_unread(attempt, starts[attempt.call_id])
     ]
     if not checked:
         yield Violation('recovery', 'no call was sent after the faults')
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -15,6 +15,7 @@
 from standins.relay import Relay
 from standins.relay_model import RelayModel
 from standins.soak_calls import UPLOAD_BYTES
+from standins.target_model import PIPELINES_PREFIX
 
 CALLED_SERVICE = 'catalogue'
 CHAINED_SERVICE = 'docs'
@@ -43,6 +44,14 @@
         ),
     ),
     defaults={'body_limit_bytes': 2 * UPLOAD_BYTES},
+    routes={
+        'pipelines': {
+            'host': CHAINED_SERVICE,
+            'prefix': PIPELINES_PREFIX,
+            'services': {CHAINED_SERVICE: 1},
+            'repeatable': True,
+        },
+    },
 )
 
 
--- a/standins/soak_losses.py
+++ b/standins/soak_losses.py
@@ -2,7 +2,7 @@
 
 from standins.soak_records import PLATFORM, Attempt, Journal, Start, Window
 from standins.tally import Ending
-from standins.target_model import CHAIN_PREFIX
+from standins.target_model import BROKEN_PREFIX, CHAIN_PREFIX
 
 # A call sent less than this before its entry node gets SIGTERM may not have
 # arrived there.
@@ -19,11 +19,26 @@
     """Return whether a call was lost and needs a fault to explain it."""
     if attempt.ending not in {Ending.CUT, Ending.UNKNOWN}:
         return False
+    if attempt.path.startswith(BROKEN_PREFIX):
+        return False
+    if is_unread(attempt, starts):
+        return False
     if _is_sent_to_stopping_node(attempt, journal, starts):
         return False
     return not _is_repeated_unknown(attempt, journal, starts)
 
 
+def is_unread(attempt: Attempt, starts: list[Start]) -> bool:
+    """Return whether a call waited behind another one and was not started.
+
+    A caller takes it for unread if the connection ends, and sends it again.
+    """
+    is_started = any(
+        attempt.sent_at <= start.at <= attempt.ended_at for start in starts
+    )
+    return attempt.is_behind and attempt.ending == Ending.CUT and not is_started
+
+
 def _is_sent_to_stopping_node(
     attempt: Attempt, journal: Journal, starts: list[Start]
 ) -> bool:
--- a/standins/soak_records.py
+++ b/standins/soak_records.py
@@ -75,6 +75,8 @@
         ended_at: When it ended, in monotonic seconds.
         ending: How it ended for its caller.
         reason: The reason of a refusal, or a description of the failure.
+        is_behind: Whether it was sent behind another one on its connection,
+            whose answer was awaited.
     """
 
     call_id: str
@@ -85,6 +87,7 @@
     ended_at: float
     ending: Ending
     reason: str = ''
+    is_behind: bool = False
 
 
 @attrs.frozen
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -15,6 +15,7 @@
 from standins.soak_faults import inject
 from standins.soak_fleet import SoakFleet
 from standins.soak_injector import Injector
+from standins.soak_pipeline import PipelineCaller
 from standins.soak_records import Journal, NodeFault
 from standins.soak_reports import (
     ReportReceiver,
@@ -87,7 +88,13 @@
         self._injector = Injector(self._fleet, self.journal)
         self._injector.on_poison = self._send_poison
         self._monitor = NodeMonitor(self._fleet, self.journal)
-        self._callers = [self._caller(stream) for stream in STREAMS]
+        self._pipelines = PipelineCaller(
+            loop, self._fleet.entry_ports, self.journal.attempts.append
+        )
+        self._callers: list[SoakCaller | PipelineCaller] = [
+            self._pipelines,
+            *map(self._caller, STREAMS),
+        ]
         self._poison_callers: list[SoakCaller] = []
         self._schedule = draw_schedule(
             seed, duration_s, self._scope(), left_out
@@ -156,6 +163,7 @@
             self._loop.call_later(POLL_INTERVAL_S, self._wait_for_faults)
             return
         self.journal.faults_ended_at = self._loop.now()
+        self._pipelines.breaks_answers = False
         print_line('all faults have ended')
         for caller in self._callers:
             caller.close_idle()
--- a/standins/target.py
+++ b/standins/target.py
@@ -11,13 +11,17 @@
 import cyclopts
 
 from daisyline.transport.loop import Loop
-from daisyline.transport.sockets import Connection
 from standins import target_messages as msg
 from standins.http import LostCall, Message
 from standins.http_client import Client, ClientPool
 from standins.http_server import Exchange, Server
-from standins.target_answers import DELIVERIES, deliver
-from standins.target_model import OK, TargetModel
+from standins.target_answers import (
+    BROKEN_LATE,
+    DELIVERIES,
+    Delivery,
+    deliver,
+)
+from standins.target_model import BROKEN_PREFIX, OK, TargetModel
 from standins.target_plan import TargetFaults, TargetPlan
 from standins.target_report import Reporter
 
@@ -105,13 +109,18 @@
         }
         headers = {name: text for name, text in repeated.items() if text}
         exchange.write_answer = functools.partial(
-            self._deliver, exchange.connection
+            deliver,
+            self._delivery_of(exchange),
+            connection=exchange.connection,
+            loop=self._loop,
         )
         exchange.answer(effect.status, effect.content, headers)
 
-    def _deliver(self, connection: Connection, octets: bytes) -> None:
-        delivery = DELIVERIES[self._model.faults.answers]
-        deliver(delivery, octets, connection, self._loop)
+    def _delivery_of(self, exchange: Exchange) -> Delivery:
+        request = exchange.request
+        if request is not None and request.path.startswith(BROKEN_PREFIX):
+            return BROKEN_LATE
+        return DELIVERIES[self._model.faults.answers]
 
     @carry_out.register
     def _call_on(self, effect: msg.CallService) -> None:
--- a/standins/target_answers.py
+++ b/standins/target_answers.py
@@ -13,6 +13,7 @@
 HEAD_END = b'\r\n\r\n'
 # Time from an answer to its copy: other calls use the connection by then.
 COPY_DELAY_S = 0.03
+_BREAK_DELAY_S = 0.15
 ENDLESS_INTERVAL_S = 0.01
 ENDLESS_CHUNK_BYTES = 4096
 
@@ -29,7 +30,13 @@
 
 @attrs.frozen
 class BrokenOff:
-    """The connection closes in the middle of each answer."""
+    """The connection closes in the middle of each answer.
+
+    Attributes:
+        after_s: How long it stays open without the rest, in seconds.
+    """
+
+    after_s: float = 0
 
 
 @attrs.frozen
@@ -61,6 +68,8 @@
         ),
     }
 )
+# Other answers of the caller's connection are whole by the time it closes.
+BROKEN_LATE = BrokenOff(_BREAK_DELAY_S)
 FAULTY = tuple(sorted(set(DELIVERIES) - {'whole'}))
 
 
@@ -104,7 +113,7 @@
 ) -> None:
     body_at = octets.index(HEAD_END) + len(HEAD_END)
     connection.write(octets[: (body_at + len(octets)) // 2])
-    connection.close()
+    loop.call_later(delivery.after_s, connection.close)
 
 
 @deliver.register
--- a/standins/target_model.py
+++ b/standins/target_model.py
@@ -32,6 +32,9 @@
 COLD_FAILURE_S = 2.0
 POISON_PATH = '/poison'
 CHAIN_PREFIX = '/chain/'
+PIPELINES_PREFIX = '/pipelines/'
+# Answers below this path break off.
+BROKEN_PREFIX = '/pipelines/broken/'
 
 OK = 200
 FAILED = 500
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -71,7 +71,7 @@
         self.journal.starts.append(start)
 
     def attempt(
-        self, call: str, sent_at: float, ending: Ending, **fields: str
+        self, call: str, sent_at: float, ending: Ending, **fields: str | bool
     ) -> None:
         defaults = {'entry': 'b', 'method': 'GET', 'path': '/stock', **fields}
         attempt = Attempt(
