--- a/daisyline/platform/settings_file.py
+++ b/daisyline/platform/settings_file.py
@@ -6,8 +6,9 @@
 
 from daisyline.platform.boot import Boot
 from daisyline.platform.front import front_end
-from daisyline.protocol.front_end import FrontEnd, ReloadResult
+from daisyline.protocol.front_end import FileStamp, FrontEnd, ReloadResult
 from daisyline.state.failures import Finding
+from daisyline.transport.file_watch import read_stamp
 
 # These settings are used only when the process starts.
 _NEEDS_RESTART = (
@@ -31,12 +32,14 @@
 
     _path: Path
     _boot: Boot
+    _stamp: FileStamp | None
 
     @classmethod
     def read(cls, path: Path) -> 'SettingsFile | list[Finding]':
         """Read the file when the process starts; return all errors in it."""
+        stamp = read_stamp(str(path))
         boot = _read(path)
-        return cls(path, boot) if isinstance(boot, Boot) else boot
+        return cls(path, boot, stamp) if isinstance(boot, Boot) else boot
 
     @property
     def boot(self) -> Boot:
@@ -48,6 +51,7 @@
         return attrs.evolve(
             front_end(self._boot),
             settings_path=str(self._path),
+            settings_stamp=self._stamp,
             reload=self._reload,
         )
 
--- a/daisyline/protocol/front_end.py
+++ b/daisyline/protocol/front_end.py
@@ -35,6 +35,8 @@
 
 
 Notice = Announcement | LeaveNotice | Sequence[Finding]
+# The modification time in nanoseconds, the size and the inode of a file.
+FileStamp = tuple[int, int, int]
 
 
 class PlatformCodec(Protocol):
@@ -111,6 +113,7 @@
         memory_mb: The memory of the node's machine, in megabytes; None if it
             is not known.
         settings_path: The file that `reload` reads; empty if there is none.
+        settings_stamp: The state of that file when it was read first.
         reload: Reads the node's own settings again.
         duty_config: The settings of the usage report; None if usage is not
             reported.
@@ -130,6 +133,7 @@
     logs_decisions: bool = False
     memory_mb: float | None = None
     settings_path: str = ''
+    settings_stamp: FileStamp | None = None
     reload: Callable[[], ReloadResult] = _reload_nothing
     duty_config: DutyConfig | None = None
     duty_address: tuple[str, int] | None = None
--- a/daisyline/transport/node.py
+++ b/daisyline/transport/node.py
@@ -200,7 +200,12 @@
         self._loop.poller.on_pause = self._handle_pause
         self._loop.on_signal = self._handle_signal
         if self._front.settings_path:
-            FileWatcher(self._loop, self._front.settings_path, self.reload)
+            FileWatcher(
+                self._loop,
+                self._front.settings_path,
+                self.reload,
+                self._front.settings_stamp,
+            )
         transports = self._transports
         transports.pool.connection_limit = self._connections_per_server
         transports.streams.members = lambda: self.core.fleet.members
