Close a connection whose last answer is refused in a shortage

Cause: refusing several answers at once sent the last one of the connection, and then reported that the connection may carry more, so that it stayed open.

Change: the result of the refusal that sent it is returned.

Measured: test_a_shortage_leaves_no_connection_open_behind_its_last_answer failed before and passes.

--- a/daisyline/transport/answer_queue.py
+++ b/daisyline/transport/answer_queue.py
@@ -225,11 +225,12 @@
             is_refused: Returns whether to refuse an answer.
             failure: The reason and outcome.
         """
+        may_go_on = True
         for answer in reversed(tuple(self._answers)):
             if answer.can_be_refused and is_refused(answer):
                 is_running = not answer.is_complete
-                self.abort(answer, failure, is_running=is_running)
-        return self.flush()
+                may_go_on = self.abort(answer, failure, is_running=is_running)
+        return may_go_on
 
     def flush(self) -> bool:
         """Send what is next; return whether the connection may carry more."""
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -146,6 +146,24 @@
     assert not peer.ended
 
 
+def test_a_shortage_leaves_no_connection_open_behind_its_last_answer(
+    guarded_port: GuardedPort,
+) -> None:
+    callers, account = guarded_port.callers, guarded_port.account
+    account.limit_bytes = 40_000_000
+    peer = guarded_port.connect()
+    caller = callers.caller
+    caller.may_overlap = lambda _request: True
+    closing = b'GET /2 HTTP/1.1\r\nHost: docs\r\nConnection: close\r\n\r\n'
+    peer.send(_get(1) + closing)
+    callers.wait_for_requests(2)
+    for call, last in (('c2', True), ('c1', False)):
+        caller.send_answer(AnswerCaller(call, 200, (), WAITING_BODY, last))
+    account.limit_bytes = LIMIT_BYTES
+    guarded_port.connect().send(UNFINISHED)
+    assert peer.read_until_end().count(b'HTTP/1.1 502 ') == 2
+
+
 def test_answers_count_in_the_account_after_a_shortage(
     guarded_port: GuardedPort,
 ) -> None:
