Count no crash where a running target breaks its answer off

What callers saw: a sound request was refused with 422 on all nodes after a target that ran on had broken off two answers to it (soak).

Cause: where targets report no start time, each connection that closes without a whole answer counted as a crash. Weighed: waiting for the next announcement; a poison that is sent every 0.3 s would crash further targets meanwhile.

Change: the node connects to its target after such a loss, and counts the crash if the connection is refused, closed within 0.1 s or not made in 1 s. Targets that report their start are judged as before.

--- a/daisyline/coordination/effects.py
+++ b/daisyline/coordination/effects.py
@@ -121,3 +121,27 @@
     Each is answered as lost. Those that are not sent yet must not reach a store
     that has come back from a copy, as their conditions may hold there again.
     """
+
+
+@attrs.frozen
+class CheckPresence:
+    """Check whether the target still accepts connections.
+
+    Attributes:
+        number: Distinguishes the check from others of this process.
+    """
+
+    number: int
+
+
+@attrs.frozen
+class PresenceChecked:
+    """A `CheckPresence` has ended.
+
+    Attributes:
+        number: The number of the check.
+        is_present: Whether the target accepted a connection and kept it open.
+    """
+
+    number: int
+    is_present: bool
--- a/daisyline/coordination/node_handlers.py
+++ b/daisyline/coordination/node_handlers.py
@@ -27,7 +27,11 @@
 from daisyline.coordination.calls import messages as msg
 from daisyline.coordination.departures.departure_events import DeparturesRead
 from daisyline.coordination.duties import duty_handlers
-from daisyline.coordination.effects import PlatformReply, Send
+from daisyline.coordination.effects import (
+    PlatformReply,
+    PresenceChecked,
+    Send,
+)
 from daisyline.coordination.membership import fleet_events
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from daisyline.coordination.memory.body_refusal import refuse_body
@@ -119,6 +123,11 @@
     ]
 
 
+@_dispatch.register
+def _(event: PresenceChecked, core: NodeCore, now: float) -> Effects:
+    return list(core.crashes.apply_check(event, now))
+
+
 @_dispatch.register
 def _(event: ev.CallMessageReceived, core: NodeCore, now: float) -> Effects:
     if isinstance(event.message, _CALL_MESSAGES):
@@ -154,14 +163,8 @@
     return [ev.RefuseCaller(event.call, event.failure)]
 
 
-@_dispatch.register
-def _(event: ev.TargetAnnounced, core: NodeCore, now: float) -> Effects:
-    return target_notices.apply_announcement(event, core, now)
-
-
-@_dispatch.register
-def _(event: ev.TargetLeaving, core: NodeCore, now: float) -> Effects:
-    return target_notices.apply_leave(event, core, now)
+_dispatch.register(ev.TargetAnnounced, target_notices.apply_announcement)
+_dispatch.register(ev.TargetLeaving, target_notices.apply_leave)
 
 
 @_dispatch.register
--- a/daisyline/coordination/target_crashes.py
+++ b/daisyline/coordination/target_crashes.py
@@ -4,8 +4,10 @@
 quarantine, and refuses requests that the quarantine stops.
 """
 
+import itertools
 import math
 from collections import deque
+from collections.abc import Iterator
 
 import attrs
 
@@ -18,6 +20,7 @@
     Quarantine,
 )
 from daisyline.coordination.calls.target_side import TargetSide
+from daisyline.coordination.effects import CheckPresence, PresenceChecked
 from daisyline.coordination.membership.fact_events import FactChanged, PutFact
 from daisyline.state.failures import Failure, Reason
 from daisyline.state.targets import Phase
@@ -50,6 +53,20 @@
     ended_at: float
 
 
+@attrs.frozen
+class _Loss:
+    """Runs that were in flight when an answer was lost.
+
+    Attributes:
+        requests: Their fingerprints.
+        began_at: When the run whose answer was lost began, in monotonic
+            seconds.
+    """
+
+    requests: tuple[str, ...]
+    began_at: float
+
+
 @attrs.define
 class TargetCrashes:
     """The crashes of one target, as far as requests may have caused them.
@@ -64,6 +81,8 @@
     _interrupted: deque[_InterruptedRun] = attrs.field(
         factory=lambda: deque(maxlen=_MAX_INTERRUPTED_REQUESTS)
     )
+    _unproved: dict[int, _Loss] = attrs.field(factory=dict)
+    _check_numbers: Iterator[int] = attrs.field(factory=itertools.count)
     _crashed_calls: set[str] = attrs.field(factory=set)
     _crashed_at: float = -math.inf
     _reserved_until: float = -math.inf
@@ -71,8 +90,8 @@
 
     def record_end(
         self, event: internal_effects.TargetCallEnded, now: float
-    ) -> list[PutFact]:
-        """Record the end of a run at the target; return the facts to spread."""
+    ) -> list[PutFact | CheckPresence]:
+        """Record the end of a run at the target and return the effects."""
         if event.crashed:
             return self._record_interrupted(event, now)
         if self.quarantine.is_empty:
@@ -102,6 +121,15 @@
         requests = [run.request for run in recent]
         return self.quarantine.record_crash(requests, self._node, now, began_at)
 
+    def apply_check(self, event: PresenceChecked, now: float) -> list[PutFact]:
+        """Count a crash that was not proved yet if the target is gone."""
+        loss = self._unproved.pop(event.number)
+        if event.is_present:
+            return []
+        return self.quarantine.record_crash(
+            loss.requests, self._node, now, loss.began_at
+        )
+
     def apply_fact(self, event: FactChanged, now: float) -> list[PutFact]:
         """Apply a fact of any kind; return the facts to spread.
 
@@ -173,23 +201,24 @@
 
     def _record_interrupted(
         self, event: internal_effects.TargetCallEnded, now: float
-    ) -> list[PutFact]:
+    ) -> list[PutFact | CheckPresence]:
         """Count a crash once, though each interrupted call reports it.
 
-        If the target reports its start time, a lost answer alone does not
-        prove a crash; the crash is counted when a later start is announced.
-        That of a suspect which ran alone is counted at once, as the request
-        could crash a target with each re-send until then.
+        A lost answer alone does not prove a crash. If the target reports its
+        start time, the crash is counted when a later start is announced. That
+        of a suspect which ran alone is counted at once, as the request could
+        crash a target with each re-send until then. Without a start time the
+        crash is counted if the target no longer accepts connections.
         """
         run, began_at = event.run, now - event.service_s
         request = _fingerprint(run)
         self.quarantine.end_retrial(request, began_at)
-        target = self._target_side.target
         in_flight = self._in_flight()
         is_sole_suspect = not in_flight and self.quarantine.must_run_alone(
             request, now
         )
-        if target is not None and target.started_ms and not is_sole_suspect:
+        is_start_known = self._is_start_known()
+        if is_start_known and not is_sole_suspect:
             self._interrupted.append(_InterruptedRun(request, began_at, now))
             return []
         if (
@@ -199,9 +228,18 @@
             return []
         self._crashed_calls = set(self._target_side.calls)
         self._crashed_at = now
-        return self.quarantine.record_crash(
-            [request, *in_flight], self._node, now, began_at
-        )
+        requests = (request, *in_flight)
+        if is_start_known:
+            return self.quarantine.record_crash(
+                requests, self._node, now, began_at
+            )
+        check = CheckPresence(next(self._check_numbers))
+        self._unproved[check.number] = _Loss(requests, began_at)
+        return [check]
+
+    def _is_start_known(self) -> bool:
+        target = self._target_side.target
+        return target is not None and bool(target.started_ms)
 
     def _is_suspect_running(self, now: float) -> bool:
         return any(
--- a/daisyline/transport/effect_handlers.py
+++ b/daisyline/transport/effect_handlers.py
@@ -15,6 +15,7 @@
     ReportUsage,
 )
 from daisyline.coordination.effects import (
+    CheckPresence,
     DropPlatformCalls,
     PlatformList,
     PlatformRead,
@@ -205,6 +206,11 @@
     transports.pool.probe_pace(effect.path)
 
 
+@perform.register
+def _(effect: CheckPresence, transports: Transports) -> None:
+    transports.pool.presence.check(effect.number)
+
+
 @perform.register
 def _(effect: ev.AbortTargetCall, transports: Transports) -> None:
     transports.pool.abort_call(effect.call)
--- a/daisyline/transport/target_pool.py
+++ b/daisyline/transport/target_pool.py
@@ -14,6 +14,7 @@
 from daisyline.protocol.dialect import Dialect
 from daisyline.state.targets import Target
 from daisyline.transport.loop import Loop
+from daisyline.transport.presence_check import PresenceChecker
 from daisyline.transport.sockets import Connection
 from daisyline.transport.target_condition import TargetCondition
 from daisyline.transport.target_connection import TargetConnection
@@ -38,6 +39,7 @@
         on_event: Receives the events of calls and probes.
         condition: Reports what answers say of the target's condition.
         connection_limit: Returns the maximum number of connections.
+        presence: Checks whether the target still accepts connections.
     """
 
     def __init__(
@@ -55,11 +57,15 @@
         self._pending: deque[StartTargetCall] = deque()
         self._prober = TargetProber(loop, on_event, self.dialect)
         self.connection_limit: Callable[[], int] = lambda: 1
+        self.presence = PresenceChecker(loop, on_event)
+        self.presence.has_room = lambda: (
+            self.connection_count < self.connection_limit()
+        )
 
     @property
     def connection_count(self) -> int:
         """Return the number of open connections to the target."""
-        return len(self._open)
+        return len(self._open) + self.presence.open_checks
 
     def update_target(self, target: Target | None) -> None:
         """Set the target and close idle connections to any other instance.
@@ -68,6 +74,7 @@
         again.
         """
         self._target = target
+        self.presence.target = target
         if target is None:
             return
         for connection in tuple(self._idle):
--- a/tests/journeys/test_answers.py
+++ b/tests/journeys/test_answers.py
@@ -13,6 +13,8 @@
 CALLS_PER_CALLER = 15
 ENDLESS_HEADS = ('endless-status', 'endless-head', 'endless-interim')
 READ_S = 9
+# Fewer failures in a row than those that stop the calls to a target.
+BROKEN_CALLS = 4
 
 
 def _call(fleet: SmallFleet, method: str, call: str) -> bytes:
@@ -85,3 +87,16 @@
     records = [target.run_calls() for target in fleet.places]
     runs = [run['POST-call']['runs'] for run in records if 'POST-call' in run]
     assert runs == [1]
+
+
+def test_answers_that_break_off_block_no_request(fleet: SmallFleet) -> None:
+    # Guards against a sound request that is refused everywhere, as its answers
+    # broke off at targets that run on and report no start time.
+    for place in fleet.places:
+        place.set_faults(answers='broken-off')
+    for number in range(BROKEN_CALLS):
+        assert not _is_complete(_call(fleet, 'GET', f'broken-{number}'))
+    for healed in fleet.places:
+        healed.set_faults(answers='whole')
+    answer = _call(fleet, 'GET', 'after')
+    assert _is_own(answer, 'after'), answer
