Read on after the last answer of a pipeline

A start that was due when the last answer of a connection was written paused its reading, and a close with unread bytes resets the connection.

Change: nothing starts once the connection is ending.

Measured: test_what_follows_a_last_answer_behind_another_is_read failed before and passes.

--- a/daisyline/coordination/calls/entry_call.py
+++ b/daisyline/coordination/calls/entry_call.py
@@ -58,7 +58,8 @@
         retried: Whether a retry was spent on this call, on a call above it
             or on one below it.
         outcome: `UNKNOWN` once any attempt may have run.
-        head_sent: Whether the head of the answer was sent to the caller.
+        head_sent: Whether the head of the answer was passed on to the caller's
+            connection.
         awaiting_outcome: Whether `node` was asked for the state of the call
             and has not replied yet.
         may_move: Whether the call could still be offered to another target.
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -144,6 +144,8 @@
 
     def _start_requests(self) -> None:
         """Start the complete requests that may start now."""
+        if self._ending:
+            return
         has_more = self._can_start()
         while has_more:
             event = self._postponed or self._codec.next_event()
--- a/tests/transport/test_pipelined_answers.py
+++ b/tests/transport/test_pipelined_answers.py
@@ -209,6 +209,21 @@
     pipeline.callers.wait_for_requests(17)
 
 
+def test_what_follows_a_last_answer_behind_another_is_read(
+    pipeline: Pipeline,
+) -> None:
+    # Guards against a reset that destroys the end of the last answer, as what
+    # the client sent behind its last request was not read.
+    closing = b'GET /2 HTTP/1.1\r\nHost: docs\r\nConnection: close\r\n\r\n'
+    pipeline.peer.send(_get(1) + closing)
+    pipeline.callers.wait_for_requests(2)
+    pipeline.send_answer(1, b'first')
+    pipeline.send_answer(2, bytes(16_000_000))
+    pipeline.run_for(0.05)
+    assert pipeline.callers.buffered
+    assert pipeline.callers.caller._connection._is_reading
+
+
 def test_answers_that_break_off_one_after_the_other_are_all_refused(
     pipeline: Pipeline,
 ) -> None:
