Deliver whole answers before the reset for a caller that ends its data

Change: that reset waits until they are delivered, as the one for an answer that breaks off.

Measured: test_a_caller_that_ends_its_data_gets_the_whole_answers_before_a_part failed before and passes.

--- a/daisyline/transport/caller_answers.py
+++ b/daisyline/transport/caller_answers.py
@@ -68,11 +68,9 @@
         self._codec = ServerCodec(body_limit_bytes)
         self._ending = False
         self._memory: CallerMemory | None = None
+        self._delayed_reset = DelayedReset(loop, connection)
         self.answers = AnswerQueue(
-            connection,
-            on_event,
-            DelayedReset(loop, connection),
-            dialect or Dialect(),
+            connection, on_event, self._delayed_reset, dialect or Dialect()
         )
         self._timeout = loop.call_later(_REQUEST_TIMEOUT_S, connection.abort)
 
--- a/daisyline/transport/callers.py
+++ b/daisyline/transport/callers.py
@@ -98,12 +98,13 @@
         closed its connection.
         """
         first = self.answers.first
-        if first is not None and first.sent_bytes:
-            self._connection.reset()
-            return
+        partial_bytes = 0 if first is None else first.sent_bytes
         self._ending = True
         self.answers.discard()
-        self._connection.close()
+        if partial_bytes:
+            self._delayed_reset.start(partial_bytes)
+        else:
+            self._connection.close()
 
     def handle_drained(self) -> None:
         """Continue once the buffered bytes are sent to the caller."""
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -33,6 +33,8 @@
 BODY_LIMIT_BYTES = 4096
 PART = bytes(50_000)
 PART_COUNT = 100
+# So many of them fit into the buffers of the kernel.
+WHOLE_PARTS = 20
 READING_PAUSE_S = 12.0
 MAX_BUFFERED_BYTES = 400_000
 EXPECTING = (
@@ -604,3 +606,20 @@
     peer.read_until_end()
     assert peer.was_reset
     assert driver.events_of(CallerDisconnected) == [CallerDisconnected('c1')]
+
+
+def test_a_caller_that_ends_its_data_gets_the_whole_answers_before_a_part(
+    driver: LoopDriver, callers_port: CallersPort
+) -> None:
+    peer = _pipeline_two_calls(callers_port)
+    body = b'x' * len(PART) * WHOLE_PARTS
+    for call, part, last in (('c1', body, True), ('c2', b'half', False)):
+        answer = AnswerCaller(call, 200, (), part, last)
+        callers_port.caller.send_answer(answer)
+    assert not callers_port.buffered
+    peer.sock.shutdown(socket.SHUT_WR)
+    _run_until_disconnected(driver)
+    driver.run_for(0.1)
+    assert peer.read_until_end().count(b'x') == len(body)
+    assert peer.was_reset
+    assert driver.events_of(CallerDisconnected) == [CallerDisconnected('c2')]
